--- /dev/null
+++ b/crates/foxtailgauge-bench/src/main.rs
@@ -0,0 +1,62 @@
+//! Stand-in backend server, load generator, cuttable links and fleet plans. Not shipped.
+
+mod fleet;
+mod json_file;
+mod load;
+mod plan;
+mod relay;
+mod stand_in;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Tools around a fleet on one machine.
+#[derive(Debug, Parser)]
+#[command(name = "foxtailgauge-bench", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Write the settings of a fleet on loopback.
+    Plan(plan::PlanArguments),
+    /// Enter the process ids of a started fleet into its plan.
+    Pids(fleet::PidsArguments),
+    /// Wait until every daemon of a fleet knows all the others.
+    Ready(fleet::ReadyArguments),
+    /// Run a stand-in backend server.
+    Backend(stand_in::StandInArguments),
+    /// Run the links between the daemons of a cuttable fleet.
+    Relay(relay::RelayArguments),
+    /// Send requests and measure.
+    Load(load::LoadArguments),
+    /// Print a new idempotency key.
+    Key,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let result = async_std::task::block_on(async {
+        match arguments.command {
+            Command::Plan(arguments) => plan::run(&arguments),
+            Command::Pids(arguments) => fleet::enter_pids(&arguments),
+            Command::Ready(arguments) => fleet::wait_ready(&arguments).await,
+            Command::Backend(arguments) => stand_in::run(arguments).await,
+            Command::Relay(arguments) => relay::run(&arguments).await,
+            Command::Load(arguments) => load::run(&arguments).await,
+            Command::Key => {
+                println!("{}", uuid::Uuid::now_v7());
+                Ok(())
+            }
+        }
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-cli/src/commands.rs
@@ -0,0 +1,233 @@
+//! What each command does.
+
+use crate::arguments::{Arguments, ChangeArguments, Command};
+use crate::client::{read_file, Client, ClientError};
+use crate::exit::Exit;
+use crate::render;
+use foxtailgauge_core::{ChangeAnswer, ConfigVersion};
+use foxtailgauge_wire::api::{ChangeBody, ChangeReply};
+use foxtailgauge_wire::FleetStatus;
+use std::time::{Duration, Instant};
+use uuid::Uuid;
+
+/// Interval at which the fleet is asked while waiting.
+const WAIT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Runs a command.
+pub(crate) async fn run(arguments: &Arguments) -> Result<Exit, ClientError> {
+    let client = Client::new(&arguments.admin, arguments.token_file.as_deref())?;
+    let is_json = arguments.json;
+    match &arguments.command {
+        Command::Check { team, file } => check(&client, &team.team, &read_file(file)?).await,
+        Command::Diff { team, file } => diff(&client, &team.team, &read_file(file)?).await,
+        Command::Apply { team, change, file } => {
+            let text = read_file(file)?;
+            apply(&client, &team.team, change, text, None).await
+        }
+        Command::Rollback { team, change, to } => rollback(&client, &team.team, change, *to).await,
+        Command::Get { team, revision } => get(&client, &team.team, *revision).await,
+        Command::History { team } => {
+            let reply = client.history(&team.team).await?;
+            render::print(is_json, &reply, || render::history(&reply));
+            Ok(Exit::Done)
+        }
+        Command::Audit { team } => {
+            let reply = client.audit(&team.team).await?;
+            render::print(is_json, &reply, || render::audit(&reply));
+            Ok(Exit::Done)
+        }
+        Command::Status => {
+            let status = client.status().await?;
+            render::print(is_json, &status, || render::status(&status));
+            Ok(Exit::Done)
+        }
+        Command::Watch { timeout_s, keep } => watch(&client, *timeout_s, *keep).await,
+    }
+}
+
+async fn check(client: &Client, team: &str, text: &str) -> Result<Exit, ClientError> {
+    let reply = client.check(team, text).await?;
+    if reply.problems.is_empty() {
+        println!("valid");
+        return Ok(Exit::Done);
+    }
+    print!("{}", render::problems(&reply.problems));
+    Ok(Exit::Refused)
+}
+
+async fn diff(client: &Client, team: &str, text: &str) -> Result<Exit, ClientError> {
+    let current = client.revision(team, None).await?;
+    let (label, old) = match &current {
+        Some(record) => (
+            format!("revision {}", record.revision),
+            record.text.as_str(),
+        ),
+        None => ("nothing".to_owned(), ""),
+    };
+    print!("{}", render::diff(&label, old, text));
+    Ok(Exit::Done)
+}
+
+async fn get(client: &Client, team: &str, revision: Option<u64>) -> Result<Exit, ClientError> {
+    match client.revision(team, revision).await? {
+        Some(record) => {
+            print!("{}", record.text);
+            Ok(Exit::Done)
+        }
+        None => {
+            eprintln!("no such revision");
+            Ok(Exit::Refused)
+        }
+    }
+}
+
+async fn rollback(
+    client: &Client,
+    team: &str,
+    change: &ChangeArguments,
+    to: u64,
+) -> Result<Exit, ClientError> {
+    match client.revision(team, Some(to)).await? {
+        Some(record) => apply(client, team, change, record.text, Some(to)).await,
+        None => {
+            eprintln!("no such revision");
+            Ok(Exit::Refused)
+        }
+    }
+}
+
+async fn apply(
+    client: &Client,
+    team: &str,
+    change: &ChangeArguments,
+    text: String,
+    rollback_of: Option<u64>,
+) -> Result<Exit, ClientError> {
+    let base_revision = match change.base_revision {
+        Some(revision) => revision,
+        None => client
+            .revision(team, None)
+            .await?
+            .map_or(0, |record| record.revision),
+    };
+    let change_id = change
+        .change_id
+        .clone()
+        .unwrap_or_else(|| Uuid::now_v7().to_string());
+    let body = ChangeBody {
+        change_id: change_id.clone(),
+        base_revision,
+        text,
+        author: change.author.clone(),
+        rollback_of,
+    };
+    let started = Instant::now();
+    match client.change(team, &body).await {
+        Ok(reply) => conclude(client, change, &reply, started).await,
+        Err(ClientError::OutcomeUnknown) => {
+            println!(
+                "outcome unknown: ask again with --change-id {change_id} \
+                 --base-revision {base_revision}"
+            );
+            Ok(Exit::OutcomeUnknown)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn conclude(
+    client: &Client,
+    change: &ChangeArguments,
+    reply: &ChangeReply,
+    started: Instant,
+) -> Result<Exit, ClientError> {
+    println!("change {}", reply.change_id);
+    match &reply.answer {
+        ChangeAnswer::Accepted { version, revision } => {
+            println!("accepted: version {version}, revision {revision}");
+            if !change.wait {
+                return Ok(Exit::Done);
+            }
+            let timeout = Duration::from_secs(change.timeout_s);
+            wait_in_force(client, *version, started, timeout).await
+        }
+        ChangeAnswer::Conflict { current_revision } => {
+            println!("refused: the team is at revision {current_revision} now");
+            Ok(Exit::Refused)
+        }
+        ChangeAnswer::Invalid { problems } => {
+            println!("refused as a whole:");
+            print!("{}", render::problems(problems));
+            Ok(Exit::Refused)
+        }
+        ChangeAnswer::ChangeIdReused => {
+            println!("refused: the change id was used for another change");
+            Ok(Exit::Refused)
+        }
+    }
+}
+
+async fn wait_in_force(
+    client: &Client,
+    version: ConfigVersion,
+    started: Instant,
+    timeout: Duration,
+) -> Result<Exit, ClientError> {
+    loop {
+        let status = client.status().await;
+        if let Ok(status) = &status {
+            if is_everywhere(status, version) {
+                print!("{}", render::held(status, version));
+                println!(
+                    "in force everywhere after {} ms",
+                    started.elapsed().as_millis()
+                );
+                return Ok(Exit::Done);
+            }
+        }
+        if started.elapsed() > timeout {
+            if let Ok(status) = &status {
+                print!("{}", render::held(status, version));
+            }
+            println!(
+                "accepted, but not in force everywhere after {} s",
+                timeout.as_secs()
+            );
+            return Ok(Exit::NotEverywhere);
+        }
+        async_std::task::sleep(WAIT_INTERVAL).await;
+    }
+}
+
+/// Whether every live daemon holds the version or a newer one.
+fn is_everywhere(status: &FleetStatus, version: ConfigVersion) -> bool {
+    !status.domains.is_empty()
+        && status.domains.iter().all(|domain| {
+            render::holders(status, &domain.failure_domain, version) >= domain.daemons
+        })
+}
+
+async fn watch(client: &Client, timeout_s: u64, keep: bool) -> Result<Exit, ClientError> {
+    let started = Instant::now();
+    let mut last = String::new();
+    loop {
+        let status = client.status().await?;
+        let line = render::convergence(&status);
+        if line != last {
+            println!("{:>7} ms  {line}", started.elapsed().as_millis());
+            last = line;
+        }
+        let is_done = is_everywhere(&status, status.version);
+        if is_done && !keep {
+            return Ok(Exit::Done);
+        }
+        if started.elapsed() > Duration::from_secs(timeout_s) {
+            return Ok(if is_done {
+                Exit::Done
+            } else {
+                Exit::NotEverywhere
+            });
+        }
+        async_std::task::sleep(WAIT_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-cli/src/main.rs
@@ -0,0 +1,21 @@
+//! Operators' command line of foxtailgauge.
+
+mod arguments;
+mod client;
+mod commands;
+mod exit;
+mod render;
+
+use clap::Parser;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = arguments::Arguments::parse();
+    match async_std::task::block_on(commands::run(&arguments)) {
+        Ok(exit) => exit.into(),
+        Err(error) => {
+            eprintln!("{error}");
+            exit::Exit::from(&error).into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/admission.rs
@@ -0,0 +1,133 @@
+//! Decides whether a request may run on a backend server now, wait for it, or go back at once.
+
+use std::time::Duration;
+
+/// Weight of the newest sample in the mean run time.
+const RUN_TIME_WEIGHT: f64 = 0.2;
+/// Run time assumed before the first sample.
+const INITIAL_RUN_TIME: Duration = Duration::from_millis(5);
+
+/// Why a request was not admitted. Nothing of it has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionRefusal {
+    /// The backend server is leaving.
+    Draining,
+    /// The queue is full.
+    QueueFull {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The expected wait exceeds what is left of the deadline.
+    TooLate {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// What an arriving request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Runs now; a slot is taken.
+    Run,
+    /// Waits; a place in the queue is taken.
+    Wait,
+    /// Goes back at once.
+    Refused(AdmissionRefusal),
+}
+
+/// Exact count of the requests on one backend server.
+///
+/// Invariants: `running <= slots`; nothing waits while a slot is free and the gate is open.
+#[derive(Clone, Debug)]
+pub struct AdmissionGate {
+    slots: u32,
+    queue_limit: u64,
+    running: u32,
+    waiting: u64,
+    is_draining: bool,
+    mean_run_time: Duration,
+}
+
+impl AdmissionGate {
+    /// A gate for a backend server with a number of slots.
+    pub fn new(slots: u32, queue_limit: u64) -> Self {
+        AdmissionGate {
+            slots,
+            queue_limit,
+            running: 0,
+            waiting: 0,
+            is_draining: false,
+            mean_run_time: INITIAL_RUN_TIME,
+        }
+    }
+
+    /// Requests running.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests waiting.
+    pub fn waiting(&self) -> u64 {
+        self.waiting
+    }
+
+    /// Slots of the backend server.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Takes over a new announcement, or a new queue limit. Fewer slots take effect as requests end.
+    pub fn configure(&mut self, slots: u32, queue_limit: Option<u64>, is_draining: bool) {
+        self.slots = slots;
+        self.queue_limit = queue_limit.unwrap_or(self.queue_limit);
+        self.is_draining = is_draining;
+    }
+
+    /// Decides on an arriving request with `remaining` time to its deadline.
+    pub fn arrive(&mut self, remaining: Duration) -> Admission {
+        if self.is_draining {
+            return Admission::Refused(AdmissionRefusal::Draining);
+        }
+        if self.running < self.slots && self.waiting == 0 {
+            self.running += 1;
+            return Admission::Run;
+        }
+        let wait = self.expected_wait();
+        if self.waiting >= self.queue_limit {
+            return Admission::Refused(AdmissionRefusal::QueueFull { retry_after: wait });
+        }
+        if wait + self.mean_run_time > remaining {
+            return Admission::Refused(AdmissionRefusal::TooLate { retry_after: wait });
+        }
+        self.waiting += 1;
+        Admission::Wait
+    }
+
+    /// Ends a run; returns whether a waiting request takes the slot over.
+    pub fn finish(&mut self, run_time: Option<Duration>) -> bool {
+        if let Some(run_time) = run_time {
+            let mean = self.mean_run_time.as_secs_f64() * (1.0 - RUN_TIME_WEIGHT);
+            let sample = run_time.as_secs_f64() * RUN_TIME_WEIGHT;
+            self.mean_run_time = Duration::from_secs_f64(mean + sample);
+        }
+        self.running = self.running.saturating_sub(1);
+        if self.waiting > 0 && self.running < self.slots {
+            self.waiting -= 1;
+            self.running += 1;
+            return true;
+        }
+        false
+    }
+
+    /// A waiting request gave up.
+    pub fn abandon(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// How long a request that arrives now would wait.
+    pub fn expected_wait(&self) -> Duration {
+        let ahead = self.waiting as f64 + 1.0;
+        self.mean_run_time
+            .mul_f64(ahead / f64::from(self.slots.max(1)))
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/backoff.rs
@@ -0,0 +1,68 @@
+//! Pacing of reconnects: back-off with jitter at the client, bounded admission at the source.
+
+use rand::Rng;
+use std::time::Duration;
+
+/// Exponential back-off with full jitter.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    base: Duration,
+    max: Duration,
+    attempt: u32,
+}
+
+impl Backoff {
+    /// Back-off that starts at `base` and doubles up to `max`.
+    pub fn new(base: Duration, max: Duration) -> Self {
+        Backoff {
+            base,
+            max,
+            attempt: 0,
+        }
+    }
+
+    /// Starts again after a success.
+    pub fn reset(&mut self) {
+        self.attempt = 0;
+    }
+
+    /// Time to wait before the next attempt.
+    pub fn next_wait(&mut self, rng: &mut impl Rng) -> Duration {
+        let factor = 2u32.saturating_pow(self.attempt.min(16));
+        self.attempt += 1;
+        let ceiling = self.base.saturating_mul(factor).min(self.max);
+        let half = ceiling / 2;
+        half + half.mul_f64(rng.random::<f64>())
+    }
+}
+
+/// Bound on new sessions a second. A refused session gets a place in time to come back at.
+#[derive(Clone, Debug)]
+pub struct SessionLimit {
+    per_second: u64,
+    /// Time up to which places are taken, in microseconds of the caller's clock.
+    taken_until_us: u64,
+}
+
+impl SessionLimit {
+    /// Allows `per_second` sessions, and as many at once as fit into one second.
+    pub fn new(per_second: u64) -> Self {
+        SessionLimit {
+            per_second: per_second.max(1),
+            taken_until_us: 0,
+        }
+    }
+
+    /// Admits a session, or tells how long to stay away.
+    pub fn admit(&mut self, now_ms: u64) -> Result<(), Duration> {
+        const BURST_US: u64 = 1_000_000;
+        let now_us = now_ms * 1000;
+        let cost_us = 1_000_000 / self.per_second;
+        let start_us = self.taken_until_us.max(now_us.saturating_sub(BURST_US));
+        if start_us + cost_us <= now_us {
+            self.taken_until_us = start_us + cost_us;
+            return Ok(());
+        }
+        Err(Duration::from_micros(start_us + cost_us - now_us))
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/balance.rs
@@ -0,0 +1,242 @@
+//! Chooses a backend server for a call: own failure domain first, power of two choices on load.
+
+use crate::ids::{DaemonName, FailureDomain};
+use rand::Rng;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Time over which a new backend server is brought to its full share.
+const SLOW_START: Duration = Duration::from_secs(5);
+/// Failures in a row that eject a backend server.
+const EJECT_FAILURES: u32 = 3;
+/// Time of the first ejection; doubles with each further one.
+const EJECT_BASE: Duration = Duration::from_secs(1);
+/// Longest ejection.
+const EJECT_MAX: Duration = Duration::from_secs(30);
+/// Age from which a reported load no longer counts.
+const REPORT_TTL: Duration = Duration::from_millis(500);
+/// Load from which the own failure domain counts as full, per slot.
+const SPILL_LOAD: f64 = 1.0;
+
+/// Identity of a backend server in the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ServerKey {
+    /// Daemon beside it.
+    pub daemon: DaemonName,
+    /// Its name there.
+    pub server: String,
+}
+
+/// A backend server that a call may go to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Identity.
+    pub key: ServerKey,
+    /// Failure domain.
+    pub failure_domain: FailureDomain,
+    /// Address of its daemon's call port.
+    pub calls_addr: String,
+    /// Requests it runs at a time.
+    pub slots: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Load {
+    /// Calls of this gateway under way.
+    own: u32,
+    /// Calls of all gateways as last reported by the executor, and when.
+    reported: Option<(u32, Instant)>,
+    first_seen: Instant,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+}
+
+impl Load {
+    fn new(now: Instant) -> Self {
+        Load {
+            own: 0,
+            reported: None,
+            first_seen: now,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+        }
+    }
+
+    fn in_flight(&self, now: Instant) -> u32 {
+        match self.reported {
+            Some((count, at)) if now.duration_since(at) < REPORT_TTL => self.own.max(count),
+            _ => self.own,
+        }
+    }
+
+    fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| until > now)
+    }
+
+    /// Load per slot; a new backend server looks fuller than it is.
+    fn score(&self, slots: u32, now: Instant) -> f64 {
+        let age = now.duration_since(self.first_seen).as_secs_f64();
+        let warmth = (age / SLOW_START.as_secs_f64()).clamp(0.1, 1.0);
+        f64::from(self.in_flight(now) + 1) / (f64::from(slots.max(1)) * warmth)
+    }
+}
+
+/// How a call on a backend server ended, as far as its health is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallHealth {
+    /// It answered.
+    Answered,
+    /// It or its daemon did not answer.
+    Failed,
+    /// Nothing can be said, as after a refusal by its admission gate.
+    Neutral,
+}
+
+/// A gateway's knowledge of the load on all backend servers.
+#[derive(Debug)]
+pub struct Balancer {
+    failure_domain: FailureDomain,
+    loads: HashMap<ServerKey, Load>,
+}
+
+impl Balancer {
+    /// A balancer that prefers one failure domain.
+    pub fn new(failure_domain: impl Into<FailureDomain>) -> Self {
+        Balancer {
+            failure_domain: failure_domain.into(),
+            loads: HashMap::new(),
+        }
+    }
+
+    /// Forgets backend servers that are gone.
+    pub fn retain(&mut self, is_known: impl Fn(&ServerKey) -> bool) {
+        self.loads.retain(|key, load| load.own > 0 || is_known(key));
+    }
+
+    /// Chooses among candidates, without those already tried. Counts the call as under way.
+    pub fn choose<'a>(
+        &mut self,
+        candidates: &'a [Candidate],
+        tried: &[ServerKey],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Candidate> {
+        let open: Vec<&Candidate> = candidates
+            .iter()
+            .filter(|candidate| !tried.contains(&candidate.key))
+            .collect();
+        let healthy = self.without_ejected(&open, candidates.len(), now);
+        let (own, other): (Vec<&Candidate>, Vec<&Candidate>) = healthy
+            .into_iter()
+            .partition(|candidate| candidate.failure_domain == self.failure_domain);
+        let chosen = match self.better_of_two(&own, now, rng) {
+            Some(local) if self.has_room(local, now) => Some(local),
+            local => self.spill(&other, now, rng).or(local),
+        }?;
+        self.load(&chosen.key, now).own += 1;
+        Some(chosen)
+    }
+
+    /// Ends a call that `choose` counted, with the load the executor reported.
+    pub fn finish(
+        &mut self,
+        key: &ServerKey,
+        health: CallHealth,
+        reported_in_flight: Option<u32>,
+        now: Instant,
+    ) {
+        let load = self.load(key, now);
+        load.own = load.own.saturating_sub(1);
+        if let Some(count) = reported_in_flight {
+            load.reported = Some((count, now));
+        }
+        match health {
+            CallHealth::Neutral => {}
+            CallHealth::Answered => {
+                load.failures = 0;
+                load.ejections = 0;
+            }
+            CallHealth::Failed => load.fail(now),
+        }
+    }
+
+    fn load(&mut self, key: &ServerKey, now: Instant) -> &mut Load {
+        self.loads
+            .entry(key.clone())
+            .or_insert_with(|| Load::new(now))
+    }
+
+    /// Ejected ones are left out, but never more than half of all.
+    fn without_ejected<'a>(
+        &mut self,
+        open: &[&'a Candidate],
+        total: usize,
+        now: Instant,
+    ) -> Vec<&'a Candidate> {
+        for candidate in open {
+            self.load(&candidate.key, now);
+        }
+        let is_ejected = |c: &&&Candidate| self.loads[&c.key].is_ejected(now);
+        let ejected = open.iter().filter(is_ejected).count();
+        if ejected == open.len() || ejected * 2 > total {
+            return open.to_vec();
+        }
+        open.iter().filter(|c| !is_ejected(c)).copied().collect()
+    }
+
+    fn better_of_two<'a>(
+        &self,
+        among: &[&'a Candidate],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Candidate> {
+        match among {
+            [] => None,
+            [only] => Some(only),
+            _ => {
+                let first = rng.random_range(0..among.len());
+                let step = rng.random_range(1..among.len());
+                let second = (first + step) % among.len();
+                let (a, b) = (among[first], among[second]);
+                Some(if self.score(a, now) <= self.score(b, now) {
+                    a
+                } else {
+                    b
+                })
+            }
+        }
+    }
+
+    fn spill<'a>(
+        &self,
+        other: &[&'a Candidate],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Candidate> {
+        let remote = self.better_of_two(other, now, rng)?;
+        self.has_room(remote, now).then_some(remote)
+    }
+
+    fn has_room(&self, candidate: &Candidate, now: Instant) -> bool {
+        let in_flight = self.loads[&candidate.key].in_flight(now);
+        f64::from(in_flight) < SPILL_LOAD * f64::from(candidate.slots)
+    }
+
+    fn score(&self, candidate: &Candidate, now: Instant) -> f64 {
+        self.loads[&candidate.key].score(candidate.slots, now)
+    }
+}
+
+impl Load {
+    fn fail(&mut self, now: Instant) {
+        self.failures += 1;
+        if self.failures < EJECT_FAILURES || self.is_ejected(now) {
+            return;
+        }
+        let time = EJECT_BASE * 2u32.saturating_pow(self.ejections.min(5));
+        self.ejected_until = Some(now + time.min(EJECT_MAX));
+        self.ejections += 1;
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/children.rs
@@ -0,0 +1,125 @@
+//! The subscribers of one source: their leases, and the versions held in their subtrees.
+
+use crate::directory::Directory;
+use crate::ids::{ConfigVersion, DaemonName, FailureDomain, Incarnation};
+use crate::sync::{ReportRequest, VersionCount, CHILD_LEASE_MS};
+use std::collections::BTreeMap;
+
+/// Time that the subtree of a lost child has to report through another source, in milliseconds.
+const ORPHAN_GRACE_MS: u64 = 10_000;
+
+#[derive(Clone, Debug)]
+struct Child {
+    incarnation: Incarnation,
+    /// Sequence of the child's own entry at its last report.
+    sequence: u64,
+    heard_ms: u64,
+    counts: Vec<VersionCount>,
+}
+
+/// Children by name.
+#[derive(Clone, Debug, Default)]
+pub struct Children {
+    children: BTreeMap<DaemonName, Child>,
+    /// Lost children whose subtree has until the given time to move.
+    orphans: BTreeMap<DaemonName, u64>,
+}
+
+impl Children {
+    /// Number of children with a lease.
+    pub fn len(&self) -> usize {
+        self.children.len()
+    }
+
+    /// Whether there is no child.
+    pub fn is_empty(&self) -> bool {
+        self.children.is_empty()
+    }
+
+    /// Takes a report: renews the lease and merges what the subtree tells. Returns whether the
+    /// counts or the directory changed.
+    pub fn report(
+        &mut self,
+        request: ReportRequest,
+        directory: &mut Directory,
+        now_ms: u64,
+    ) -> bool {
+        let name = request.daemon;
+        let has_entries_changed = directory.merge(request.instances, &name);
+        let sequence = directory.get(&name).map_or(0, |state| state.sequence);
+        self.orphans.remove(&name);
+        let child = Child {
+            incarnation: request.incarnation,
+            sequence,
+            heard_ms: now_ms,
+            counts: request.counts,
+        };
+        let previous = self.children.insert(name.clone(), child);
+        let has_counts_changed =
+            previous.is_none_or(|previous| previous.counts != self.children[&name].counts);
+        has_entries_changed || has_counts_changed
+    }
+
+    /// Drops children whose lease ended and marks them lost, unless they moved to another source.
+    pub fn expire(&mut self, directory: &mut Directory, now_ms: u64) -> Vec<DaemonName> {
+        let is_over = |child: &Child| now_ms > child.heard_ms + CHILD_LEASE_MS;
+        let over: Vec<DaemonName> = self
+            .children
+            .iter()
+            .filter(|(_, child)| is_over(child))
+            .map(|(name, _)| name.clone())
+            .collect();
+        let mut lost = Vec::new();
+        for name in over {
+            if let Some(child) = self.children.remove(&name) {
+                if !has_moved(&child, &name, directory) && directory.mark_lost(&name) {
+                    lost.push(name.clone());
+                }
+                self.orphans.insert(name, now_ms + ORPHAN_GRACE_MS);
+            }
+        }
+        lost.extend(self.expire_orphans(directory, now_ms));
+        lost
+    }
+
+    fn expire_orphans(&mut self, directory: &mut Directory, now_ms: u64) -> Vec<DaemonName> {
+        let due: Vec<DaemonName> = self
+            .orphans
+            .iter()
+            .filter(|(_, at_ms)| **at_ms <= now_ms)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let mut lost = Vec::new();
+        for parent in due {
+            self.orphans.remove(&parent);
+            for name in directory.heard_via(&parent) {
+                if directory.mark_lost(&name) {
+                    lost.push(name);
+                }
+            }
+        }
+        lost
+    }
+
+    /// Versions held by the whole subtree, with the source itself at `own_version`.
+    pub fn counts(&self, own_domain: &str, own_version: ConfigVersion) -> Vec<VersionCount> {
+        let mut totals: BTreeMap<(FailureDomain, ConfigVersion), u32> = BTreeMap::new();
+        totals.insert((own_domain.to_owned(), own_version), 1);
+        for count in self.children.values().flat_map(|child| &child.counts) {
+            let key = (count.failure_domain.clone(), count.version);
+            *totals.entry(key).or_insert(0) += count.daemons;
+        }
+        let line = |((failure_domain, version), daemons)| VersionCount {
+            failure_domain,
+            version,
+            daemons,
+        };
+        totals.into_iter().map(line).collect()
+    }
+}
+
+fn has_moved(child: &Child, name: &str, directory: &Directory) -> bool {
+    directory.get(name).is_some_and(|state| {
+        (state.incarnation, state.sequence) > (child.incarnation, child.sequence)
+    })
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/config.rs
@@ -0,0 +1,508 @@
+//! A team's configuration subtree: its INI form, its checks and its typed form.
+
+use crate::ids::{RouteName, ServiceName, TeamName};
+use ini::Ini;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// Shortest deadline a route may set, in milliseconds.
+pub const MIN_DEADLINE_MS: u64 = 10;
+/// Longest deadline a route may set, in milliseconds.
+pub const MAX_DEADLINE_MS: u64 = 300_000;
+/// Largest retry budget a service may set, in percent of its calls.
+pub const MAX_RETRY_PERCENT: u64 = 50;
+/// Retry budget of a service that sets none, in percent of its calls.
+pub const DEFAULT_RETRY_PERCENT: u64 = 10;
+/// Longest queue in front of one backend server that a service may set.
+pub const MAX_QUEUE: u64 = 10_000;
+/// Queue in front of one backend server of a service that sets none.
+pub const DEFAULT_QUEUE: u64 = 64;
+/// Largest configuration text of one team, in bytes.
+pub const MAX_TEXT_BYTES: usize = 1 << 20;
+
+/// A group of interchangeable backend servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Retries allowed, in percent of calls; at most [`MAX_RETRY_PERCENT`].
+    pub retry_percent: u64,
+    /// Requests that may wait for a slot of one backend server.
+    pub queue_requests: u64,
+}
+
+/// A rule that leads callers' requests to a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Path prefix, starting with `/`; matches at segment borders only.
+    pub prefix: String,
+    /// Allowed methods, upper case; never empty.
+    pub methods: BTreeSet<String>,
+    /// Target service; present in the same snapshot.
+    pub service: ServiceName,
+    /// Time a call may take in all, in milliseconds.
+    pub deadline_ms: u64,
+    /// Whether a call is a billable action, which runs at most once per key.
+    pub billable: bool,
+    /// Whether an attempt with unknown outcome may be repeated; never set on a billable route.
+    pub idempotent: bool,
+}
+
+/// All services and routes of one team, keyed by their qualified names.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamConfig {
+    /// Services by qualified name.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// Routes by qualified name.
+    pub routes: BTreeMap<RouteName, Route>,
+}
+
+/// What is wrong with one place of a configuration text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigProblemKind {
+    /// The text is not INI.
+    Syntax {
+        /// Line number, from 1.
+        line: u64,
+    },
+    /// The text exceeds [`MAX_TEXT_BYTES`].
+    TooLarge,
+    /// The section is neither `services/NAME` nor `routes/NAME`.
+    UnknownSection,
+    /// The section stands twice.
+    DuplicateSection,
+    /// The name holds characters other than `a-z`, `0-9` and `-`.
+    BadName,
+    /// The section does not know this key.
+    UnknownKey,
+    /// The key stands twice.
+    DuplicateKey,
+    /// A required key is absent.
+    MissingKey,
+    /// The value is not of the allowed form.
+    BadValue {
+        /// What was found.
+        found: String,
+        /// What is allowed.
+        allowed: String,
+    },
+    /// The route's service is defined nowhere.
+    UnknownService {
+        /// The name that was looked for.
+        service: ServiceName,
+    },
+    /// A route of another section takes the same calls.
+    RouteClash {
+        /// The other route.
+        with: RouteName,
+    },
+    /// Another team owns the path, or a path around it.
+    ForeignPath {
+        /// The owner.
+        team: TeamName,
+    },
+    /// Another team's route still leads to the service that would be removed.
+    ServiceInUse {
+        /// The other team's route.
+        by: RouteName,
+    },
+}
+
+/// One problem, with the section and key it stands at.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigProblem {
+    /// Section of the text, empty if the problem concerns the text as a whole.
+    pub section: String,
+    /// Key in the section, empty if the problem concerns the section as a whole.
+    pub key: String,
+    /// What is wrong.
+    pub kind: ConfigProblemKind,
+}
+
+impl ConfigProblem {
+    fn new(section: &str, key: &str, kind: ConfigProblemKind) -> Self {
+        ConfigProblem {
+            section: section.to_owned(),
+            key: key.to_owned(),
+            kind,
+        }
+    }
+}
+
+impl fmt::Display for ConfigProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "[{}] {}: ", self.section, self.key)?;
+        match &self.kind {
+            ConfigProblemKind::Syntax { line } => write!(f, "not INI at line {line}"),
+            ConfigProblemKind::TooLarge => write!(f, "text exceeds {MAX_TEXT_BYTES} bytes"),
+            ConfigProblemKind::UnknownSection => {
+                write!(f, "unknown section; allowed: services/NAME, routes/NAME")
+            }
+            ConfigProblemKind::DuplicateSection => write!(f, "section stands twice"),
+            ConfigProblemKind::BadName => write!(f, "name may hold only a-z, 0-9 and -"),
+            ConfigProblemKind::UnknownKey => write!(f, "unknown key"),
+            ConfigProblemKind::DuplicateKey => write!(f, "key stands twice"),
+            ConfigProblemKind::MissingKey => write!(f, "required key is missing"),
+            ConfigProblemKind::BadValue { found, allowed } => {
+                write!(f, "found `{found}`, allowed: {allowed}")
+            }
+            ConfigProblemKind::UnknownService { service } => {
+                write!(f, "service `{service}` is not defined")
+            }
+            ConfigProblemKind::RouteClash { with } => write!(f, "clashes with route `{with}`"),
+            ConfigProblemKind::ForeignPath { team } => {
+                write!(f, "path belongs to team `{team}`")
+            }
+            ConfigProblemKind::ServiceInUse { by } => {
+                write!(f, "service is still the target of route `{by}`")
+            }
+        }
+    }
+}
+
+/// Whether `name` may name a team, a service or a route.
+pub fn is_valid_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    !name.is_empty() && name.len() <= 64 && name.chars().all(allowed)
+}
+
+/// Parses one team's text and checks all that can be checked without other teams.
+pub fn parse_team(team: &str, text: &str) -> Result<TeamConfig, Vec<ConfigProblem>> {
+    if text.len() > MAX_TEXT_BYTES {
+        return Err(vec![ConfigProblem::new(
+            "",
+            "",
+            ConfigProblemKind::TooLarge,
+        )]);
+    }
+    let ini = Ini::load_from_str_noescape(text).map_err(|error| {
+        let line = error.line as u64;
+        vec![ConfigProblem::new(
+            "",
+            "",
+            ConfigProblemKind::Syntax { line },
+        )]
+    })?;
+    let mut parser = Parser::new(team);
+    for (section, properties) in ini.iter() {
+        let pairs: Vec<(&str, &str)> = properties.iter().collect();
+        match section {
+            Some(section) => parser.section(section, &pairs),
+            None if pairs.is_empty() => {}
+            None => parser.problem("", pairs[0].0, ConfigProblemKind::UnknownSection),
+        }
+    }
+    parser.finish()
+}
+
+struct Parser<'a> {
+    team: &'a str,
+    config: TeamConfig,
+    problems: Vec<ConfigProblem>,
+}
+
+impl<'a> Parser<'a> {
+    fn new(team: &'a str) -> Self {
+        Parser {
+            team,
+            config: TeamConfig::default(),
+            problems: Vec::new(),
+        }
+    }
+
+    fn problem(&mut self, section: &str, key: &str, kind: ConfigProblemKind) {
+        self.problems.push(ConfigProblem::new(section, key, kind));
+    }
+
+    fn section(&mut self, section: &str, pairs: &[(&str, &str)]) {
+        let Some((kind, name)) = section.split_once('/') else {
+            return self.problem(section, "", ConfigProblemKind::UnknownSection);
+        };
+        if !is_valid_name(name) {
+            return self.problem(section, "", ConfigProblemKind::BadName);
+        }
+        let qualified = format!("{}/{name}", self.team);
+        match kind {
+            "services" => self.service(section, qualified, pairs),
+            "routes" => self.route(section, qualified, pairs),
+            _ => self.problem(section, "", ConfigProblemKind::UnknownSection),
+        }
+    }
+
+    fn service(&mut self, section: &str, name: ServiceName, pairs: &[(&str, &str)]) {
+        let mut fields = Fields::new(section, pairs, &["retry_percent", "queue_requests"]);
+        let service = Service {
+            retry_percent: fields.number(
+                "retry_percent",
+                0..=MAX_RETRY_PERCENT,
+                Some(DEFAULT_RETRY_PERCENT),
+            ),
+            queue_requests: fields.number("queue_requests", 0..=MAX_QUEUE, Some(DEFAULT_QUEUE)),
+        };
+        self.problems.append(&mut fields.problems);
+        if self.config.services.insert(name, service).is_some() {
+            self.problem(section, "", ConfigProblemKind::DuplicateSection);
+        }
+    }
+
+    fn route(&mut self, section: &str, name: RouteName, pairs: &[(&str, &str)]) {
+        let known = [
+            "prefix",
+            "methods",
+            "service",
+            "deadline_ms",
+            "billable",
+            "idempotent",
+        ];
+        let mut fields = Fields::new(section, pairs, &known);
+        let billable = fields.flag("billable", false);
+        let methods = fields.methods();
+        let is_safe = methods.iter().all(|m| m == "GET" || m == "HEAD");
+        let idempotent = fields.flag("idempotent", is_safe && !billable);
+        if billable && idempotent {
+            fields.bad("idempotent", "true", "false on a billable route");
+        }
+        let route = Route {
+            prefix: fields.prefix(),
+            methods,
+            service: fields.service(self.team),
+            deadline_ms: fields.number("deadline_ms", MIN_DEADLINE_MS..=MAX_DEADLINE_MS, None),
+            billable,
+            idempotent,
+        };
+        self.problems.append(&mut fields.problems);
+        if self.config.routes.insert(name, route).is_some() {
+            self.problem(section, "", ConfigProblemKind::DuplicateSection);
+        }
+    }
+
+    fn finish(self) -> Result<TeamConfig, Vec<ConfigProblem>> {
+        if self.problems.is_empty() {
+            Ok(self.config)
+        } else {
+            Err(self.problems)
+        }
+    }
+}
+
+/// The keys of one section, with the problems found while reading them.
+struct Fields<'a> {
+    section: &'a str,
+    values: BTreeMap<&'a str, &'a str>,
+    problems: Vec<ConfigProblem>,
+}
+
+impl<'a> Fields<'a> {
+    fn new(section: &'a str, pairs: &[(&'a str, &'a str)], known: &[&str]) -> Self {
+        let mut fields = Fields {
+            section,
+            values: BTreeMap::new(),
+            problems: Vec::new(),
+        };
+        for (key, value) in pairs {
+            if !known.contains(key) {
+                fields.push(key, ConfigProblemKind::UnknownKey);
+            }
+            if fields.values.insert(key, value.trim()).is_some() {
+                fields.push(key, ConfigProblemKind::DuplicateKey);
+            }
+        }
+        fields
+    }
+
+    fn push(&mut self, key: &str, kind: ConfigProblemKind) {
+        self.problems
+            .push(ConfigProblem::new(self.section, key, kind));
+    }
+
+    fn bad(&mut self, key: &str, found: &str, allowed: &str) {
+        let kind = ConfigProblemKind::BadValue {
+            found: found.to_owned(),
+            allowed: allowed.to_owned(),
+        };
+        self.push(key, kind);
+    }
+
+    fn required(&mut self, key: &str) -> Option<&'a str> {
+        let value = self.values.get(key).copied();
+        if value.is_none() {
+            self.push(key, ConfigProblemKind::MissingKey);
+        }
+        value
+    }
+
+    fn number(
+        &mut self,
+        key: &str,
+        range: std::ops::RangeInclusive<u64>,
+        default: Option<u64>,
+    ) -> u64 {
+        let found = match (self.values.get(key).copied(), default) {
+            (Some(found), _) => found,
+            (None, Some(default)) => return default,
+            (None, None) => {
+                self.push(key, ConfigProblemKind::MissingKey);
+                return 0;
+            }
+        };
+        match found.parse::<u64>() {
+            Ok(number) if range.contains(&number) => number,
+            _ => {
+                let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+                self.bad(key, found, &allowed);
+                0
+            }
+        }
+    }
+
+    fn flag(&mut self, key: &str, default: bool) -> bool {
+        match self.values.get(key).copied() {
+            None => default,
+            Some("true") => true,
+            Some("false") => false,
+            Some(found) => {
+                self.bad(key, found, "true or false");
+                default
+            }
+        }
+    }
+
+    fn methods(&mut self) -> BTreeSet<String> {
+        const KNOWN: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
+        let Some(list) = self.required("methods") else {
+            return BTreeSet::new();
+        };
+        let methods: BTreeSet<String> = list.split(',').map(|m| m.trim().to_owned()).collect();
+        if !methods.iter().all(|m| KNOWN.contains(&m.as_str())) {
+            self.bad(
+                "methods",
+                list,
+                "a list of GET, HEAD, POST, PUT, PATCH, DELETE",
+            );
+        }
+        methods
+    }
+
+    fn prefix(&mut self) -> String {
+        let Some(prefix) = self.required("prefix") else {
+            return String::new();
+        };
+        let is_plain = |c: char| c.is_ascii_alphanumeric() || "/-_.~".contains(c);
+        let is_normal = prefix.starts_with('/')
+            && !prefix.contains("//")
+            && !prefix
+                .split('/')
+                .any(|segment| segment == "." || segment == "..")
+            && prefix.chars().all(is_plain);
+        if !is_normal {
+            self.bad(
+                "prefix",
+                prefix,
+                "a path such as /plans, without empty segments",
+            );
+        }
+        let trimmed = prefix.trim_end_matches('/');
+        if trimmed.is_empty() { "/" } else { trimmed }.to_owned()
+    }
+
+    fn service(&mut self, team: &str) -> ServiceName {
+        let Some(service) = self.required("service") else {
+            return String::new();
+        };
+        let (owner, name) = service.split_once('/').unwrap_or((team, service));
+        if !is_valid_name(owner) || !is_valid_name(name) {
+            self.bad("service", service, "NAME or TEAM/NAME");
+        }
+        format!("{owner}/{name}")
+    }
+}
+
+/// Checks all teams together: references, clashes of routes and foreign paths.
+///
+/// `changed` is the team whose text is under check; problems are told from its side.
+pub fn check_fleet(
+    changed: &str,
+    teams: &BTreeMap<TeamName, TeamConfig>,
+) -> Result<(), Vec<ConfigProblem>> {
+    let mut problems = Vec::new();
+    let is_defined = |service: &str| teams.values().any(|t| t.services.contains_key(service));
+    for (team, config) in teams {
+        for (name, route) in &config.routes {
+            if is_defined(&route.service) {
+                continue;
+            }
+            problems.push(missing_service(changed, team, name, &route.service));
+        }
+    }
+    let own = teams.get(changed).cloned().unwrap_or_default();
+    for (name, route) in &own.routes {
+        problems.extend(route_problems(changed, name, route, teams));
+    }
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        Err(problems)
+    }
+}
+
+fn missing_service(changed: &str, team: &str, route: &str, service: &str) -> ConfigProblem {
+    if team == changed {
+        let kind = ConfigProblemKind::UnknownService {
+            service: service.to_owned(),
+        };
+        return ConfigProblem::new(&section_of("routes", route), "service", kind);
+    }
+    let kind = ConfigProblemKind::ServiceInUse {
+        by: route.to_owned(),
+    };
+    ConfigProblem::new(&section_of("services", service), "", kind)
+}
+
+fn section_of(kind: &str, qualified: &str) -> String {
+    let name = qualified
+        .split_once('/')
+        .map_or(qualified, |(_, name)| name);
+    format!("{kind}/{name}")
+}
+
+fn route_problems(
+    changed: &str,
+    name: &str,
+    route: &Route,
+    teams: &BTreeMap<TeamName, TeamConfig>,
+) -> Option<ConfigProblem> {
+    let section = section_of("routes", name);
+    for (team, config) in teams {
+        for (other_name, other) in &config.routes {
+            if team != changed && is_nested(&route.prefix, &other.prefix) {
+                let kind = ConfigProblemKind::ForeignPath { team: team.clone() };
+                return Some(ConfigProblem::new(&section, "prefix", kind));
+            }
+            let is_same = other_name != name
+                && other.prefix == route.prefix
+                && !other.methods.is_disjoint(&route.methods);
+            if is_same {
+                let kind = ConfigProblemKind::RouteClash {
+                    with: other_name.clone(),
+                };
+                return Some(ConfigProblem::new(&section, "prefix", kind));
+            }
+        }
+    }
+    None
+}
+
+fn is_nested(a: &str, b: &str) -> bool {
+    prefix_matches(a, b) || prefix_matches(b, a)
+}
+
+/// Whether `path` lies under `prefix`, at a segment border.
+pub fn prefix_matches(prefix: &str, path: &str) -> bool {
+    if prefix == "/" {
+        return path.starts_with('/');
+    }
+    match path.strip_prefix(prefix) {
+        Some(rest) => rest.is_empty() || rest.starts_with('/'),
+        None => false,
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/consensus.rs
@@ -0,0 +1,532 @@
+//! One replica of a consensus group: a Raft-like state machine without input or output.
+//!
+//! The driver passes in messages, proposals and the time, and carries out what [`Node::ready`]
+//! returns: it sends the early messages, makes the records durable, tells [`Node::persisted`],
+//! sends the other messages and applies the committed entries.
+
+use crate::ids::{LogIndex, ReplicaId, Term};
+use crate::log::Log;
+use crate::membership::Membership;
+use crate::message::{Entry, Envelope, Message, Payload, StateSnapshot};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
+use std::sync::Arc;
+
+/// Interval between a leader's heartbeats, in milliseconds.
+pub const HEARTBEAT_MS: u64 = 100;
+/// Shortest time without a leader before an election, in milliseconds.
+///
+/// A leader without contact to a majority for this time steps down.
+pub const ELECTION_MIN_MS: u64 = 600;
+/// Longest time without a leader before an election, in milliseconds.
+pub const ELECTION_MAX_MS: u64 = 1_200;
+
+/// Term and vote; durable before any message that depends on them is sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HardState {
+    /// Current term.
+    pub term: Term,
+    /// Candidate voted for in that term.
+    pub voted_for: Option<ReplicaId>,
+}
+
+/// What a replica's disk held at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// Last snapshot.
+    pub snapshot: Option<StateSnapshot>,
+    /// Entries after it.
+    pub entries: Vec<Entry>,
+}
+
+/// A replica's part in its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether it would be elected.
+    PreCandidate,
+    /// Stands for election.
+    Candidate,
+    /// Leads its term.
+    Leader,
+}
+
+/// Why a proposal or read was not taken. Nothing was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProposeError {
+    /// This replica does not lead; the leader may be the one named.
+    NotLeader {
+        /// Leader of the current term, if it is known.
+        leader: Option<ReplicaId>,
+    },
+    /// A membership change is still under way.
+    MembershipBusy,
+    /// The membership would not change.
+    Unchanged,
+}
+
+impl fmt::Display for ProposeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ProposeError::NotLeader { .. } => write!(f, "replica does not lead"),
+            ProposeError::MembershipBusy => write!(f, "a membership change is under way"),
+            ProposeError::Unchanged => write!(f, "membership would not change"),
+        }
+    }
+}
+
+impl std::error::Error for ProposeError {}
+
+/// A read that may be answered from the applied state once `index` is applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadReady {
+    /// Number given by [`Node::read`].
+    pub read: u64,
+    /// Index that must be applied first.
+    pub index: LogIndex,
+}
+
+/// What the driver has to do, in the order of the fields.
+#[derive(Clone, Debug, Default)]
+pub struct Ready {
+    /// May be sent before the records are durable.
+    pub early_messages: Vec<Envelope>,
+    /// Snapshot that replaces state machine and log.
+    pub snapshot: Option<StateSnapshot>,
+    /// New term and vote to make durable.
+    pub hard_state: Option<HardState>,
+    /// First index of the stored log that is no longer valid.
+    pub truncate_from: Option<LogIndex>,
+    /// Entries to make durable.
+    pub entries: Vec<Entry>,
+    /// To be sent once the records are durable.
+    pub messages: Vec<Envelope>,
+}
+
+impl Ready {
+    /// Whether anything has to be made durable.
+    pub fn has_records(&self) -> bool {
+        self.snapshot.is_some()
+            || self.hard_state.is_some()
+            || self.truncate_from.is_some()
+            || !self.entries.is_empty()
+    }
+}
+
+/// What a leader knows of another replica.
+#[derive(Clone, Debug)]
+pub(crate) struct Progress {
+    /// Last index known to be durable there.
+    pub(crate) matched: LogIndex,
+    /// Next index to send.
+    pub(crate) next: LogIndex,
+    /// When it last answered, in the driver's time.
+    pub(crate) acked_ms: u64,
+    /// Highest heartbeat round it answered.
+    pub(crate) round: u64,
+    /// When a snapshot was last sent to it.
+    pub(crate) snapshot_sent_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct PendingRead {
+    pub(crate) read: u64,
+    pub(crate) round: u64,
+    pub(crate) index: LogIndex,
+}
+
+/// One replica of one group.
+///
+/// Invariants: the term never falls; one vote a term; entries up to `commit` never change;
+/// `applied <= commit <= last index`.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) id: ReplicaId,
+    pub(crate) hard: HardState,
+    pub(crate) log: Log,
+    pub(crate) commit: LogIndex,
+    pub(crate) applied: LogIndex,
+    pub(crate) durable: LogIndex,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<ReplicaId>,
+    pub(crate) snapshot: Option<StateSnapshot>,
+    pub(crate) votes: BTreeSet<ReplicaId>,
+    pub(crate) progress: BTreeMap<ReplicaId, Progress>,
+    pub(crate) reads: VecDeque<PendingRead>,
+    pub(crate) reads_ready: Vec<ReadReady>,
+    pub(crate) next_read: u64,
+    pub(crate) round: u64,
+    pub(crate) now_ms: u64,
+    pub(crate) election_at_ms: u64,
+    pub(crate) heartbeat_at_ms: u64,
+    pub(crate) leader_heard_ms: Option<u64>,
+    pub(crate) led_since_ms: u64,
+    pub(crate) ready: Ready,
+    rng: SmallRng,
+}
+
+impl Node {
+    /// A replica that resumes from its disk at time `now_ms`.
+    pub fn new(id: ReplicaId, stored: Stored, now_ms: u64, seed: u64) -> Self {
+        let snapshot = stored.snapshot;
+        let (index, term, membership) = match &snapshot {
+            Some(s) => (s.index, s.term, s.membership.clone()),
+            None => (0, 0, Membership::default()),
+        };
+        let log = Log::new(index, term, membership, stored.entries);
+        let mut node = Node {
+            id,
+            hard: stored.hard_state,
+            commit: index,
+            applied: index,
+            durable: log.last_index(),
+            log,
+            role: Role::Follower,
+            leader: None,
+            snapshot,
+            votes: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            reads: VecDeque::new(),
+            reads_ready: Vec::new(),
+            next_read: 0,
+            round: 0,
+            now_ms,
+            election_at_ms: 0,
+            heartbeat_at_ms: 0,
+            leader_heard_ms: None,
+            led_since_ms: 0,
+            ready: Ready::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        node.reset_election_timer();
+        node
+    }
+
+    /// What a new group's replicas write before their first start: the first membership.
+    pub fn initial_entries(membership: &Membership) -> (HardState, Vec<Entry>) {
+        let entry = Entry {
+            index: 1,
+            term: 1,
+            payload: Payload::Membership(membership.clone()),
+        };
+        let hard_state = HardState {
+            term: 1,
+            voted_for: None,
+        };
+        (hard_state, vec![entry])
+    }
+
+    /// This replica's identity.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// Its part in the group.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Current term.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Current term and vote.
+    pub fn hard_state(&self) -> HardState {
+        self.hard
+    }
+
+    /// Leader of the current term, if it is known.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// Highest index known to be committed.
+    pub fn commit(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Highest index handed out for application.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// The newest membership in the log.
+    pub fn membership(&self) -> &Membership {
+        self.log.membership().1
+    }
+
+    /// Address of a member's control port.
+    pub fn member_addr(&self, id: ReplicaId) -> Option<&str> {
+        self.membership()
+            .members
+            .get(&id)
+            .map(|m| m.control_addr.as_str())
+    }
+
+    /// Time since this replica last had contact with a majority, in milliseconds.
+    ///
+    /// For a leader, contact of its own; for a follower, contact with its leader.
+    pub fn quorum_age_ms(&self) -> Option<u64> {
+        let heard_ms = match self.role {
+            Role::Leader => {
+                let contact = self.membership().quorum_value(|id| self.contact_ms(id));
+                Some(contact)
+            }
+            _ => self.leader_heard_ms,
+        };
+        heard_ms.map(|at| self.now_ms.saturating_sub(at))
+    }
+
+    /// Advances the time: elections, heartbeats, leadership checks.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        match self.role {
+            Role::Leader => self.tick_leader(),
+            _ if self.now_ms >= self.election_at_ms => self.campaign(true),
+            _ => {}
+        }
+    }
+
+    /// Takes one message.
+    pub fn step(&mut self, envelope: Envelope, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        if envelope.to != self.id {
+            return;
+        }
+        let from = envelope.from;
+        if !self.accept_term(from, &envelope.message) {
+            return;
+        }
+        match envelope.message {
+            Message::Vote(request) => self.on_vote(from, &request),
+            Message::VoteReply(reply) => self.on_vote_reply(from, &reply),
+            Message::Append(request) => self.on_append(from, request),
+            Message::AppendReply(reply) => self.on_append_reply(from, &reply),
+            Message::Snapshot {
+                round, snapshot, ..
+            } => self.on_snapshot(from, round, snapshot),
+        }
+    }
+
+    /// Adopts a newer term; returns whether the message is to be handled.
+    fn accept_term(&mut self, from: ReplicaId, message: &Message) -> bool {
+        let term = message.term();
+        let is_tentative = match message {
+            Message::Vote(m) => m.is_pre_vote,
+            Message::VoteReply(m) => m.is_pre_vote && m.is_granted,
+            _ => false,
+        };
+        if term > self.hard.term && !is_tentative {
+            // A replica that hears its leader ignores candidates, so that a returning replica
+            // cannot unseat a working leader.
+            if matches!(message, Message::Vote(_)) && self.hears_leader() {
+                return false;
+            }
+            self.become_follower(term, None);
+        }
+        if term < self.hard.term {
+            self.answer_stale(from, message);
+            return false;
+        }
+        true
+    }
+
+    fn answer_stale(&mut self, from: ReplicaId, message: &Message) {
+        let term = self.hard.term;
+        let reply = match message {
+            Message::Append(m) => stale_append_reply(term, m.round),
+            Message::Snapshot { round, .. } => stale_append_reply(term, *round),
+            Message::Vote(m) => Message::VoteReply(crate::message::VoteReply {
+                is_pre_vote: m.is_pre_vote,
+                term,
+                is_granted: false,
+            }),
+            Message::VoteReply(_) | Message::AppendReply(_) => return,
+        };
+        self.send(from, reply);
+    }
+
+    pub(crate) fn hears_leader(&self) -> bool {
+        match self.role {
+            Role::Leader => true,
+            _ => {
+                self.leader.is_some()
+                    && self
+                        .leader_heard_ms
+                        .is_some_and(|at| self.now_ms < at + ELECTION_MIN_MS)
+            }
+        }
+    }
+
+    /// Writes a command into the log of a leader; returns its index and term.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<(LogIndex, Term), ProposeError> {
+        self.check_leader()?;
+        let index = self.append_own(Payload::Command(Arc::new(command)));
+        Ok((index, self.hard.term))
+    }
+
+    /// Adds a replica that gets a copy of the log but no vote yet.
+    pub fn add_learner(
+        &mut self,
+        id: ReplicaId,
+        control_addr: &str,
+    ) -> Result<(LogIndex, Term), ProposeError> {
+        self.check_leader()?;
+        self.check_membership_idle()?;
+        let next = self
+            .membership()
+            .with_learner(id, control_addr)
+            .ok_or(ProposeError::Unchanged)?;
+        Ok((self.change_membership(next), self.hard.term))
+    }
+
+    pub(crate) fn change_membership(&mut self, next: Membership) -> LogIndex {
+        let index = self.append_own(Payload::Membership(next));
+        self.sync_progress();
+        index
+    }
+
+    pub(crate) fn check_membership_idle(&self) -> Result<(), ProposeError> {
+        // A new leader may change the membership only after an entry of its own term.
+        let is_settled = self.log.membership().0 <= self.commit && self.has_committed_in_term();
+        is_settled.then_some(()).ok_or(ProposeError::MembershipBusy)
+    }
+
+    /// Starts a linearizable read; it comes back from [`Node::take_reads`].
+    pub fn read(&mut self) -> Result<u64, ProposeError> {
+        self.check_leader()?;
+        if !self.has_committed_in_term() {
+            return Err(ProposeError::NotLeader { leader: None });
+        }
+        self.next_read += 1;
+        self.round += 1;
+        self.reads.push_back(PendingRead {
+            read: self.next_read,
+            round: self.round,
+            index: self.commit,
+        });
+        self.broadcast_heartbeat();
+        self.confirm_reads();
+        Ok(self.next_read)
+    }
+
+    /// Reads that may be answered once their index is applied.
+    pub fn take_reads(&mut self) -> Vec<ReadReady> {
+        std::mem::take(&mut self.reads_ready)
+    }
+
+    fn check_leader(&self) -> Result<(), ProposeError> {
+        match self.role {
+            Role::Leader => Ok(()),
+            _ => Err(ProposeError::NotLeader {
+                leader: self.leader,
+            }),
+        }
+    }
+
+    pub(crate) fn has_committed_in_term(&self) -> bool {
+        self.log.term_at(self.commit) == Some(self.hard.term)
+    }
+
+    /// Takes what the driver has to do.
+    pub fn ready(&mut self) -> Ready {
+        std::mem::take(&mut self.ready)
+    }
+
+    /// Tells that the records of the last [`Node::ready`] are durable.
+    pub fn persisted(&mut self) {
+        self.durable = self.log.last_index();
+        if self.role == Role::Leader {
+            self.advance_commit();
+        }
+    }
+
+    /// Entries committed and not yet handed out.
+    pub fn take_committed(&mut self) -> Vec<Entry> {
+        // Only durable entries are applied, so that a restart never loses what was answered.
+        let until = self.commit.min(self.durable);
+        let count = until.saturating_sub(self.applied) as usize;
+        let entries = self.log.range(self.applied + 1, count);
+        self.applied = self.applied.max(until);
+        entries
+    }
+
+    /// Replaces the log up to `index`, which must be applied, by a snapshot of the state there.
+    pub fn compact(&mut self, index: LogIndex, data: Vec<u8>) -> Option<StateSnapshot> {
+        if index > self.applied || index <= self.log.start_index() {
+            return None;
+        }
+        let snapshot = StateSnapshot {
+            index,
+            term: self.log.term_at(index)?,
+            membership: self.log.membership_at(index).clone(),
+            data: Arc::new(data),
+        };
+        self.log.compact(index);
+        self.snapshot = Some(snapshot.clone());
+        Some(snapshot)
+    }
+
+    pub(crate) fn send(&mut self, to: ReplicaId, message: Message) {
+        let envelope = self.envelope(to, message);
+        self.ready.messages.push(envelope);
+    }
+
+    pub(crate) fn send_early(&mut self, to: ReplicaId, message: Message) {
+        let envelope = self.envelope(to, message);
+        self.ready.early_messages.push(envelope);
+    }
+
+    fn envelope(&self, to: ReplicaId, message: Message) -> Envelope {
+        Envelope {
+            from: self.id,
+            to,
+            message,
+        }
+    }
+
+    pub(crate) fn set_hard_state(&mut self, hard: HardState) {
+        self.hard = hard;
+        self.ready.hard_state = Some(hard);
+    }
+
+    pub(crate) fn reset_election_timer(&mut self) {
+        let wait_ms = self.rng.random_range(ELECTION_MIN_MS..=ELECTION_MAX_MS);
+        self.election_at_ms = self.now_ms + wait_ms;
+    }
+
+    pub(crate) fn peers(&self) -> Vec<ReplicaId> {
+        let members = self.membership().members.keys();
+        members.copied().filter(|id| *id != self.id).collect()
+    }
+
+    /// When a member was last heard; the replica itself always is.
+    pub(crate) fn contact_ms(&self, id: ReplicaId) -> u64 {
+        if id == self.id {
+            return self.now_ms;
+        }
+        self.progress.get(&id).map_or(0, |p| p.acked_ms)
+    }
+}
+
+fn stale_append_reply(term: Term, round: u64) -> Message {
+    Message::AppendReply(crate::message::AppendReply {
+        term,
+        is_match: false,
+        index: 0,
+        round,
+    })
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/directory.rs
@@ -0,0 +1,218 @@
+//! Table of all daemons and the backend servers beside them, kept in step by cursors.
+//!
+//! Each daemon is the only writer of its own entry and orders its states by incarnation and
+//! sequence. A parent may mark a child lost; the child refutes that with a higher sequence.
+
+use crate::ids::{DaemonName, FailureDomain, Incarnation, ServiceName};
+use crate::quarantine::Suspect;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerState {
+    /// Takes work.
+    Ready,
+    /// Takes no new work and ends what it has.
+    Leaving,
+}
+
+/// One backend server as its daemon announces it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerEntry {
+    /// Name, unique on its instance.
+    pub name: String,
+    /// Service it belongs to.
+    pub service: ServiceName,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: ServerState,
+}
+
+/// State of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceState {
+    /// Unique name.
+    pub name: DaemonName,
+    /// Failure domain it runs in.
+    pub failure_domain: FailureDomain,
+    /// Start of the process.
+    pub incarnation: Incarnation,
+    /// Grows with each state of the same incarnation.
+    pub sequence: u64,
+    /// Address of its control port.
+    pub control_addr: String,
+    /// Address of its call port.
+    pub calls_addr: String,
+    /// Whether it keeps replicated state.
+    pub is_replica: bool,
+    /// Set by a parent that no longer hears the daemon.
+    pub is_lost: bool,
+    /// Backend servers beside it.
+    pub servers: Vec<ServerEntry>,
+    /// Requests that were in flight when a backend server beside it died.
+    pub suspects: Vec<Suspect>,
+}
+
+impl InstanceState {
+    fn rank(&self) -> (Incarnation, u64, bool) {
+        (self.incarnation, self.sequence, self.is_lost)
+    }
+}
+
+/// How far a subscriber has read a directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// Identifies the process whose stamps these are.
+    pub epoch: u64,
+    /// Last stamp read.
+    pub stamp: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    state: InstanceState,
+    /// Position in `by_stamp`.
+    stamp: u64,
+    /// Neighbour the state came from; the daemon itself for its own entry.
+    via: DaemonName,
+}
+
+/// The table held by one daemon.
+///
+/// Invariant: `by_stamp` holds exactly one stamp per entry, and the newest change has the highest.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    owner: DaemonName,
+    epoch: u64,
+    stamp: u64,
+    entries: BTreeMap<DaemonName, Slot>,
+    by_stamp: BTreeMap<u64, DaemonName>,
+}
+
+impl Directory {
+    /// An empty table; `epoch` must differ between two starts of the same daemon.
+    pub fn new(owner: impl Into<DaemonName>, epoch: u64) -> Self {
+        Directory {
+            owner: owner.into(),
+            epoch,
+            stamp: 0,
+            entries: BTreeMap::new(),
+            by_stamp: BTreeMap::new(),
+        }
+    }
+
+    /// Cursor that stands behind the newest change.
+    pub fn cursor(&self) -> Cursor {
+        Cursor {
+            epoch: self.epoch,
+            stamp: self.stamp,
+        }
+    }
+
+    /// All entries that are not lost.
+    pub fn live(&self) -> impl Iterator<Item = &InstanceState> + Clone {
+        self.entries
+            .values()
+            .map(|slot| &slot.state)
+            .filter(|state| !state.is_lost)
+    }
+
+    /// All entries, lost ones included.
+    pub fn all(&self) -> impl Iterator<Item = &InstanceState> + Clone {
+        self.entries.values().map(|slot| &slot.state)
+    }
+
+    /// One entry.
+    pub fn get(&self, name: &str) -> Option<&InstanceState> {
+        self.entries.get(name).map(|slot| &slot.state)
+    }
+
+    /// Replaces the owner's own entry. The caller keeps incarnation and sequence growing.
+    pub fn set_own(&mut self, state: InstanceState) -> bool {
+        let owner = self.owner.clone();
+        self.merge_one(state, &owner)
+    }
+
+    /// Takes over newer states heard from a neighbour. Returns whether anything changed.
+    pub fn merge(&mut self, states: Vec<InstanceState>, via: &str) -> bool {
+        let mut has_changed = false;
+        for state in states {
+            has_changed |= self.merge_one(state, via);
+        }
+        has_changed
+    }
+
+    fn merge_one(&mut self, state: InstanceState, via: &str) -> bool {
+        let name = state.name.clone();
+        if let Some(held) = self.entries.get(&name) {
+            if state.rank() <= held.state.rank() {
+                return false;
+            }
+            self.by_stamp.remove(&held.stamp);
+        }
+        self.stamp += 1;
+        self.by_stamp.insert(self.stamp, name.clone());
+        let slot = Slot {
+            state,
+            stamp: self.stamp,
+            via: via.to_owned(),
+        };
+        self.entries.insert(name, slot);
+        true
+    }
+
+    /// Live daemons whose state came through a neighbour.
+    pub fn heard_via(&self, neighbour: &str) -> Vec<DaemonName> {
+        self.entries
+            .values()
+            .filter(|slot| slot.via == neighbour && !slot.state.is_lost)
+            .map(|slot| slot.state.name.clone())
+            .collect()
+    }
+
+    /// Sequence the owner must exceed to refute a mark as lost, if it is marked.
+    pub fn own_refutation(&self) -> Option<u64> {
+        let own = self.get(&self.owner)?;
+        own.is_lost.then_some(own.sequence)
+    }
+
+    /// Marks a daemon lost that a parent no longer hears.
+    pub fn mark_lost(&mut self, name: &str) -> bool {
+        if name == self.owner {
+            return false;
+        }
+        let Some(held) = self.entries.get(name) else {
+            return false;
+        };
+        let mut state = held.state.clone();
+        state.is_lost = true;
+        state.servers.clear();
+        let owner = self.owner.clone();
+        self.merge_one(state, &owner)
+    }
+
+    /// Entries changed since the cursor, without those that came from `reader`.
+    ///
+    /// A cursor of another epoch, or none, reads from the start.
+    pub fn changes_since(
+        &self,
+        cursor: Option<Cursor>,
+        reader: &str,
+    ) -> (Vec<InstanceState>, Cursor) {
+        let from = match cursor {
+            Some(cursor) if cursor.epoch == self.epoch => cursor.stamp,
+            _ => 0,
+        };
+        let changes = self
+            .by_stamp
+            .range(from + 1..)
+            .filter_map(|(_, name)| self.entries.get(name))
+            .filter(|slot| slot.via != reader)
+            .map(|slot| slot.state.clone())
+            .collect();
+        (changes, self.cursor())
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/election.rs
@@ -0,0 +1,148 @@
+//! Elections: pre-vote, vote, and stepping down without a majority.
+
+use crate::consensus::{HardState, Node, Progress, Role, ELECTION_MIN_MS, HEARTBEAT_MS};
+use crate::ids::{ReplicaId, Term};
+use crate::message::{Message, Payload, VoteReply, VoteRequest};
+
+impl Node {
+    pub(crate) fn campaign(&mut self, is_pre_vote: bool) {
+        self.reset_election_timer();
+        self.leader = None;
+        if !self.membership().is_voter(self.id) {
+            return;
+        }
+        let term = self.hard.term + 1;
+        self.votes = [self.id].into();
+        if is_pre_vote {
+            self.role = Role::PreCandidate;
+        } else {
+            self.role = Role::Candidate;
+            self.set_hard_state(HardState {
+                term,
+                voted_for: Some(self.id),
+            });
+        }
+        let request = VoteRequest {
+            is_pre_vote,
+            term,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        let own_id = self.id;
+        let voters: Vec<ReplicaId> = self.membership().voters().collect();
+        for voter in voters.into_iter().filter(|id| *id != own_id) {
+            self.send(voter, Message::Vote(request.clone()));
+        }
+        self.count_votes();
+    }
+
+    pub(crate) fn on_vote(&mut self, from: ReplicaId, request: &VoteRequest) {
+        let is_up_to_date = (request.last_term, request.last_index)
+            >= (self.log.last_term(), self.log.last_index());
+        let is_granted = if request.is_pre_vote {
+            request.term > self.hard.term && is_up_to_date && !self.hears_leader()
+        } else {
+            let is_free = self.hard.voted_for.is_none_or(|voted| voted == from);
+            is_free && is_up_to_date && self.role != Role::Leader
+        };
+        if is_granted && !request.is_pre_vote {
+            self.reset_election_timer();
+            self.set_hard_state(HardState {
+                term: self.hard.term,
+                voted_for: Some(from),
+            });
+        }
+        let reply = VoteReply {
+            is_pre_vote: request.is_pre_vote,
+            term: if is_granted {
+                request.term
+            } else {
+                self.hard.term
+            },
+            is_granted,
+        };
+        self.send(from, Message::VoteReply(reply));
+    }
+
+    pub(crate) fn on_vote_reply(&mut self, from: ReplicaId, reply: &VoteReply) {
+        let is_expected = match self.role {
+            Role::PreCandidate => reply.is_pre_vote && reply.term == self.hard.term + 1,
+            Role::Candidate => !reply.is_pre_vote && reply.term == self.hard.term,
+            Role::Follower | Role::Leader => false,
+        };
+        if is_expected && reply.is_granted {
+            self.votes.insert(from);
+            self.count_votes();
+        }
+    }
+
+    fn count_votes(&mut self) {
+        let votes = &self.votes;
+        if !self.membership().has_quorum(|id| votes.contains(&id)) {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.campaign(false),
+            Role::Candidate => self.become_leader(),
+            Role::Follower | Role::Leader => {}
+        }
+    }
+
+    fn become_leader(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.led_since_ms = self.now_ms;
+        self.progress.clear();
+        self.reads.clear();
+        self.sync_progress();
+        self.append_own(Payload::Noop);
+        self.heartbeat_at_ms = self.now_ms + HEARTBEAT_MS;
+    }
+
+    /// Starts to track new members and forgets removed ones.
+    pub(crate) fn sync_progress(&mut self) {
+        let next = self.log.last_index() + 1;
+        let now_ms = self.now_ms;
+        let peers = self.peers();
+        self.progress.retain(|id, _| peers.contains(id));
+        for peer in peers {
+            self.progress.entry(peer).or_insert(Progress {
+                matched: 0,
+                next,
+                acked_ms: now_ms,
+                round: 0,
+                snapshot_sent_ms: None,
+            });
+        }
+    }
+
+    pub(crate) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
+        if term > self.hard.term {
+            self.set_hard_state(HardState {
+                term,
+                voted_for: None,
+            });
+        }
+        if self.role != Role::Follower || self.leader != leader {
+            self.reset_election_timer();
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reads.clear();
+    }
+
+    pub(crate) fn tick_leader(&mut self) {
+        let contact_ms = self.membership().quorum_value(|id| self.contact_ms(id));
+        if self.now_ms > contact_ms + ELECTION_MIN_MS {
+            self.leader_heard_ms = Some(contact_ms);
+            self.become_follower(self.hard.term, None);
+            return;
+        }
+        if self.now_ms >= self.heartbeat_at_ms {
+            self.heartbeat_at_ms = self.now_ms + HEARTBEAT_MS;
+            self.round += 1;
+            self.broadcast_heartbeat();
+            self.advance_membership();
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/ids.rs
@@ -0,0 +1,34 @@
+//! Type aliases for identifiers and counters.
+
+/// Name of a team, the owner of one configuration subtree.
+pub type TeamName = String;
+/// Qualified name of a service: `team/service`.
+pub type ServiceName = String;
+/// Qualified name of a route: `team/route`.
+pub type RouteName = String;
+/// Unique name of a daemon, taken from its settings.
+pub type DaemonName = String;
+/// Name of a failure domain, taken from the settings.
+pub type FailureDomain = String;
+/// Identity of one replica's disk. A replaced disk gets a new identity.
+pub type ReplicaId = u64;
+/// Election term of a consensus group.
+pub type Term = u64;
+/// Position in a consensus log; the first entry has index 1.
+pub type LogIndex = u64;
+/// Version of the whole configuration; it grows by one with each accepted change.
+pub type ConfigVersion = u64;
+/// Revision of one team's subtree; it grows by one with each accepted change of that team.
+pub type Revision = u64;
+/// Identifier that an operator's tool gives to one change, kept across resends.
+pub type ChangeId = String;
+/// Idempotency key of a billable action (UUIDv7).
+pub type ActionKey = uuid::Uuid;
+/// Identifier of one attempt to run a request on one backend server.
+pub type AttemptId = uuid::Uuid;
+/// Start time of a process in microseconds since the Unix epoch; orders restarts.
+pub type Incarnation = u64;
+/// Milliseconds since the Unix epoch.
+pub type UnixMs = u64;
+/// SHA-256 digest.
+pub type Digest = [u8; 32];
--- /dev/null
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -0,0 +1,84 @@
+//! Decisions of foxtailgauge, without input, output, clock or randomness of their own.
+//!
+//! Every module takes events and the time and gives back what to do; the daemon carries it out.
+//!
+//! ```
+//! use foxtailgauge_core::{Change, ChangeAnswer, Registry};
+//!
+//! let mut registry = Registry::default();
+//! let change = Change {
+//!     team: "rybar".to_owned(),
+//!     change_id: "first".to_owned(),
+//!     base_revision: 0,
+//!     text: "[services/viewer]\n".to_owned(),
+//!     author: "operator".to_owned(),
+//!     at_ms: 0,
+//!     rollback_of: None,
+//! };
+//! let accepted = ChangeAnswer::Accepted { version: 1, revision: 1 };
+//! assert_eq!(registry.apply(&change), accepted);
+//! // A resend gets the same answer and makes no second version.
+//! assert_eq!(registry.apply(&change), accepted);
+//! assert_eq!(registry.version(), 1);
+//! ```
+
+mod admission;
+mod backoff;
+mod balance;
+mod children;
+mod config;
+mod consensus;
+mod directory;
+mod election;
+mod ids;
+mod ledger;
+mod log;
+mod membership;
+mod message;
+mod quarantine;
+mod registry;
+mod replication;
+mod retry;
+mod snapshot;
+mod sync;
+mod tree;
+
+pub use admission::{Admission, AdmissionGate, AdmissionRefusal};
+pub use backoff::{Backoff, SessionLimit};
+pub use balance::{Balancer, CallHealth, Candidate, ServerKey};
+pub use children::Children;
+pub use config::{
+    check_fleet, is_valid_name, parse_team, prefix_matches, ConfigProblem, ConfigProblemKind,
+    Route, Service, TeamConfig, DEFAULT_QUEUE, MAX_TEXT_BYTES,
+};
+pub use consensus::{
+    HardState, Node, ProposeError, ReadReady, Ready, Role, Stored, ELECTION_MAX_MS,
+    ELECTION_MIN_MS, HEARTBEAT_MS,
+};
+pub use directory::{Cursor, Directory, InstanceState, ServerEntry, ServerState};
+pub use ids::{
+    ActionKey, AttemptId, ChangeId, ConfigVersion, DaemonName, Digest, FailureDomain, Incarnation,
+    LogIndex, ReplicaId, Revision, RouteName, ServiceName, TeamName, Term, UnixMs,
+};
+pub use ledger::{
+    key_time_ms, Claimant, Ledger, LedgerAnswer, LedgerCommand, RecordedAnswer, CLAIM_GRACE_MS,
+    MAX_KEY_SKEW_MS, MAX_VOIDED_ATTEMPTS,
+};
+pub use log::Log;
+pub use membership::{Member, Membership};
+pub use message::{
+    AppendReply, AppendRequest, Entry, Envelope, Message, Payload, StateSnapshot, VoteReply,
+    VoteRequest,
+};
+pub use quarantine::{
+    fingerprint, request_digest, Fingerprint, Sightings, Suspect, SuspectIndex, SuspectVerdict,
+    QUARANTINE_CRASHES, SUSPECT_TTL_MS,
+};
+pub use registry::{AuditEntry, Change, ChangeAnswer, Registry, RevisionRecord};
+pub use retry::RetryBudget;
+pub use snapshot::{Delta, Snapshot, SnapshotError, SnapshotHistory, Update};
+pub use sync::{
+    Freshness, PollReply, PollRequest, ReportReply, ReportRequest, VersionCount, CHILD_LEASE_MS,
+    REPORT_INTERVAL_MS, STALE_SOURCE_MS,
+};
+pub use tree::{relays, sources, Source};
--- /dev/null
+++ b/crates/foxtailgauge-core/src/log.rs
@@ -0,0 +1,145 @@
+//! The in-memory log of a consensus group: a compacted start and the entries after it.
+
+use crate::ids::{LogIndex, Term};
+use crate::membership::Membership;
+use crate::message::{Entry, Payload};
+use std::collections::VecDeque;
+
+/// Entries after a compacted start.
+///
+/// Invariants: entries have consecutive indexes from `start_index + 1`; terms never fall.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    start_index: LogIndex,
+    start_term: Term,
+    start_membership: Membership,
+    entries: VecDeque<Entry>,
+    /// Memberships in `entries`, with their indexes, in order.
+    memberships: Vec<(LogIndex, Membership)>,
+}
+
+impl Log {
+    /// A log that starts behind a snapshot and holds the entries after it.
+    pub fn new(
+        start_index: LogIndex,
+        start_term: Term,
+        start_membership: Membership,
+        entries: impl IntoIterator<Item = Entry>,
+    ) -> Self {
+        let mut log = Log {
+            start_index,
+            start_term,
+            start_membership,
+            ..Log::default()
+        };
+        for entry in entries {
+            log.push(entry);
+        }
+        log
+    }
+
+    /// Last index that is no longer held as an entry.
+    pub fn start_index(&self) -> LogIndex {
+        self.start_index
+    }
+
+    /// Index of the last entry.
+    pub fn last_index(&self) -> LogIndex {
+        self.start_index + self.entries.len() as u64
+    }
+
+    /// Term of the last entry.
+    pub fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.start_term, |e| e.term)
+    }
+
+    /// Number of entries held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no entry is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Term at an index, if it is held or is the start.
+    pub fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.start_index {
+            return Some(self.start_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// Entry at an index.
+    pub fn get(&self, index: LogIndex) -> Option<&Entry> {
+        let offset = index.checked_sub(self.start_index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Entries from an index on, at most `limit`.
+    pub fn range(&self, from: LogIndex, limit: usize) -> Vec<Entry> {
+        let offset = from.saturating_sub(self.start_index + 1) as usize;
+        self.entries
+            .iter()
+            .skip(offset)
+            .take(limit)
+            .cloned()
+            .collect()
+    }
+
+    /// The newest membership in the log, and its index.
+    pub fn membership(&self) -> (LogIndex, &Membership) {
+        match self.memberships.last() {
+            Some((index, membership)) => (*index, membership),
+            None => (self.start_index, &self.start_membership),
+        }
+    }
+
+    /// The membership in force at an index.
+    pub fn membership_at(&self, index: LogIndex) -> &Membership {
+        let in_force = self.memberships.iter().rev().find(|(at, _)| *at <= index);
+        in_force.map_or(&self.start_membership, |(_, membership)| membership)
+    }
+
+    /// Appends the entry that follows the last one.
+    pub fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        if let Payload::Membership(membership) = &entry.payload {
+            self.memberships.push((entry.index, membership.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entry at `from` and all after it.
+    pub fn truncate(&mut self, from: LogIndex) {
+        let keep = from.saturating_sub(self.start_index + 1) as usize;
+        self.entries.truncate(keep);
+        self.memberships.retain(|(index, _)| *index < from);
+    }
+
+    /// Drops the entries up to and including `index`, which must be held.
+    pub fn compact(&mut self, index: LogIndex) {
+        let Some(term) = self.term_at(index) else {
+            return;
+        };
+        self.start_membership = self.membership_at(index).clone();
+        self.memberships.retain(|(at, _)| *at > index);
+        let count = index.saturating_sub(self.start_index) as usize;
+        self.entries.drain(..count.min(self.entries.len()));
+        self.start_index = index;
+        self.start_term = term;
+    }
+
+    /// First index of the run of equal terms that ends at `index`.
+    pub fn first_of_term(&self, index: LogIndex) -> LogIndex {
+        let Some(term) = self.term_at(index) else {
+            return index;
+        };
+        let mut first = index;
+        while first > self.start_index + 1 && self.term_at(first - 1) == Some(term) {
+            first -= 1;
+        }
+        first
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/registry.rs
@@ -0,0 +1,282 @@
+//! Replicated state of the configuration: teams, revisions, answers to changes, audit trail.
+
+use crate::config::{check_fleet, is_valid_name, parse_team, ConfigProblem, TeamConfig};
+use crate::ids::{ChangeId, ConfigVersion, Revision, TeamName, UnixMs};
+use crate::snapshot::Snapshot;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Past revisions kept for each team.
+pub const HISTORY_LIMIT: usize = 200;
+/// Audit entries kept in all.
+pub const AUDIT_LIMIT: usize = 10_000;
+/// Answers kept for resent changes.
+pub const ANSWER_LIMIT: usize = 10_000;
+
+/// An operator's change to one team's subtree.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Team whose subtree is replaced.
+    pub team: TeamName,
+    /// Identifier kept across resends.
+    pub change_id: ChangeId,
+    /// Revision the change was made against; 0 for a team without configuration.
+    pub base_revision: Revision,
+    /// The team's whole new text, in INI.
+    pub text: String,
+    /// Who made the change.
+    pub author: String,
+    /// When it was submitted.
+    pub at_ms: UnixMs,
+    /// Revision that a rollback restores.
+    pub rollback_of: Option<Revision>,
+}
+
+/// The answer to a change. A resend of the same change gets the same answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeAnswer {
+    /// The change is in the log of a majority of replicas.
+    Accepted {
+        /// Version of the whole configuration that holds the change.
+        version: ConfigVersion,
+        /// New revision of the team's subtree.
+        revision: Revision,
+    },
+    /// Another change of the same team was accepted first.
+    Conflict {
+        /// The team's revision now.
+        current_revision: Revision,
+    },
+    /// The configuration would not be valid as a whole.
+    Invalid {
+        /// All problems.
+        problems: Vec<ConfigProblem>,
+    },
+    /// The change id was used before for another change.
+    ChangeIdReused,
+}
+
+/// One accepted revision of a team's subtree.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionRecord {
+    /// Revision of the team's subtree.
+    pub revision: Revision,
+    /// Version of the whole configuration that it made.
+    pub version: ConfigVersion,
+    /// Change that made it.
+    pub change_id: ChangeId,
+    /// Who made it.
+    pub author: String,
+    /// When it was submitted.
+    pub at_ms: UnixMs,
+    /// Revision it restored, if it was a rollback.
+    pub rollback_of: Option<Revision>,
+    /// The whole text.
+    pub text: String,
+}
+
+/// One line of the audit trail: every change asked for, accepted or not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditEntry {
+    /// Number of the entry, without gaps.
+    pub number: u64,
+    /// Team concerned.
+    pub team: TeamName,
+    /// Change concerned.
+    pub change_id: ChangeId,
+    /// Who asked.
+    pub author: String,
+    /// When it was submitted.
+    pub at_ms: UnixMs,
+    /// Revision it was made against.
+    pub base_revision: Revision,
+    /// What was answered.
+    pub answer: ChangeAnswer,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct TeamState {
+    /// Newest last; never empty once the team exists.
+    history: VecDeque<RevisionRecord>,
+}
+
+impl TeamState {
+    fn revision(&self) -> Revision {
+        self.history.back().map_or(0, |r| r.revision)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct RememberedAnswer {
+    fingerprint: u64,
+    answer: ChangeAnswer,
+}
+
+/// The configuration's replicated state machine. Deterministic in the order of changes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Registry {
+    /// Grows by one with each accepted change.
+    version: ConfigVersion,
+    teams: BTreeMap<TeamName, TeamState>,
+    /// Parsed form of every team's newest text.
+    parsed: BTreeMap<TeamName, TeamConfig>,
+    answers: BTreeMap<ChangeId, RememberedAnswer>,
+    /// Keys of `answers`, oldest first.
+    answer_order: VecDeque<ChangeId>,
+    audit: VecDeque<AuditEntry>,
+    audited: u64,
+}
+
+impl Registry {
+    /// Version of the whole configuration.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// The configuration as distributed.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot::from_teams(self.version, &self.parsed)
+    }
+
+    /// Current revision of a team; 0 if it has none.
+    pub fn revision(&self, team: &str) -> Revision {
+        self.teams.get(team).map_or(0, TeamState::revision)
+    }
+
+    /// The newest or a named revision of a team.
+    pub fn revision_record(
+        &self,
+        team: &str,
+        revision: Option<Revision>,
+    ) -> Option<&RevisionRecord> {
+        let history = &self.teams.get(team)?.history;
+        match revision {
+            None => history.back(),
+            Some(revision) => history.iter().find(|r| r.revision == revision),
+        }
+    }
+
+    /// All revisions kept of a team, oldest first.
+    pub fn history(&self, team: &str) -> impl Iterator<Item = &RevisionRecord> {
+        self.teams.get(team).into_iter().flat_map(|t| &t.history)
+    }
+
+    /// The audit entries of one team, or of all, oldest first.
+    pub fn audit<'a>(&'a self, team: Option<&'a str>) -> impl Iterator<Item = &'a AuditEntry> {
+        self.audit
+            .iter()
+            .filter(move |entry| team.is_none_or(|team| entry.team == team))
+    }
+
+    /// Checks a text against the whole configuration without changing anything.
+    pub fn check(&self, team: &str, text: &str) -> Result<TeamConfig, Vec<ConfigProblem>> {
+        if !is_valid_name(team) {
+            return Err(vec![ConfigProblem {
+                section: String::new(),
+                key: String::new(),
+                kind: crate::config::ConfigProblemKind::BadName,
+            }]);
+        }
+        let config = parse_team(team, text)?;
+        let mut teams = self.parsed.clone();
+        teams.insert(team.to_owned(), config.clone());
+        check_fleet(team, &teams)?;
+        Ok(config)
+    }
+
+    /// The answer that a resent change already has.
+    pub fn remembered(&self, change: &Change) -> Option<ChangeAnswer> {
+        let remembered = self.answers.get(&change.change_id)?;
+        Some(if remembered.fingerprint == fingerprint(change) {
+            remembered.answer.clone()
+        } else {
+            ChangeAnswer::ChangeIdReused
+        })
+    }
+
+    /// Applies one change in log order and answers it.
+    pub fn apply(&mut self, change: &Change) -> ChangeAnswer {
+        if let Some(answer) = self.remembered(change) {
+            return answer;
+        }
+        let answer = self.decide(change);
+        self.remember(change, &answer);
+        answer
+    }
+
+    fn decide(&mut self, change: &Change) -> ChangeAnswer {
+        let current_revision = self.revision(&change.team);
+        if change.base_revision != current_revision {
+            return ChangeAnswer::Conflict { current_revision };
+        }
+        match self.check(&change.team, &change.text) {
+            Err(problems) => ChangeAnswer::Invalid { problems },
+            Ok(config) => self.accept(change, config),
+        }
+    }
+
+    fn accept(&mut self, change: &Change, config: TeamConfig) -> ChangeAnswer {
+        self.version += 1;
+        let team = self.teams.entry(change.team.clone()).or_default();
+        let revision = team.revision() + 1;
+        team.history.push_back(RevisionRecord {
+            revision,
+            version: self.version,
+            change_id: change.change_id.clone(),
+            author: change.author.clone(),
+            at_ms: change.at_ms,
+            rollback_of: change.rollback_of,
+            text: change.text.clone(),
+        });
+        truncate_front(&mut team.history, HISTORY_LIMIT);
+        self.parsed.insert(change.team.clone(), config);
+        ChangeAnswer::Accepted {
+            version: self.version,
+            revision,
+        }
+    }
+
+    fn remember(&mut self, change: &Change, answer: &ChangeAnswer) {
+        let remembered = RememberedAnswer {
+            fingerprint: fingerprint(change),
+            answer: answer.clone(),
+        };
+        self.answers.insert(change.change_id.clone(), remembered);
+        self.answer_order.push_back(change.change_id.clone());
+        while self.answer_order.len() > ANSWER_LIMIT {
+            if let Some(oldest) = self.answer_order.pop_front() {
+                self.answers.remove(&oldest);
+            }
+        }
+        self.audited += 1;
+        self.audit.push_back(AuditEntry {
+            number: self.audited,
+            team: change.team.clone(),
+            change_id: change.change_id.clone(),
+            author: change.author.clone(),
+            at_ms: change.at_ms,
+            base_revision: change.base_revision,
+            answer: answer.clone(),
+        });
+        truncate_front(&mut self.audit, AUDIT_LIMIT);
+    }
+}
+
+fn truncate_front<T>(queue: &mut VecDeque<T>, limit: usize) {
+    while queue.len() > limit {
+        queue.pop_front();
+    }
+}
+
+/// Hash of what makes two changes the same one, whoever carries the resend and when.
+fn fingerprint(change: &Change) -> u64 {
+    use sha2::{Digest, Sha256};
+    let mut hasher = Sha256::new();
+    hasher.update((change.team.len() as u64).to_be_bytes());
+    hasher.update(&change.team);
+    hasher.update(change.base_revision.to_be_bytes());
+    hasher.update(&change.text);
+    let hash: [u8; 32] = hasher.finalize().into();
+    u64::from_be_bytes(hash[..8].try_into().unwrap_or_default())
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/sync.rs
@@ -0,0 +1,103 @@
+//! Messages between a subscriber and its source of configuration, and when to change the source.
+
+use crate::directory::{Cursor, InstanceState};
+use crate::ids::{ConfigVersion, DaemonName, Digest, FailureDomain, Incarnation};
+use crate::snapshot::Update;
+use serde::{Deserialize, Serialize};
+
+/// Quorum contact older than this makes a subscriber look for a better source, in milliseconds.
+pub const STALE_SOURCE_MS: u64 = 3_000;
+/// Time without a report after which a child counts as lost, in milliseconds.
+pub const CHILD_LEASE_MS: u64 = 6_000;
+/// Interval of reports without news, in milliseconds.
+pub const REPORT_INTERVAL_MS: u64 = 2_000;
+
+/// How current a source is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Freshness {
+    /// Version the source holds.
+    pub version: ConfigVersion,
+    /// Highest version the source has heard of.
+    pub highest_version: ConfigVersion,
+    /// Time since the source had contact, itself or through its own source, with a leader that had
+    /// contact with a majority; in milliseconds. `None`: never.
+    pub quorum_age_ms: Option<u64>,
+    /// Start of the source process.
+    pub epoch: u64,
+}
+
+impl Freshness {
+    /// Whether the source is known to lag or has lost contact with the majority.
+    pub fn is_stale(&self, highest_heard: ConfigVersion) -> bool {
+        let has_contact = self.quorum_age_ms.is_some_and(|age| age <= STALE_SOURCE_MS);
+        self.version < highest_heard.max(self.highest_version) || !has_contact
+    }
+}
+
+/// Asks for what is newer than what the subscriber holds; answered at once if there is news, else
+/// when there is, or after `hold_ms`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollRequest {
+    /// Subscriber.
+    pub daemon: DaemonName,
+    /// Version it holds; 0 for none.
+    pub held_version: ConfigVersion,
+    /// Digest of that version.
+    pub held_digest: Digest,
+    /// How far it has read the source's directory.
+    pub cursor: Option<Cursor>,
+    /// Longest time until the answer.
+    pub hold_ms: u64,
+}
+
+/// Answer to a poll.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PollReply {
+    /// What is new.
+    News {
+        /// Newer configuration, if there is one.
+        update: Option<Box<Update>>,
+        /// Changed entries of the directory.
+        instances: Vec<InstanceState>,
+        /// How far the directory is now read.
+        cursor: Cursor,
+        /// How current the source is.
+        freshness: Freshness,
+    },
+    /// The source admits no more sessions now.
+    Busy {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// Daemons of one failure domain that hold one version.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct VersionCount {
+    /// Failure domain.
+    pub failure_domain: FailureDomain,
+    /// Version held.
+    pub version: ConfigVersion,
+    /// Number of daemons.
+    pub daemons: u32,
+}
+
+/// Tells the source about the subscriber and all that take from it; renews its lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportRequest {
+    /// Subscriber.
+    pub daemon: DaemonName,
+    /// Start of its process.
+    pub incarnation: Incarnation,
+    /// Changed entries of the directory, own and from below.
+    pub instances: Vec<InstanceState>,
+    /// Versions held in the subtree, the subscriber included.
+    pub counts: Vec<VersionCount>,
+}
+
+/// Answer to a report or a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportReply {
+    /// How current the source is.
+    pub freshness: Freshness,
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/src/tree.rs
@@ -0,0 +1,80 @@
+//! Where a daemon takes its configuration from: a replica, or a relay of its failure domain.
+
+use crate::directory::InstanceState;
+use crate::ids::DaemonName;
+use sha2::{Digest, Sha256};
+
+/// A source of configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Name, if it is known.
+    pub name: Option<DaemonName>,
+    /// Address of its control port.
+    pub control_addr: String,
+}
+
+/// Relays of a failure domain, best first: the live daemons with the highest hash of their name.
+///
+/// Replicas come first: they hold the configuration anyway.
+pub fn relays<'a>(
+    live: impl Iterator<Item = &'a InstanceState>,
+    failure_domain: &str,
+    count: usize,
+) -> Vec<&'a InstanceState> {
+    let mut members: Vec<&InstanceState> = live
+        .filter(|state| state.failure_domain == failure_domain)
+        .collect();
+    members.sort_by_key(|s| {
+        (
+            !s.is_replica,
+            std::cmp::Reverse(weight(failure_domain, &s.name)),
+        )
+    });
+    members.truncate(count);
+    members
+}
+
+/// The sources that a daemon should try, in order.
+///
+/// A relay takes from replicas; every other daemon takes from a relay of its failure domain, and
+/// from a replica only when it knows no relay.
+pub fn sources<'a>(
+    own_name: &str,
+    own_domain: &str,
+    live: impl Iterator<Item = &'a InstanceState> + Clone,
+    replica_addrs: &[String],
+    relay_count: usize,
+) -> Vec<Source> {
+    let relays = relays(live, own_domain, relay_count);
+    let is_relay = relays.iter().any(|relay| relay.name == own_name);
+    let mut order: Vec<Source> = Vec::new();
+    if !is_relay {
+        let mut by_weight = relays;
+        by_weight.sort_by_key(|relay| std::cmp::Reverse(weight(own_name, &relay.name)));
+        order.extend(by_weight.into_iter().map(|relay| Source {
+            name: Some(relay.name.clone()),
+            control_addr: relay.control_addr.clone(),
+        }));
+    }
+    let mut replicas: Vec<&String> = replica_addrs.iter().collect();
+    replicas.sort_by_key(|addr| std::cmp::Reverse(weight(own_name, addr)));
+    order.extend(replicas.into_iter().map(|addr| Source {
+        name: None,
+        control_addr: addr.clone(),
+    }));
+    let mut seen = std::collections::HashSet::new();
+    order.retain(|source| seen.insert(source.control_addr.clone()));
+    order
+}
+
+/// Rendezvous weight of `candidate` for `key`.
+fn weight(key: &str, candidate: &str) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update(key);
+    hasher.update([0]);
+    hasher.update(candidate);
+    let hash: [u8; 32] = hasher.finalize().into();
+    let mut head = [0; 8];
+    head.copy_from_slice(&hash[..8]);
+    u64::from_be_bytes(head)
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/admin_http.rs
@@ -0,0 +1,295 @@
+//! Operators' HTTP: changes, reads, status, metrics.
+
+use crate::emit;
+use crate::events;
+use crate::replica_client::{ReplicaClient, SubmitError};
+use crate::shared::{unix_ms, Shared};
+use foxtailgauge_core::{is_valid_name, Change, ChangeAnswer};
+use foxtailgauge_wire::api::{
+    AuditReply, ChangeBody, ChangeReply, CheckBody, CheckReply, ErrorCode, ErrorReply,
+    HistoryReply, LocalReply,
+};
+use foxtailgauge_wire::{SubmitReply, SubmitRequest};
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+use std::time::Duration;
+use tide::{Request, Response, Server, StatusCode};
+
+/// Team whose token may read everything and change nothing.
+const OPERATORS: &str = "operators";
+/// Time a change may take to be accepted.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time a read may take.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// When to come back while the replicas have no majority, in seconds.
+const RETRY_AFTER_S: &str = "1";
+
+#[derive(Clone)]
+pub(crate) struct Admin {
+    shared: Arc<Shared>,
+    replicas: ReplicaClient,
+}
+
+/// The HTTP interface.
+pub(crate) fn server(shared: &Arc<Shared>, replicas: ReplicaClient) -> Server<Admin> {
+    let mut app = tide::with_state(Admin {
+        shared: Arc::clone(shared),
+        replicas,
+    });
+    app.at("/v1/teams/:team/config").put(change).get(read);
+    app.at("/v1/teams/:team/check").post(check);
+    app.at("/v1/teams/:team/history").get(history);
+    app.at("/v1/teams/:team/audit").get(audit);
+    app.at("/v1/status").get(status);
+    app.at("/v1/local").get(local);
+    app.at("/metrics").get(metrics);
+    app
+}
+
+/// What a request wants to do with a team's subtree.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Access {
+    Read,
+    Write,
+}
+
+impl Admin {
+    /// The team of a request, if its token allows the access.
+    fn team(&self, request: &Request<Admin>, access: Access) -> Result<String, ErrorCode> {
+        let team = request.param("team").unwrap_or("").to_owned();
+        if !is_valid_name(&team) {
+            return Err(ErrorCode::BadTeam);
+        }
+        let Some(holder) = self.holder(request)? else {
+            return Ok(team);
+        };
+        let is_allowed = holder == team || (holder == OPERATORS && access == Access::Read);
+        if !is_allowed {
+            emit!(self.shared.log, events::ADMIN_DENIED, "team" => &team, "holder" => holder);
+            return Err(ErrorCode::Forbidden);
+        }
+        Ok(team)
+    }
+
+    /// The team that the request's token belongs to; `None` if no tokens are needed.
+    fn holder(&self, request: &Request<Admin>) -> Result<Option<String>, ErrorCode> {
+        let Some(tokens) = &self.shared.settings.admin_tokens else {
+            return Ok(None);
+        };
+        let header = request
+            .header("authorization")
+            .map(|values| values.as_str());
+        let token = header.and_then(|value| value.strip_prefix("Bearer "));
+        let hash = token.map(|token| Sha256::digest(token.trim()));
+        let fits = |(_, known): &(&String, &Vec<u8>)| {
+            hash.as_ref().is_some_and(|hash| is_same(known, hash))
+        };
+        match tokens.iter().find(fits) {
+            Some((team, _)) => Ok(Some(team.clone())),
+            None => {
+                emit!(self.shared.log, events::ADMIN_DENIED);
+                Err(ErrorCode::Unauthorized)
+            }
+        }
+    }
+
+    async fn submit(
+        &self,
+        request: SubmitRequest,
+        timeout: Duration,
+    ) -> Result<SubmitReply, ErrorCode> {
+        match self.replicas.submit(request, timeout).await {
+            Ok(reply) => Ok(reply),
+            Err(SubmitError::Unavailable) => Err(ErrorCode::Unavailable),
+            Err(SubmitError::OutcomeUnknown) => Err(ErrorCode::OutcomeUnknown),
+        }
+    }
+
+    /// A read has no effect, so an uncertain one is merely unavailable.
+    async fn submit_read(&self, request: SubmitRequest) -> Result<SubmitReply, ErrorCode> {
+        let reply = self.replicas.submit(request, READ_TIMEOUT).await;
+        reply.map_err(|_| ErrorCode::Unavailable)
+    }
+}
+
+/// Compares hashes in constant time.
+fn is_same(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |diff, (x, y)| diff | (x ^ y)) == 0
+}
+
+/// The response of a handler, or that of its refusal.
+fn respond(result: Result<Response, ErrorCode>) -> tide::Result {
+    Ok(result.unwrap_or_else(refusal))
+}
+
+async fn change(mut request: Request<Admin>) -> tide::Result {
+    let admin = request.state().clone();
+    let team = match admin.team(&request, Access::Write) {
+        Ok(team) => team,
+        Err(code) => return Ok(refusal(code)),
+    };
+    let Ok(body) = request.body_json::<ChangeBody>().await else {
+        return Ok(refusal(ErrorCode::Malformed));
+    };
+    if body.change_id.is_empty() || body.change_id.len() > 64 || body.author.len() > 256 {
+        return Ok(refusal(ErrorCode::Malformed));
+    }
+    let change_id = body.change_id.clone();
+    let change = Change {
+        team,
+        change_id: body.change_id,
+        base_revision: body.base_revision,
+        text: body.text,
+        author: body.author,
+        at_ms: unix_ms(),
+        rollback_of: body.rollback_of,
+    };
+    let reply = admin
+        .submit(SubmitRequest::Change(change), CHANGE_TIMEOUT)
+        .await;
+    respond(reply.map(|reply| match reply {
+        SubmitReply::Change(answer) => {
+            let status = match answer {
+                ChangeAnswer::Accepted { .. } => StatusCode::Ok,
+                ChangeAnswer::Conflict { .. } | ChangeAnswer::ChangeIdReused => {
+                    StatusCode::Conflict
+                }
+                ChangeAnswer::Invalid { .. } => StatusCode::UnprocessableEntity,
+            };
+            json(status, &ChangeReply { change_id, answer })
+        }
+        _ => refusal(ErrorCode::Unavailable),
+    }))
+}
+
+async fn check(mut request: Request<Admin>) -> tide::Result {
+    let admin = request.state().clone();
+    let team = match admin.team(&request, Access::Read) {
+        Ok(team) => team,
+        Err(code) => return Ok(refusal(code)),
+    };
+    let Ok(CheckBody { text }) = request.body_json().await else {
+        return Ok(refusal(ErrorCode::Malformed));
+    };
+    let reply = admin.submit_read(SubmitRequest::Check { team, text }).await;
+    respond(reply.map(|reply| match reply {
+        SubmitReply::Checked(problems) => json(StatusCode::Ok, &CheckReply { problems }),
+        _ => refusal(ErrorCode::Unavailable),
+    }))
+}
+
+async fn read(request: Request<Admin>) -> tide::Result {
+    let admin = request.state();
+    let team = match admin.team(&request, Access::Read) {
+        Ok(team) => team,
+        Err(code) => return Ok(refusal(code)),
+    };
+    let mut query = request.url().query_pairs();
+    let revision = match query.find(|(name, _)| name == "revision") {
+        None => None,
+        Some((_, text)) => match text.parse() {
+            Ok(revision) => Some(revision),
+            Err(_) => return Ok(refusal(ErrorCode::Malformed)),
+        },
+    };
+    let reply = admin
+        .submit_read(SubmitRequest::Read { team, revision })
+        .await;
+    respond(reply.map(|reply| match reply {
+        SubmitReply::Revision(Some(record)) => json(StatusCode::Ok, &record),
+        SubmitReply::Revision(None) => refusal(ErrorCode::NotFound),
+        _ => refusal(ErrorCode::Unavailable),
+    }))
+}
+
+async fn history(request: Request<Admin>) -> tide::Result {
+    let admin = request.state();
+    let team = match admin.team(&request, Access::Read) {
+        Ok(team) => team,
+        Err(code) => return Ok(refusal(code)),
+    };
+    let reply = admin.submit_read(SubmitRequest::History { team }).await;
+    respond(reply.map(|reply| match reply {
+        SubmitReply::History(revisions) => json(StatusCode::Ok, &HistoryReply { revisions }),
+        _ => refusal(ErrorCode::Unavailable),
+    }))
+}
+
+async fn audit(request: Request<Admin>) -> tide::Result {
+    let admin = request.state();
+    let team = match admin.team(&request, Access::Read) {
+        Ok(team) => team,
+        Err(code) => return Ok(refusal(code)),
+    };
+    let reply = admin
+        .submit_read(SubmitRequest::Audit { team: Some(team) })
+        .await;
+    respond(reply.map(|reply| match reply {
+        SubmitReply::Audit(entries) => json(StatusCode::Ok, &AuditReply { entries }),
+        _ => refusal(ErrorCode::Unavailable),
+    }))
+}
+
+async fn status(request: Request<Admin>) -> tide::Result {
+    let admin = request.state();
+    if let Err(code) = admin.holder(&request) {
+        return Ok(refusal(code));
+    }
+    let reply = admin.submit_read(SubmitRequest::Status).await;
+    respond(reply.map(|reply| match reply {
+        SubmitReply::Status(status) => json(StatusCode::Ok, &status),
+        _ => refusal(ErrorCode::Unavailable),
+    }))
+}
+
+async fn local(request: Request<Admin>) -> tide::Result {
+    let admin = request.state();
+    if let Err(code) = admin.holder(&request) {
+        return Ok(refusal(code));
+    }
+    let shared = &admin.shared;
+    let (version, digest) = shared.held();
+    let live = shared.with_directory(|directory| directory.live().count());
+    let reply = LocalReply {
+        name: shared.settings.name.clone(),
+        failure_domain: shared.settings.failure_domain.clone(),
+        version,
+        digest: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+        highest_version: shared.highest_heard(),
+        quorum_age_ms: shared.quorum_age_ms(),
+        live_daemons: u32::try_from(live).unwrap_or(u32::MAX),
+    };
+    Ok(json(StatusCode::Ok, &reply))
+}
+
+async fn metrics(request: Request<Admin>) -> tide::Result {
+    let text = request.state().shared.metrics.text()?;
+    Ok(Response::builder(StatusCode::Ok)
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(text)
+        .build())
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response {
+    match tide::Body::from_json(body) {
+        Ok(body) => Response::builder(status).body(body).build(),
+        Err(_) => Response::new(StatusCode::InternalServerError),
+    }
+}
+
+fn refusal(code: ErrorCode) -> Response {
+    let status = match code {
+        ErrorCode::Malformed | ErrorCode::BadTeam => StatusCode::BadRequest,
+        ErrorCode::Unauthorized => StatusCode::Unauthorized,
+        ErrorCode::Forbidden => StatusCode::Forbidden,
+        ErrorCode::NotFound => StatusCode::NotFound,
+        ErrorCode::Unavailable => StatusCode::ServiceUnavailable,
+        ErrorCode::OutcomeUnknown => StatusCode::GatewayTimeout,
+    };
+    let mut response = json(status, &ErrorReply { code });
+    if code == ErrorCode::Unavailable {
+        response.insert_header("Retry-After", RETRY_AFTER_S);
+    }
+    response
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/announce_http.rs
@@ -0,0 +1,83 @@
+//! HTTP by which backend servers announce themselves to the daemon beside them.
+
+use crate::executor::Executor;
+use crate::local_server::Announcement;
+use foxtailgauge_core::{is_valid_name, ServerEntry, ServerState};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tide::{Request, Response, Server, StatusCode};
+
+/// Shortest and longest lease, in milliseconds.
+const LEASE_MS: std::ops::RangeInclusive<u64> = 500..=60_000;
+/// Most slots of one backend server.
+const MAX_SLOTS: u32 = 10_000;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AnnounceBody {
+    service: String,
+    addr: SocketAddr,
+    slots: u32,
+    state: ServerState,
+    lease_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct AnnounceAnswer {
+    in_flight: u32,
+}
+
+/// The HTTP interface.
+pub(crate) fn server(executor: Arc<Executor>) -> Server<Arc<Executor>> {
+    let mut app = tide::with_state(executor);
+    app.at("/v1/servers/:name").put(announce).delete(remove);
+    app
+}
+
+async fn announce(mut request: Request<Arc<Executor>>) -> tide::Result {
+    let name = request.param("name")?.to_owned();
+    let body: AnnounceBody = match request.body_json().await {
+        Ok(body) => body,
+        Err(_) => return Ok(refusal("malformed_announcement")),
+    };
+    let is_qualified = matches!(
+        body.service.split_once('/'),
+        Some((team, service)) if is_valid_name(team) && is_valid_name(service)
+    );
+    if !is_valid_name(&name) || !is_qualified {
+        return Ok(refusal("bad_name"));
+    }
+    if !LEASE_MS.contains(&body.lease_ms) || !(1..=MAX_SLOTS).contains(&body.slots) {
+        return Ok(refusal("out_of_range"));
+    }
+    let in_flight = request.state().announce(Announcement {
+        entry: ServerEntry {
+            name,
+            service: body.service,
+            slots: body.slots,
+            state: body.state,
+        },
+        addr: body.addr,
+        lease: Duration::from_millis(body.lease_ms),
+    });
+    let body = tide::Body::from_json(&AnnounceAnswer { in_flight })?;
+    Ok(Response::builder(StatusCode::Ok).body(body).build())
+}
+
+async fn remove(request: Request<Arc<Executor>>) -> tide::Result {
+    let name = request.param("name")?;
+    let status = match request.state().remove(name) {
+        true => StatusCode::NoContent,
+        false => StatusCode::NotFound,
+    };
+    Ok(Response::new(status))
+}
+
+fn refusal(code: &str) -> Response {
+    Response::builder(StatusCode::BadRequest)
+        .content_type(tide::http::mime::JSON)
+        .body(serde_json::json!({ "code": code }).to_string())
+        .build()
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/caller_http.rs
@@ -0,0 +1,299 @@
+//! Callers' HTTP/1.1: reads whole requests, answers with outcome headers.
+
+use crate::gateway::{CallerAnswer, CallerRequest, Gateway, Refusal};
+use crate::metrics::CallLabels;
+use crate::shared::Shared;
+use async_h1::server::{decode, Encoder};
+use async_std::io::{self, ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use foxtailgauge_wire::http::passed_on;
+use foxtailgauge_wire::Outcome;
+use futures::future::{select, Either};
+use http_types::headers::HeaderValue;
+use http_types::{Method, Request, Response, StatusCode};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Header with what became of the request.
+const OUTCOME_HEADER: &str = "Foxtailgauge-Outcome";
+/// Header with the configuration version the request was routed by.
+const VERSION_HEADER: &str = "Foxtailgauge-Config-Version";
+/// Header that marks a recorded answer.
+const REPLAY_HEADER: &str = "Foxtailgauge-Replayed";
+/// Header with the caller's own deadline.
+const DEADLINE_HEADER: &str = "Foxtailgauge-Deadline-Ms";
+/// Time a caller may take to send a request once it began.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Answers that concern one request but no route.
+#[derive(Clone, Copy, Debug)]
+enum HttpRefusal {
+    Malformed,
+    BodyTooLarge,
+}
+
+/// Serves callers until the listener fails for good.
+pub(crate) fn serve(shared: &Arc<Shared>, gateway: &Arc<Gateway>, listener: TcpListener) {
+    let shared = Arc::clone(shared);
+    let gateway = Arc::clone(gateway);
+    let open = Arc::new(AtomicUsize::new(0));
+    task::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                task::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            if open.load(Ordering::Relaxed) >= shared.settings.limits.connections {
+                continue;
+            }
+            open.fetch_add(1, Ordering::Relaxed);
+            let connection = Connection {
+                shared: Arc::clone(&shared),
+                gateway: Arc::clone(&gateway),
+                stream,
+            };
+            let open = Arc::clone(&open);
+            task::spawn(async move {
+                // A caller that goes away ends its connection; there is nobody left to tell.
+                let _ = connection.serve().await;
+                open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+}
+
+struct Connection {
+    shared: Arc<Shared>,
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+}
+
+impl Connection {
+    async fn serve(self) -> io::Result<()> {
+        self.stream.set_nodelay(true)?;
+        while let Ok(Ok(true)) =
+            async_std::future::timeout(READ_TIMEOUT, self.await_request()).await
+        {
+            if !self.serve_one().await? {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the first byte of a request has arrived.
+    async fn await_request(&self) -> io::Result<bool> {
+        let mut byte = [0; 1];
+        Ok(self.stream.peek(&mut byte).await? > 0)
+    }
+
+    /// Serves one request; returns whether another one may follow.
+    async fn serve_one(&self) -> io::Result<bool> {
+        let (request, body_reader) = match decode(self.stream.clone()).await {
+            Ok(Some(decoded)) => decoded,
+            Ok(None) => return Ok(false),
+            Err(_) => {
+                self.write(refuse(HttpRefusal::Malformed), Method::Get)
+                    .await?;
+                return Ok(false);
+            }
+        };
+        let started = Instant::now();
+        let method = request.method();
+        let is_kept = !has_close(&request);
+        let limit_bytes = self.shared.settings.limits.body_bytes;
+        let (response, outcome) = match read_request(request, limit_bytes).await {
+            Ok(request) => {
+                let Some(answer) = self.until_gone(&request).await else {
+                    return Ok(false);
+                };
+                let outcome = answer.outcome;
+                (respond(answer), outcome)
+            }
+            Err(refusal) => {
+                self.count(started, Outcome::NotRun);
+                self.write(refuse(refusal), method).await?;
+                // The rest of the body is not read, so the connection cannot go on.
+                return Ok(false);
+            }
+        };
+        drop(body_reader);
+        self.count(started, outcome);
+        self.write(response, method).await?;
+        Ok(is_kept)
+    }
+
+    /// Handles a request, and cancels it when the caller closes the connection.
+    async fn until_gone(&self, request: &CallerRequest) -> Option<CallerAnswer> {
+        let handling = Box::pin(self.gateway.handle(request));
+        let gone = Box::pin(self.gone());
+        match select(handling, gone).await {
+            Either::Left((answer, _)) => Some(answer),
+            Either::Right(_) => None,
+        }
+    }
+
+    async fn gone(&self) {
+        let mut byte = [0; 1];
+        match self.stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            // A pipelined request: the caller is still there.
+            Ok(_) => std::future::pending().await,
+        }
+    }
+
+    async fn write(&self, response: Response, method: Method) -> io::Result<()> {
+        let mut stream = self.stream.clone();
+        io::copy(Encoder::new(response, method), &mut stream).await?;
+        stream.flush().await
+    }
+
+    fn count(&self, started: Instant, outcome: Outcome) {
+        let outcome = outcome.as_str();
+        self.shared
+            .metrics
+            .calls
+            .get_or_create(&CallLabels { outcome })
+            .inc();
+        self.shared
+            .metrics
+            .call_seconds
+            .observe(started.elapsed().as_secs_f64());
+    }
+}
+
+fn has_close(request: &Request) -> bool {
+    request
+        .header("connection")
+        .is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"))
+}
+
+async fn read_request(
+    mut request: Request,
+    limit_bytes: usize,
+) -> Result<CallerRequest, HttpRefusal> {
+    if request.len().is_some_and(|length| length > limit_bytes) {
+        return Err(HttpRefusal::BodyTooLarge);
+    }
+    let mut body = Vec::new();
+    let limit = limit_bytes as u64 + 1;
+    let reading = request.take_body().take(limit).read_to_end(&mut body).await;
+    reading.map_err(|_| HttpRefusal::Malformed)?;
+    if body.len() > limit_bytes {
+        return Err(HttpRefusal::BodyTooLarge);
+    }
+    let header = |name: &str| {
+        request
+            .header(name)
+            .map(|values| values.as_str().to_owned())
+    };
+    let deadline_ms = match header(DEADLINE_HEADER) {
+        Some(text) => Some(text.trim().parse().map_err(|_| HttpRefusal::Malformed)?),
+        None => None,
+    };
+    let url = request.url();
+    let target = match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_owned(),
+    };
+    Ok(CallerRequest {
+        method: request.method().to_string(),
+        path: url.path().to_owned(),
+        target,
+        headers: passed_on(request.iter()),
+        key: header("idempotency-key"),
+        deadline_ms,
+        body,
+    })
+}
+
+fn respond(answer: CallerAnswer) -> Response {
+    let mut response = match answer.result {
+        Ok(backend) => {
+            let status = StatusCode::try_from(backend.status).unwrap_or(StatusCode::BadGateway);
+            let mut response = Response::new(status);
+            for (name, value) in &backend.headers {
+                append_header(&mut response, name, value);
+            }
+            response.set_body(backend.body);
+            if let Some((_, kind)) = backend
+                .headers
+                .iter()
+                .find(|(name, _)| name.eq_ignore_ascii_case("content-type"))
+            {
+                append_type(&mut response, kind);
+            }
+            response
+        }
+        Err(refusal) => {
+            let (status, code) = status_of(refusal);
+            problem(status, code)
+        }
+    };
+    response.insert_header(OUTCOME_HEADER, answer.outcome.as_str());
+    response.insert_header(VERSION_HEADER, answer.version.to_string());
+    if let Some(wait) = answer.retry_after {
+        let seconds = wait.as_secs_f64().ceil().max(1.0);
+        response.insert_header("Retry-After", format!("{seconds:.0}"));
+    }
+    if answer.is_replay {
+        response.insert_header(REPLAY_HEADER, "true");
+    }
+    response
+}
+
+fn append_header(response: &mut Response, name: &str, value: &str) {
+    let Ok(value) = HeaderValue::from_bytes(value.as_bytes().to_vec()) else {
+        return;
+    };
+    let is_own = name.to_ascii_lowercase().starts_with("foxtailgauge-");
+    if !is_own && !name.eq_ignore_ascii_case("content-type") {
+        response.append_header(name, value);
+    }
+}
+
+fn append_type(response: &mut Response, kind: &str) {
+    if let Ok(value) = HeaderValue::from_bytes(kind.as_bytes().to_vec()) {
+        response.insert_header("content-type", value);
+    }
+}
+
+fn refuse(refusal: HttpRefusal) -> Response {
+    let mut response = match refusal {
+        HttpRefusal::Malformed => problem(StatusCode::BadRequest, "malformed_request"),
+        HttpRefusal::BodyTooLarge => problem(StatusCode::PayloadTooLarge, "body_too_large"),
+    };
+    response.insert_header(OUTCOME_HEADER, Outcome::NotRun.as_str());
+    response.insert_header("Connection", "close");
+    response
+}
+
+fn problem(status: StatusCode, code: &str) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(serde_json::json!({ "code": code }).to_string());
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+fn status_of(refusal: Refusal) -> (StatusCode, &'static str) {
+    match refusal {
+        Refusal::UnknownRoute => (StatusCode::NotFound, "unknown_route"),
+        Refusal::MissingKey => (StatusCode::BadRequest, "missing_key"),
+        Refusal::MalformedKey => (StatusCode::BadRequest, "malformed_key"),
+        Refusal::KeyReused => (StatusCode::UnprocessableEntity, "key_reused"),
+        Refusal::KeyExpired => (StatusCode::BadRequest, "key_expired"),
+        Refusal::KeyFromFuture => (StatusCode::BadRequest, "key_from_future"),
+        Refusal::DeadlinePassed => (StatusCode::GatewayTimeout, "deadline_passed"),
+        Refusal::NotReady => (StatusCode::ServiceUnavailable, "not_ready"),
+        Refusal::NoServer => (StatusCode::ServiceUnavailable, "no_server"),
+        Refusal::Overloaded => (StatusCode::ServiceUnavailable, "overloaded"),
+        Refusal::LedgerUnavailable => (StatusCode::ServiceUnavailable, "ledger_unavailable"),
+        Refusal::Quarantined => (StatusCode::ServiceUnavailable, "quarantined"),
+        Refusal::InProgress => (StatusCode::Conflict, "in_progress"),
+        Refusal::OutcomeUnknown => (StatusCode::BadGateway, "outcome_unknown"),
+        Refusal::TimedOut => (StatusCode::GatewayTimeout, "timed_out"),
+        Refusal::AnswerTooLarge => (StatusCode::BadGateway, "answer_too_large"),
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -0,0 +1,200 @@
+//! Starts the parts of one daemon and stops them in order.
+
+use crate::admin_http;
+use crate::announce_http;
+use crate::caller_http;
+use crate::emit;
+use crate::events;
+use crate::executor::Executor;
+use crate::formation;
+use crate::gateway::Gateway;
+use crate::ledger_client::LedgerClient;
+use crate::logger;
+use crate::meter::ByteCounters;
+use crate::metrics::Metrics;
+use crate::peer_client::{Identity, PeerClient};
+use crate::peer_server::{serve_calls, serve_control, Services};
+use crate::replica_client::ReplicaClient;
+use crate::settings::{Listen, Settings};
+use crate::shared::{Clients, Shared};
+use crate::subscriber;
+use async_std::net::TcpListener;
+use async_std::task;
+use error_stack::{Report, ResultExt};
+use foxtailgauge_wire::handshake::{ConnectionKind, Hello};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use slog::Logger;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Client threads for calls to other daemons.
+const CALL_CLIENT_THREADS: usize = 2;
+/// Time for requests in flight at a stop.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for the news of a leaving daemon to spread before its gates close for good.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
+
+/// Why the daemon cannot run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DaemonError {
+    /// An address cannot be listened on.
+    Listen(SocketAddr),
+    /// The store cannot be used.
+    Store,
+    /// Signals cannot be handled.
+    Signals,
+}
+
+impl fmt::Display for DaemonError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DaemonError::Listen(address) => write!(f, "{address} cannot be listened on"),
+            DaemonError::Store => write!(f, "the store cannot be used"),
+            DaemonError::Signals => write!(f, "signals cannot be handled"),
+        }
+    }
+}
+
+impl std::error::Error for DaemonError {}
+
+struct Listeners {
+    callers: TcpListener,
+    admin: TcpListener,
+    announce: TcpListener,
+    control: TcpListener,
+    calls: TcpListener,
+}
+
+/// Runs a daemon until it is told to stop.
+pub fn run(settings: Settings) -> Result<(), Report<DaemonError>> {
+    let log = logger::build(settings.log_level, &settings.name, &settings.failure_domain);
+    let stop = stop_signal()?;
+    task::block_on(async {
+        let listeners = listen(&settings.listen, &log).await?;
+        let store_dir = settings.store_dir.clone();
+        let (services, replicas) = build(settings, log);
+        let shared = Arc::clone(&services.shared);
+        start(&services, replicas, listeners);
+        emit!(shared.log, events::STARTED, "pid" => std::process::id());
+        if let Some(dir) = store_dir {
+            formation::start(&services, &dir)
+                .await
+                .change_context(DaemonError::Store)?;
+        }
+        subscriber::start(&shared);
+        // The channel closes with the signal thread, which is also a reason to stop.
+        let _ = stop.recv().await;
+        emit!(shared.log, events::STOPPING);
+        services.executor.drain(DRAIN_TIMEOUT).await;
+        task::sleep(LEAVE_TIME).await;
+        emit!(shared.log, events::STOPPED);
+        Ok(())
+    })
+}
+
+fn build(settings: Settings, log: Logger) -> (Services, ReplicaClient) {
+    let metrics = Metrics::new();
+    let clients = clients(&settings, &metrics);
+    let shared = Arc::new(Shared::new(settings, log, metrics, clients));
+    let replicas = ReplicaClient::new(&shared);
+    let ledger = LedgerClient::new(&shared, replicas.clone());
+    let services = Services {
+        executor: Arc::new(Executor::new(&shared, ledger)),
+        formation: Arc::default(),
+        shared,
+    };
+    (services, replicas)
+}
+
+fn clients(settings: &Settings, metrics: &Metrics) -> Clients {
+    let client = |kind, counters: &ByteCounters, threads| {
+        let identity = Identity {
+            hello: Hello {
+                kind,
+                failure_domain: settings.failure_domain.clone(),
+                name: settings.name.clone(),
+            },
+            key: settings.cluster_key.clone(),
+            counters: counters.clone(),
+        };
+        PeerClient::start(&identity, threads)
+    };
+    Clients {
+        control: client(ConnectionKind::Control, &metrics.control, 1),
+        consensus: client(ConnectionKind::Control, &metrics.consensus, 1),
+        calls: client(
+            ConnectionKind::Calls,
+            &metrics.call_bytes,
+            CALL_CLIENT_THREADS,
+        ),
+    }
+}
+
+fn start(services: &Services, replicas: ReplicaClient, listeners: Listeners) {
+    let Services {
+        shared, executor, ..
+    } = services;
+    let ledger = LedgerClient::new(shared, replicas.clone());
+    let gateway = Arc::new(Gateway::new(shared, executor, ledger));
+    serve_control(services, listeners.control);
+    serve_calls(services, listeners.calls);
+    task::spawn(Arc::clone(executor).expire_leases());
+    serve_http(
+        shared,
+        admin_http::server(shared, replicas),
+        listeners.admin,
+    );
+    serve_http(
+        shared,
+        announce_http::server(Arc::clone(executor)),
+        listeners.announce,
+    );
+    caller_http::serve(shared, &gateway, listeners.callers);
+}
+
+fn serve_http<S>(shared: &Arc<Shared>, app: tide::Server<S>, listener: TcpListener)
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let shared = Arc::clone(shared);
+    task::spawn(async move {
+        if let Err(error) = app.listen(listener).await {
+            emit!(shared.log, events::TASK_FAILED, "error" => error.to_string());
+        }
+    });
+}
+
+async fn listen(listen: &Listen, log: &Logger) -> Result<Listeners, Report<DaemonError>> {
+    Ok(Listeners {
+        callers: bind(listen.callers, log).await?,
+        admin: bind(listen.admin, log).await?,
+        announce: bind(listen.announce, log).await?,
+        control: bind(listen.control, log).await?,
+        calls: bind(listen.calls, log).await?,
+    })
+}
+
+async fn bind(address: SocketAddr, log: &Logger) -> Result<TcpListener, Report<DaemonError>> {
+    let listener = TcpListener::bind(address).await;
+    if let Err(error) = &listener {
+        emit!(log, events::LISTEN_FAILED,
+            "address" => address.to_string(), "error" => error.to_string());
+    }
+    listener.change_context(DaemonError::Listen(address))
+}
+
+/// A channel that brings the request to stop.
+fn stop_signal() -> Result<async_std::channel::Receiver<()>, Report<DaemonError>> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).change_context(DaemonError::Signals)?;
+    let (sender, receiver) = async_std::channel::bounded(1);
+    std::thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            // The receiver is gone only if the daemon is ending anyway.
+            let _ = sender.try_send(());
+        }
+    });
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -0,0 +1,75 @@
+//! Numbered log events. The catalogue for operators is docs/EVENTS.md.
+
+use slog::Level;
+
+/// One kind of log event.
+#[derive(Clone, Copy, Debug)]
+pub struct Event {
+    /// Number, never reused.
+    pub number: u32,
+    /// Level it is logged at.
+    pub level: Level,
+    /// Text of the log line.
+    pub text: &'static str,
+}
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)+) => {
+        $(
+            #[doc = $text]
+            pub const $name: Event = Event {
+                number: $number,
+                level: Level::$level,
+                text: $text,
+            };
+        )+
+
+        /// All events.
+        pub const ALL: &[Event] = &[$($name),+];
+    };
+}
+
+events! {
+    STARTED = 1001, Info, "daemon started";
+    STOPPING = 1002, Info, "daemon stops: draining";
+    STOPPED = 1003, Info, "daemon stopped";
+    LISTEN_FAILED = 1004, Critical, "address cannot be listened on";
+    TASK_FAILED = 1005, Error, "connection or task ended with an error";
+    STORE_OPENED = 2001, Info, "store opened";
+    STORE_TAIL_CUT = 2002, Warning, "unfinished last batch of the log was cut off";
+    STORE_FAILED = 2003, Critical, "store failed: replica stops";
+    SNAPSHOT_SAVED = 2004, Info, "log compacted into a snapshot";
+    SNAPSHOT_INSTALLED = 2005, Info, "snapshot of the leader installed";
+    GROUP_FORMED = 2101, Info, "group formed with its first members";
+    GROUP_JOINED = 2102, Info, "replica asked to join the group as a learner";
+    ROLE_CHANGED = 2103, Info, "replica changed its role";
+    MEMBERSHIP_CHANGED = 2104, Info, "membership of the group changed";
+    CHANGE_ACCEPTED = 3001, Info, "change accepted";
+    CHANGE_REFUSED = 3002, Info, "change refused";
+    VERSION_HELD = 3003, Info, "configuration version in force";
+    UPDATE_REFUSED = 3004, Warning, "update not taken over";
+    SOURCE_CHANGED = 3101, Info, "source of configuration changed";
+    SOURCE_FAILED = 3102, Warning, "source of configuration does not answer";
+    SOURCE_STALE = 3103, Warning, "source of configuration is behind or without a majority";
+    SOURCE_BUSY = 3104, Info, "source of configuration admits no session now";
+    DAEMON_LOST = 3201, Warning, "daemon is lost";
+    LOST_REFUTED = 3202, Info, "mark as lost refuted";
+    SERVER_ANNOUNCED = 4001, Info, "backend server announced";
+    SERVER_LEAVING = 4002, Info, "backend server leaves";
+    SERVER_GONE = 4003, Info, "backend server gone";
+    SERVER_DIED = 4004, Warning, "connection to backend server broke with a request in flight";
+    ACTION_UNKNOWN = 4101, Warning, "outcome of a billable action is unknown";
+    LEDGER_RETRY = 4102, Warning, "ledger does not take a record: trying again";
+    REQUEST_QUARANTINED = 4103, Warning, "request refused: it was in flight when backend servers died";
+    PEER_REFUSED = 5001, Warning, "peer refused: handshake failed";
+    ADMIN_DENIED = 5002, Warning, "admin request without a fitting token";
+}
+
+/// Logs an event with key-value pairs.
+#[macro_export]
+macro_rules! emit {
+    ($log:expr, $event:expr $(, $key:literal => $value:expr)* $(,)?) => {
+        slog::log!($log, $event.level, "", "{}", $event.text;
+            "event" => $event.number $(, $key => $value)*)
+    };
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/executor.rs
@@ -0,0 +1,426 @@
+//! Runs requests on the backend servers beside this daemon; the only way to them.
+
+use crate::emit;
+use crate::events;
+use crate::ledger_client::LedgerClient;
+use crate::local_server::{Announcement, LocalServer, Slot};
+use crate::replica_client::SubmitError;
+use crate::shared::{lock, unix_ms, Shared};
+use foxtailgauge_core::{
+    fingerprint, request_digest, ActionKey, AdmissionRefusal, Claimant, Digest, LedgerAnswer,
+    LedgerCommand, RecordedAnswer, ServerEntry, CLAIM_GRACE_MS,
+};
+use foxtailgauge_wire::http::{HttpAnswer, HttpError, HttpRequest};
+use foxtailgauge_wire::{CallAnswer, CallReply, CallRequest, Cause, Outcome};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Status by which a backend server refuses a request before running it.
+const SHED_STATUS: u16 = 503;
+/// Longest time for a claim.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+/// When to come back while the ledger has no majority.
+const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When to come back while another attempt may be running, beyond that attempt's end.
+const IN_PROGRESS_SLACK: Duration = Duration::from_millis(100);
+/// Interval at which leases of backend servers are checked.
+const LEASE_CHECK: Duration = Duration::from_millis(250);
+
+/// The backend servers beside this daemon.
+pub(crate) struct Executor {
+    shared: Arc<Shared>,
+    ledger: LedgerClient,
+    servers: Mutex<BTreeMap<String, Arc<LocalServer>>>,
+}
+
+impl Executor {
+    /// An executor without backend servers.
+    pub(crate) fn new(shared: &Arc<Shared>, ledger: LedgerClient) -> Self {
+        Executor {
+            shared: Arc::clone(shared),
+            ledger,
+            servers: Mutex::default(),
+        }
+    }
+
+    /// Takes over an announcement; returns the requests on the backend server.
+    pub(crate) fn announce(&self, announcement: Announcement) -> u32 {
+        let name = announcement.entry.name.clone();
+        let entry = announcement.entry.clone();
+        let (server, has_changed) = {
+            let mut servers = lock(&self.servers);
+            match servers.get(&name) {
+                Some(server) => (Arc::clone(server), server.announce(announcement)),
+                None => {
+                    let limit = self.shared.settings.limits.server_connections;
+                    let server = Arc::new(LocalServer::new(announcement, limit));
+                    servers.insert(name, Arc::clone(&server));
+                    (server, true)
+                }
+            }
+        };
+        if has_changed {
+            self.log_announcement(&entry);
+            self.publish();
+        }
+        server.in_flight()
+    }
+
+    fn log_announcement(&self, entry: &ServerEntry) {
+        match entry.state {
+            foxtailgauge_core::ServerState::Ready => emit!(self.shared.log,
+                events::SERVER_ANNOUNCED, "server" => &entry.name, "service" => &entry.service),
+            foxtailgauge_core::ServerState::Leaving => emit!(self.shared.log,
+                events::SERVER_LEAVING, "server" => &entry.name, "service" => &entry.service),
+        }
+    }
+
+    /// Removes a backend server that says it is gone.
+    pub(crate) fn remove(&self, name: &str) -> bool {
+        let removed = lock(&self.servers).remove(name);
+        if removed.is_some() {
+            emit!(self.shared.log, events::SERVER_GONE, "server" => name);
+            self.publish();
+        }
+        removed.is_some()
+    }
+
+    /// Removes backend servers whose lease ended, again and again.
+    pub(crate) async fn expire_leases(self: Arc<Self>) {
+        loop {
+            async_std::task::sleep(LEASE_CHECK).await;
+            let now = Instant::now();
+            let expired: Vec<String> = lock(&self.servers)
+                .iter()
+                .filter(|(_, server)| server.is_expired(now))
+                .map(|(name, _)| name.clone())
+                .collect();
+            for name in expired {
+                self.remove(&name);
+            }
+        }
+    }
+
+    /// Closes all gates; returns once no request is left or the time is over.
+    pub(crate) async fn drain(&self, timeout: Duration) {
+        let servers: Vec<Arc<LocalServer>> = lock(&self.servers).values().cloned().collect();
+        for server in &servers {
+            server.drain();
+        }
+        self.publish();
+        let end = Instant::now() + timeout;
+        while Instant::now() < end && servers.iter().any(|server| server.in_flight() > 0) {
+            async_std::task::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn publish(&self) {
+        let entries = lock(&self.servers)
+            .values()
+            .map(|server| server.entry())
+            .collect();
+        self.shared.announce(entries);
+    }
+
+    /// Runs a request. Dropping the future cancels a request that is not billable.
+    pub(crate) async fn execute(self: &Arc<Self>, request: CallRequest) -> CallReply {
+        let server = lock(&self.servers).get(&request.server).cloned();
+        let Some(server) = server else {
+            return CallReply::without_answer(Outcome::NotRun, Cause::UnknownServer);
+        };
+        let deadline = Instant::now() + request.remaining;
+        let mut reply = match server
+            .enter(request.remaining, request.queue_requests)
+            .await
+        {
+            Err(refusal) => refused(refusal),
+            Ok(slot) => match request.key {
+                None => self.run_plain(&server, slot, &request, deadline).await,
+                Some(key) => {
+                    self.run_detached(&server, slot, request, key, deadline)
+                        .await
+                }
+            },
+        };
+        reply.in_flight = server.in_flight();
+        reply
+    }
+
+    async fn run_plain(
+        &self,
+        server: &Arc<LocalServer>,
+        mut slot: Slot,
+        request: &CallRequest,
+        deadline: Instant,
+    ) -> CallReply {
+        let exchange = self.exchange(server, request, false);
+        let left = deadline.saturating_duration_since(Instant::now());
+        match async_std::future::timeout(left, exchange).await {
+            Err(_) => CallReply::without_answer(Outcome::Unknown, Cause::TimedOut),
+            Ok(Ok(answer)) if answer.status == SHED_STATUS => shed(&answer),
+            Ok(Ok(answer)) => {
+                slot.completed();
+                ran(answer)
+            }
+            Ok(Err(error)) => self.failed(&error, &digest_of(request)),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        server: &LocalServer,
+        request: &CallRequest,
+        is_fresh: bool,
+    ) -> Result<HttpAnswer, HttpError> {
+        let message = HttpRequest {
+            method: &request.method,
+            target: &request.target,
+            headers: &request.headers,
+            body: &request.body,
+        };
+        let limit_bytes = self.shared.settings.limits.body_bytes;
+        server.exchange(message, limit_bytes, is_fresh).await
+    }
+
+    fn failed(&self, error: &HttpError, digest: &Digest) -> CallReply {
+        match error {
+            HttpError::BadRequest | HttpError::Connect(_) => {
+                CallReply::without_answer(Outcome::NotRun, Cause::Unreachable)
+            }
+            HttpError::TooLarge => CallReply::without_answer(Outcome::Ran, Cause::AnswerTooLarge),
+            HttpError::Broken => {
+                emit!(self.shared.log, events::SERVER_DIED);
+                self.shared.record_sighting(fingerprint(digest));
+                CallReply::without_answer(Outcome::Unknown, Cause::Died)
+            }
+        }
+    }
+
+    /// A claimed action runs to its end and is recorded, whoever still waits.
+    async fn run_detached(
+        self: &Arc<Self>,
+        server: &Arc<LocalServer>,
+        slot: Slot,
+        request: CallRequest,
+        key: ActionKey,
+        deadline: Instant,
+    ) -> CallReply {
+        let executor = Arc::clone(self);
+        let run = executor.run_billable(Arc::clone(server), slot, request, key, deadline);
+        let run = async_std::task::spawn(run);
+        let left = deadline.saturating_duration_since(Instant::now());
+        match async_std::future::timeout(left, run).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                emit!(self.shared.log, events::ACTION_UNKNOWN, "key" => key.to_string());
+                CallReply::without_answer(Outcome::Unknown, Cause::TimedOut)
+            }
+        }
+    }
+
+    async fn run_billable(
+        self: Arc<Self>,
+        server: Arc<LocalServer>,
+        mut slot: Slot,
+        request: CallRequest,
+        key: ActionKey,
+        deadline: Instant,
+    ) -> CallReply {
+        let digest = digest_of(&request);
+        let claimant = Claimant {
+            executor: self.shared.settings.name.clone(),
+            incarnation: self.shared.incarnation,
+            attempt: request.attempt,
+        };
+        if let Err(reply) = self.claim(key, digest, &claimant, deadline).await {
+            return reply;
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            drop(slot);
+            self.ledger
+                .conclude(LedgerCommand::Release { key, claimant })
+                .await;
+            return CallReply::without_answer(Outcome::NotRun, Cause::TooLate);
+        }
+        // An answer that comes after the deadline is still recorded, for a resend to find.
+        let limit = left + Duration::from_millis(CLAIM_GRACE_MS);
+        let exchange = self.exchange(&server, &request, true);
+        let result = async_std::future::timeout(limit, exchange).await;
+        if matches!(result, Ok(Ok(_))) {
+            slot.completed();
+        }
+        drop(slot);
+        match result {
+            Ok(result) => self.conclude(key, claimant, &digest, result).await,
+            Err(_) => {
+                self.ledger
+                    .conclude(LedgerCommand::Lose { key, claimant })
+                    .await;
+                CallReply::without_answer(Outcome::Unknown, Cause::TimedOut)
+            }
+        }
+    }
+
+    /// Asks for the right to run; the reply is the end of the call if it is not given.
+    async fn claim(
+        &self,
+        key: ActionKey,
+        digest: Digest,
+        claimant: &Claimant,
+        deadline: Instant,
+    ) -> Result<(), CallReply> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let now_ms = unix_ms();
+        let command = LedgerCommand::Claim {
+            key,
+            request: digest,
+            claimant: claimant.clone(),
+            at_ms: now_ms,
+            until_ms: now_ms + u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        };
+        let answer = self.ledger.command(command, left.min(CLAIM_TIMEOUT)).await;
+        match answer {
+            Ok(LedgerAnswer::Granted) => Ok(()),
+            Ok(answer) => Err(refused_claim(answer)),
+            Err(error) => {
+                if error == SubmitError::OutcomeUnknown {
+                    self.ledger.withdraw(key, digest, claimant.clone());
+                }
+                let reply = CallReply::without_answer(Outcome::NotRun, Cause::LedgerUnreachable);
+                Err(reply.retry_after(LEDGER_RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Records how the run ended, then tells.
+    async fn conclude(
+        &self,
+        key: ActionKey,
+        claimant: Claimant,
+        digest: &Digest,
+        result: Result<HttpAnswer, HttpError>,
+    ) -> CallReply {
+        match result {
+            Ok(answer) if answer.status == SHED_STATUS => {
+                self.ledger
+                    .conclude(LedgerCommand::Release { key, claimant })
+                    .await;
+                shed(&answer)
+            }
+            Ok(answer) => {
+                let command = LedgerCommand::Done {
+                    key,
+                    claimant,
+                    answer: recorded(&answer),
+                };
+                self.ledger.conclude(command).await;
+                ran(answer)
+            }
+            Err(error) => {
+                let reply = self.failed(&error, digest);
+                let command = match reply.outcome {
+                    Outcome::NotRun => LedgerCommand::Release { key, claimant },
+                    Outcome::Unknown => LedgerCommand::Lose { key, claimant },
+                    Outcome::Ran => LedgerCommand::Done {
+                        key,
+                        claimant,
+                        answer: too_large(),
+                    },
+                };
+                self.ledger.conclude(command).await;
+                reply
+            }
+        }
+    }
+}
+
+fn digest_of(request: &CallRequest) -> Digest {
+    request_digest(&request.method, &request.target, &request.body)
+}
+
+fn refused(refusal: AdmissionRefusal) -> CallReply {
+    let reply = |cause| CallReply::without_answer(Outcome::NotRun, cause);
+    match refusal {
+        AdmissionRefusal::Draining => reply(Cause::Draining),
+        AdmissionRefusal::QueueFull { retry_after } => {
+            reply(Cause::QueueFull).retry_after(retry_after)
+        }
+        AdmissionRefusal::TooLate { retry_after } => reply(Cause::TooLate).retry_after(retry_after),
+    }
+}
+
+fn refused_claim(answer: LedgerAnswer) -> CallReply {
+    let not_run = |cause| CallReply::without_answer(Outcome::NotRun, cause);
+    match answer {
+        LedgerAnswer::AlreadyDone(answer) => CallReply {
+            outcome: Outcome::Ran,
+            cause: Cause::Replayed,
+            retry_after: None,
+            answer: Some(replayed(answer)),
+            in_flight: 0,
+        },
+        LedgerAnswer::InProgress { until_ms } => {
+            let wait_ms = until_ms.saturating_sub(unix_ms()) + CLAIM_GRACE_MS;
+            CallReply::without_answer(Outcome::Unknown, Cause::InProgress)
+                .retry_after(Duration::from_millis(wait_ms) + IN_PROGRESS_SLACK)
+        }
+        LedgerAnswer::Lost => CallReply::without_answer(Outcome::Unknown, Cause::Lost),
+        LedgerAnswer::OtherRequest => not_run(Cause::OtherRequest),
+        LedgerAnswer::Expired => not_run(Cause::ExpiredKey),
+        LedgerAnswer::FutureKey => not_run(Cause::FutureKey),
+        LedgerAnswer::Granted
+        | LedgerAnswer::Recorded
+        | LedgerAnswer::Voided
+        | LedgerAnswer::NotClaimant => not_run(Cause::Voided),
+    }
+}
+
+/// The recorded answer in the form of a fresh one.
+pub(crate) fn replayed(answer: RecordedAnswer) -> CallAnswer {
+    CallAnswer {
+        status: answer.status,
+        headers: answer.headers,
+        body: answer.body,
+    }
+}
+
+fn ran(answer: HttpAnswer) -> CallReply {
+    CallReply {
+        outcome: Outcome::Ran,
+        cause: Cause::None,
+        retry_after: None,
+        answer: Some(CallAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+        }),
+        in_flight: 0,
+    }
+}
+
+fn shed(answer: &HttpAnswer) -> CallReply {
+    let seconds = answer
+        .header("retry-after")
+        .and_then(|value| value.parse().ok());
+    let retry_after = Duration::from_secs(seconds.unwrap_or(1));
+    CallReply::without_answer(Outcome::NotRun, Cause::Shed).retry_after(retry_after)
+}
+
+fn recorded(answer: &HttpAnswer) -> RecordedAnswer {
+    RecordedAnswer {
+        status: answer.status,
+        headers: answer.headers.clone(),
+        body: answer.body.clone(),
+    }
+}
+
+/// What is recorded of a run whose answer exceeds the limit.
+fn too_large() -> RecordedAnswer {
+    RecordedAnswer {
+        status: 502,
+        headers: Vec::new(),
+        body: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/formation.rs
@@ -0,0 +1,177 @@
+//! First formation of the groups, and the return of a replica whose disk was lost.
+//!
+//! A replica's identity belongs to its disk. The group is formed once, when all listed replicas are
+//! reachable and none belongs to a group; the one with the lowest address decides the members. A
+//! replica that finds a group without itself has lost its disk and joins as a learner.
+
+use crate::emit;
+use crate::events;
+use crate::peer_server::Services;
+use crate::replica::{start_group, ReplicaHandles};
+use crate::replica_client::ReplicaClient;
+use crate::shared::lock;
+use crate::store::{read_frame, write_frame, StoreError};
+use error_stack::Report;
+use foxtailgauge_core::{Membership, ReplicaId};
+use foxtailgauge_wire::{FormationState, Group, SubmitReply, SubmitRequest};
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+use std::time::Duration;
+
+/// Name of the file with a replica's identity.
+const IDENTITY_FILE: &str = "replica";
+/// Time another replica has to answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Wait between rounds of asking.
+const ROUND_WAIT: Duration = Duration::from_millis(100);
+/// Time the leader has to take a learner in.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Identity {
+    replica: ReplicaId,
+    /// First members of the groups; empty for a replica that joined later, `None` before.
+    initial: Option<Membership>,
+    /// Set once the groups' files were written.
+    is_started: bool,
+}
+
+/// Finds or forms the groups and starts this replica's part in them.
+pub(crate) async fn start(services: &Services, dir: &Path) -> Result<(), Report<StoreError>> {
+    let shared = &services.shared;
+    let file = dir.join(IDENTITY_FILE);
+    let mut identity = load_identity(&file)?;
+    let control_addr = shared.settings.advertise_control.clone();
+    let set_state = |state| *lock(&services.formation) = Some(state);
+    let initial = match identity.initial.clone() {
+        Some(initial) => initial,
+        None => {
+            set_state(FormationState::Forming {
+                replica: identity.replica,
+                control_addr: control_addr.clone(),
+            });
+            find_group(services, identity.replica, &control_addr).await
+        }
+    };
+    identity.initial = Some(initial.clone());
+    write_frame(&file, &identity)?;
+    let handles = start_groups(services, dir, &identity, &initial)?;
+    identity.is_started = true;
+    write_frame(&file, &identity)?;
+    // Set once at the start of the daemon.
+    let _ = shared.replica.set(handles);
+    set_state(FormationState::Formed {
+        initial: initial.clone(),
+    });
+    if initial.members.is_empty() {
+        async_std::task::spawn(join(services.clone(), identity.replica, control_addr));
+    }
+    Ok(())
+}
+
+fn load_identity(file: &Path) -> Result<Identity, Report<StoreError>> {
+    if let Some(identity) = read_frame(file)? {
+        return Ok(identity);
+    }
+    let identity = Identity {
+        replica: rand::random(),
+        initial: None,
+        is_started: false,
+    };
+    write_frame(file, &identity)?;
+    Ok(identity)
+}
+
+fn start_groups(
+    services: &Services,
+    dir: &Path,
+    identity: &Identity,
+    initial: &Membership,
+) -> Result<ReplicaHandles, Report<StoreError>> {
+    // Files that are gone must not be taken for those of a new replica.
+    let initial_entries = (!identity.is_started).then_some(initial);
+    let start = |group| {
+        start_group(
+            &services.shared,
+            group,
+            identity.replica,
+            dir,
+            initial_entries,
+        )
+    };
+    Ok(ReplicaHandles {
+        config: start(Group::Config)?,
+        ledger: start(Group::Ledger)?,
+    })
+}
+
+/// Returns the first members, or none if the group exists without this replica.
+async fn find_group(services: &Services, replica: ReplicaId, own_addr: &str) -> Membership {
+    let shared = &services.shared;
+    let client = ReplicaClient::new(shared);
+    loop {
+        let mut forming = vec![(replica, own_addr.to_owned())];
+        for addr in shared
+            .settings
+            .replicas
+            .iter()
+            .filter(|addr| *addr != own_addr)
+        {
+            match client.formation(addr, ASK_TIMEOUT).await {
+                Some(SubmitReply::Formation(FormationState::Formed { initial })) => {
+                    return adopt(services, replica, initial);
+                }
+                Some(SubmitReply::Formation(FormationState::Forming {
+                    replica,
+                    control_addr,
+                })) => forming.push((replica, control_addr)),
+                _ => {}
+            }
+        }
+        let is_complete = forming.len() == shared.settings.replicas.len();
+        let decides = shared
+            .settings
+            .replicas
+            .iter()
+            .all(|addr| own_addr <= addr.as_str());
+        if is_complete && decides {
+            emit!(shared.log, events::GROUP_FORMED, "members" => forming.len());
+            return Membership::of_voters(forming);
+        }
+        async_std::task::sleep(ROUND_WAIT).await;
+    }
+}
+
+fn adopt(services: &Services, replica: ReplicaId, initial: Membership) -> Membership {
+    if initial.members.contains_key(&replica) {
+        emit!(services.shared.log, events::GROUP_FORMED, "members" => initial.members.len());
+        return initial;
+    }
+    Membership::default()
+}
+
+/// Asks to be taken in until this replica finds itself among the members of every group.
+async fn join(services: Services, replica: ReplicaId, control_addr: String) {
+    let shared = &services.shared;
+    let client = ReplicaClient::new(shared);
+    for group in Group::ALL {
+        loop {
+            let status = shared
+                .replica
+                .get()
+                .map(|handles| handles.group(group).status());
+            if status.is_some_and(|status| status.members.members.contains_key(&replica)) {
+                break;
+            }
+            let request = SubmitRequest::Join {
+                group,
+                replica,
+                control_addr: control_addr.clone(),
+            };
+            if client.submit(request, JOIN_TIMEOUT).await == Ok(SubmitReply::Joined) {
+                emit!(shared.log, events::GROUP_JOINED, "group" => group.as_str());
+            }
+            async_std::task::sleep(ROUND_WAIT * 5).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/gateway.rs
@@ -0,0 +1,449 @@
+//! Takes callers' requests and finds them a backend server.
+
+use crate::emit;
+use crate::events;
+use crate::executor::{replayed, Executor};
+use crate::ledger_client::LedgerClient;
+use crate::peer_client::{PeerError, PeerReply, PeerRequest};
+use crate::shared::{lock, unix_ms, RouteView, Shared};
+use foxtailgauge_core::{
+    fingerprint, key_time_ms, request_digest, ActionKey, CallHealth, Candidate, ConfigVersion,
+    Digest, LedgerAnswer, LedgerCommand, RetryBudget, Route, ServerKey, SuspectVerdict,
+};
+use foxtailgauge_wire::{CallAnswer, CallReply, CallRequest, Cause, Outcome};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use uuid::Uuid;
+
+/// Attempts for one request at most.
+const MAX_ATTEMPTS: usize = 3;
+/// Time to learn from the ledger whether an attempt can still run.
+const VOID_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time beyond the deadline in which an executor's own answer to the deadline may arrive.
+const REPLY_SLACK: Duration = Duration::from_millis(20);
+/// When to come back if a service has no backend server.
+const NO_SERVER_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A caller's whole request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) method: String,
+    /// Path without query.
+    pub(crate) path: String,
+    /// Path and query.
+    pub(crate) target: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+    /// Value of the header `Idempotency-Key`.
+    pub(crate) key: Option<String>,
+    /// Value of the header `Foxtailgauge-Deadline-Ms`.
+    pub(crate) deadline_ms: Option<u64>,
+}
+
+/// Why the gateway answers instead of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// No route takes the method on the path.
+    UnknownRoute,
+    /// A billable route needs a key.
+    MissingKey,
+    /// The key is not a UUIDv7.
+    MalformedKey,
+    /// The key was used for another request.
+    KeyReused,
+    /// The key is older than the ledger's retention.
+    KeyExpired,
+    /// The key's time lies in the future.
+    KeyFromFuture,
+    /// The deadline has passed already.
+    DeadlinePassed,
+    /// The daemon holds no configuration yet.
+    NotReady,
+    /// The service has no backend server that takes work.
+    NoServer,
+    /// All backend servers tried are full, leaving or unreachable.
+    Overloaded,
+    /// The ledger has no majority.
+    LedgerUnavailable,
+    /// The request was in flight when several backend servers died.
+    Quarantined,
+    /// Another attempt of the same action may be running.
+    InProgress,
+    /// Nobody can know whether the request ran.
+    OutcomeUnknown,
+    /// The deadline passed while the request may have been running.
+    TimedOut,
+    /// The backend server's answer exceeds the limit.
+    AnswerTooLarge,
+}
+
+/// The end of a caller's request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerAnswer {
+    /// What became of it.
+    pub(crate) outcome: Outcome,
+    /// Configuration it was routed by.
+    pub(crate) version: ConfigVersion,
+    /// When to come back.
+    pub(crate) retry_after: Option<Duration>,
+    /// The backend server's answer, or why there is none.
+    pub(crate) result: Result<CallAnswer, Refusal>,
+    /// Whether the answer is the recorded one of an earlier run.
+    pub(crate) is_replay: bool,
+}
+
+impl CallerAnswer {
+    fn refused(version: ConfigVersion, outcome: Outcome, refusal: Refusal) -> Self {
+        CallerAnswer {
+            outcome,
+            version,
+            retry_after: None,
+            result: Err(refusal),
+            is_replay: false,
+        }
+    }
+
+    fn not_run(version: ConfigVersion, refusal: Refusal) -> Self {
+        CallerAnswer::refused(version, Outcome::NotRun, refusal)
+    }
+
+    fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+}
+
+/// Routes callers' requests.
+pub(crate) struct Gateway {
+    shared: Arc<Shared>,
+    executor: Arc<Executor>,
+    ledger: LedgerClient,
+    budgets: Mutex<HashMap<String, RetryBudget>>,
+}
+
+/// One request on its way through the gateway.
+struct Call<'a> {
+    view: &'a RouteView,
+    version: ConfigVersion,
+    route: &'a Route,
+    request: &'a CallerRequest,
+    key: Option<ActionKey>,
+    digest: Digest,
+    deadline: Instant,
+}
+
+/// How an attempt ended.
+enum Attempt {
+    /// The caller gets this answer.
+    Final(CallerAnswer),
+    /// It has not run; another attempt may be made. The answer is for when none is.
+    NotRun(CallerAnswer),
+    /// It may have run; an idempotent request may be repeated.
+    Uncertain(CallerAnswer),
+}
+
+impl Gateway {
+    /// A gateway beside an executor.
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        executor: &Arc<Executor>,
+        ledger: LedgerClient,
+    ) -> Self {
+        Gateway {
+            shared: Arc::clone(shared),
+            executor: Arc::clone(executor),
+            ledger,
+            budgets: Mutex::default(),
+        }
+    }
+
+    /// Serves one request to its end.
+    pub(crate) async fn handle(&self, request: &CallerRequest) -> CallerAnswer {
+        let view = self.shared.view();
+        let Some(snapshot) = view
+            .snapshot
+            .clone()
+            .filter(|snapshot| snapshot.version > 0)
+        else {
+            return CallerAnswer::not_run(0, Refusal::NotReady).retry_after(NO_SERVER_RETRY_AFTER);
+        };
+        let version = snapshot.version;
+        let Some((_, route)) = snapshot.route(&request.method, &request.path) else {
+            return CallerAnswer::not_run(version, Refusal::UnknownRoute);
+        };
+        let key = match read_key(route, request) {
+            Ok(key) => key,
+            Err(refusal) => return CallerAnswer::not_run(version, refusal),
+        };
+        let asked_ms = request.deadline_ms.unwrap_or(route.deadline_ms);
+        let deadline_ms = asked_ms.min(route.deadline_ms);
+        if deadline_ms == 0 {
+            return CallerAnswer::not_run(version, Refusal::DeadlinePassed);
+        }
+        let call = Call {
+            view: &view,
+            version,
+            route,
+            request,
+            key,
+            digest: request_digest(&request.method, &request.target, &request.body),
+            deadline: Instant::now() + Duration::from_millis(deadline_ms),
+        };
+        match self.quarantined(&call) {
+            Some(answer) => answer,
+            None => self.run(&call).await,
+        }
+    }
+
+    fn quarantined(&self, call: &Call<'_>) -> Option<CallerAnswer> {
+        let now_ms = unix_ms();
+        match call
+            .view
+            .suspects
+            .verdict(fingerprint(&call.digest), now_ms)
+        {
+            SuspectVerdict::Quarantined { until_ms } => {
+                emit!(self.shared.log, events::REQUEST_QUARANTINED, "path" => &call.request.path);
+                let wait = Duration::from_millis(until_ms.saturating_sub(now_ms));
+                let answer = CallerAnswer::not_run(call.version, Refusal::Quarantined);
+                Some(answer.retry_after(wait))
+            }
+            SuspectVerdict::Clear | SuspectVerdict::Suspect => None,
+        }
+    }
+
+    async fn run(&self, call: &Call<'_>) -> CallerAnswer {
+        let service = call
+            .view
+            .snapshot
+            .as_ref()
+            .and_then(|s| s.services.get(&call.route.service));
+        let (retry_percent, queue) = service.map_or((0, 0), |service| {
+            (service.retry_percent, service.queue_requests)
+        });
+        self.earn(&call.route.service, retry_percent);
+        let none = Vec::new();
+        let candidates = call
+            .view
+            .candidates
+            .get(&call.route.service)
+            .unwrap_or(&none);
+        let mut tried: Vec<ServerKey> = Vec::new();
+        let mut last = CallerAnswer::not_run(call.version, Refusal::NoServer)
+            .retry_after(NO_SERVER_RETRY_AFTER);
+        while tried.len() < MAX_ATTEMPTS {
+            if !tried.is_empty() && !self.may_retry(call) {
+                break;
+            }
+            let chosen = {
+                let mut balancer = lock(&self.shared.balancer);
+                balancer
+                    .choose(candidates, &tried, Instant::now(), &mut rand::rng())
+                    .cloned()
+            };
+            let Some(candidate) = chosen else {
+                break;
+            };
+            tried.push(candidate.key.clone());
+            match self.attempt(call, &candidate, queue).await {
+                Attempt::Final(answer) => return answer,
+                Attempt::NotRun(answer) => last = answer,
+                Attempt::Uncertain(answer) if call.route.idempotent => last = answer,
+                Attempt::Uncertain(answer) => return answer,
+            }
+        }
+        last
+    }
+
+    fn earn(&self, service: &str, retry_percent: u64) {
+        let mut budgets = lock(&self.budgets);
+        if !budgets.contains_key(service) {
+            budgets.insert(service.to_owned(), RetryBudget::default());
+        }
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.earn(retry_percent);
+        }
+    }
+
+    fn may_retry(&self, call: &Call<'_>) -> bool {
+        if Instant::now() >= call.deadline {
+            return false;
+        }
+        let mut budgets = lock(&self.budgets);
+        let is_paid = budgets
+            .get_mut(&call.route.service)
+            .is_some_and(RetryBudget::try_spend);
+        if is_paid {
+            self.shared.metrics.retries.inc();
+        }
+        is_paid
+    }
+
+    async fn attempt(&self, call: &Call<'_>, candidate: &Candidate, queue: u64) -> Attempt {
+        let remaining = call.deadline.saturating_duration_since(Instant::now());
+        let attempt = Uuid::now_v7();
+        let request = CallRequest {
+            attempt,
+            server: candidate.key.server.clone(),
+            method: call.request.method.clone(),
+            target: call.request.target.clone(),
+            headers: call.request.headers.clone(),
+            body: call.request.body.clone(),
+            remaining,
+            key: call.key,
+            queue_requests: queue,
+        };
+        let guard = LoadGuard::new(&self.shared, &candidate.key);
+        let result = self.send(candidate, request, remaining).await;
+        guard.finish(&result);
+        match result {
+            Ok(reply) => self.judge(call, reply),
+            Err(PeerError::NotSent) => Attempt::NotRun(overloaded(call, None)),
+            Err(PeerError::NoAnswer) => self.resolve(call, attempt).await,
+        }
+    }
+
+    async fn send(
+        &self,
+        candidate: &Candidate,
+        request: CallRequest,
+        remaining: Duration,
+    ) -> Result<CallReply, PeerError> {
+        if candidate.key.daemon == self.shared.settings.name {
+            return Ok(self.executor.execute(request).await);
+        }
+        let request = PeerRequest::Execute(Box::new(request));
+        let client = &self.shared.clients.calls;
+        match client
+            .call(&candidate.calls_addr, request, remaining + REPLY_SLACK)
+            .await?
+        {
+            PeerReply::Call(reply) => Ok(reply),
+            PeerReply::Done | PeerReply::Payload(_) => Err(PeerError::NoAnswer),
+        }
+    }
+
+    /// Learns what became of an attempt whose executor did not answer.
+    async fn resolve(&self, call: &Call<'_>, attempt: Uuid) -> Attempt {
+        let unknown =
+            CallerAnswer::refused(call.version, Outcome::Unknown, Refusal::OutcomeUnknown);
+        let Some(key) = call.key else {
+            return Attempt::Uncertain(unknown);
+        };
+        let command = LedgerCommand::Void {
+            key,
+            attempt,
+            request: call.digest,
+            at_ms: 0,
+        };
+        match self.ledger.command(command, VOID_TIMEOUT).await {
+            Ok(LedgerAnswer::Voided) => Attempt::NotRun(overloaded(call, None)),
+            Ok(LedgerAnswer::AlreadyDone(answer)) => Attempt::Final(CallerAnswer {
+                outcome: Outcome::Ran,
+                version: call.version,
+                retry_after: None,
+                result: Ok(replayed(answer)),
+                is_replay: true,
+            }),
+            _ => Attempt::Final(unknown),
+        }
+    }
+
+    fn judge(&self, call: &Call<'_>, reply: CallReply) -> Attempt {
+        let retry_after = reply.retry_after;
+        let refused = |outcome, refusal| CallerAnswer {
+            retry_after,
+            ..CallerAnswer::refused(call.version, outcome, refusal)
+        };
+        match reply.cause {
+            Cause::None | Cause::Replayed => match reply.answer {
+                Some(answer) => Attempt::Final(CallerAnswer {
+                    outcome: Outcome::Ran,
+                    version: call.version,
+                    retry_after: None,
+                    result: Ok(answer),
+                    is_replay: reply.cause == Cause::Replayed,
+                }),
+                None => Attempt::Final(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
+            },
+            Cause::UnknownServer
+            | Cause::Draining
+            | Cause::QueueFull
+            | Cause::TooLate
+            | Cause::Unreachable
+            | Cause::Voided
+            | Cause::Shed => Attempt::NotRun(overloaded(call, retry_after)),
+            Cause::LedgerUnreachable => {
+                Attempt::Final(refused(Outcome::NotRun, Refusal::LedgerUnavailable))
+            }
+            Cause::OtherRequest => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyReused)),
+            Cause::ExpiredKey => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyExpired)),
+            Cause::FutureKey => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyFromFuture)),
+            Cause::InProgress => Attempt::Final(refused(Outcome::Unknown, Refusal::InProgress)),
+            Cause::Lost => Attempt::Final(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
+            Cause::TimedOut => Attempt::Final(refused(Outcome::Unknown, Refusal::TimedOut)),
+            Cause::Died => Attempt::Uncertain(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
+            Cause::AnswerTooLarge => Attempt::Final(refused(Outcome::Ran, Refusal::AnswerTooLarge)),
+        }
+    }
+}
+
+fn overloaded(call: &Call<'_>, retry_after: Option<Duration>) -> CallerAnswer {
+    let wait = retry_after.unwrap_or(NO_SERVER_RETRY_AFTER);
+    CallerAnswer::not_run(call.version, Refusal::Overloaded).retry_after(wait)
+}
+
+fn read_key(route: &Route, request: &CallerRequest) -> Result<Option<ActionKey>, Refusal> {
+    if !route.billable {
+        return Ok(None);
+    }
+    let text = request.key.as_deref().ok_or(Refusal::MissingKey)?;
+    let key = Uuid::parse_str(text).map_err(|_| Refusal::MalformedKey)?;
+    match key_time_ms(&key) {
+        Some(_) => Ok(Some(key)),
+        None => Err(Refusal::MalformedKey),
+    }
+}
+
+/// Ends the balancer's count of a call, also when the caller goes away.
+struct LoadGuard<'a> {
+    shared: &'a Shared,
+    key: Option<&'a ServerKey>,
+}
+
+impl<'a> LoadGuard<'a> {
+    fn new(shared: &'a Shared, key: &'a ServerKey) -> Self {
+        LoadGuard {
+            shared,
+            key: Some(key),
+        }
+    }
+
+    fn finish(mut self, result: &Result<CallReply, PeerError>) {
+        let (health, in_flight) = match result {
+            Ok(reply) => (health_of(reply), Some(reply.in_flight)),
+            Err(_) => (CallHealth::Failed, None),
+        };
+        if let Some(key) = self.key.take() {
+            lock(&self.shared.balancer).finish(key, health, in_flight, Instant::now());
+        }
+    }
+}
+
+impl Drop for LoadGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(key) = self.key.take() {
+            let now = Instant::now();
+            lock(&self.shared.balancer).finish(key, CallHealth::Neutral, None, now);
+        }
+    }
+}
+
+fn health_of(reply: &CallReply) -> CallHealth {
+    match reply.cause {
+        Cause::None | Cause::Replayed => CallHealth::Answered,
+        Cause::Unreachable | Cause::Died | Cause::TimedOut => CallHealth::Failed,
+        _ => CallHealth::Neutral,
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -0,0 +1,33 @@
+//! The foxtailgauge daemon: gateway, executor and, where there is a disk, replica.
+//!
+//! ```
+//! let error = foxtailgauge_daemon::load_settings("does-not-exist.ini".as_ref());
+//! assert!(error.is_err());
+//! ```
+
+mod admin_http;
+mod announce_http;
+mod caller_http;
+mod daemon;
+pub mod events;
+mod executor;
+mod formation;
+mod gateway;
+mod ledger_client;
+mod local_server;
+mod logger;
+mod meter;
+mod metrics;
+mod peer_client;
+mod peer_server;
+mod replica;
+mod replica_client;
+mod settings;
+mod shared;
+mod source;
+pub mod store;
+mod subscriber;
+mod timer;
+
+pub use daemon::{run, DaemonError};
+pub use settings::{load as load_settings, Settings, SettingsError, SettingsProblem};
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/local_server.rs
@@ -0,0 +1,252 @@
+//! One backend server beside this daemon: its admission gate, queue and connections.
+
+use crate::shared::lock;
+use foxtailgauge_core::{Admission, AdmissionGate, AdmissionRefusal, ServerEntry, ServerState};
+use foxtailgauge_wire::http::{HttpAnswer, HttpConnection, HttpError, HttpRequest};
+use futures::channel::oneshot;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time to open a connection to a backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Announcement {
+    /// Its entry in the directory.
+    pub(crate) entry: ServerEntry,
+    /// Where it takes requests.
+    pub(crate) addr: SocketAddr,
+    /// Time until it counts as gone unless it announces itself again.
+    pub(crate) lease: Duration,
+}
+
+struct Inner {
+    gate: AdmissionGate,
+    queue: VecDeque<(u64, oneshot::Sender<Slot>)>,
+    next_ticket: u64,
+    idle: Vec<HttpConnection>,
+    announcement: Announcement,
+    lease_until: Instant,
+}
+
+/// A backend server. All requests to it pass its gate, so its load is known exactly.
+pub(crate) struct LocalServer {
+    inner: Mutex<Inner>,
+    connection_limit: usize,
+}
+
+/// The right to run one request. Dropping it frees the slot for the next request in the queue.
+pub(crate) struct Slot {
+    server: Arc<LocalServer>,
+    since: Instant,
+    /// Whether the run says something about run times.
+    is_sample: bool,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let run_time = self.is_sample.then(|| self.since.elapsed());
+        self.server.finish(run_time);
+    }
+}
+
+impl Slot {
+    /// Counts the run time as a sample when the slot is freed.
+    pub(crate) fn completed(&mut self) {
+        self.is_sample = true;
+    }
+}
+
+/// A place in the queue. Dropping it before its turn gives the place up.
+struct Ticket {
+    server: Arc<LocalServer>,
+    number: u64,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut inner = lock(&self.server.inner);
+        let position = inner
+            .queue
+            .iter()
+            .position(|(number, _)| *number == self.number);
+        if let Some(position) = position {
+            inner.queue.remove(position);
+            inner.gate.abandon();
+        }
+    }
+}
+
+impl LocalServer {
+    /// A backend server as announced.
+    pub(crate) fn new(announcement: Announcement, connection_limit: usize) -> Self {
+        let queue = foxtailgauge_core::DEFAULT_QUEUE;
+        let gate = AdmissionGate::new(announcement.entry.slots, queue);
+        let lease_until = Instant::now() + announcement.lease;
+        LocalServer {
+            inner: Mutex::new(Inner {
+                gate,
+                queue: VecDeque::new(),
+                next_ticket: 0,
+                idle: Vec::new(),
+                announcement,
+                lease_until,
+            }),
+            connection_limit,
+        }
+    }
+
+    /// Takes over a new announcement; returns whether its directory entry changed.
+    pub(crate) fn announce(&self, announcement: Announcement) -> bool {
+        let mut inner = lock(&self.inner);
+        inner.lease_until = Instant::now() + announcement.lease;
+        if inner.announcement.addr != announcement.addr {
+            inner.idle.clear();
+        }
+        let is_changed = inner.announcement.entry != announcement.entry;
+        inner.announcement = announcement;
+        inner.configure(None);
+        is_changed
+    }
+
+    /// Entry for the directory.
+    pub(crate) fn entry(&self) -> ServerEntry {
+        lock(&self.inner).announcement.entry.clone()
+    }
+
+    /// Whether its lease ended.
+    pub(crate) fn is_expired(&self, now: Instant) -> bool {
+        lock(&self.inner).lease_until < now
+    }
+
+    /// Closes the gate for new requests.
+    pub(crate) fn drain(&self) {
+        let mut inner = lock(&self.inner);
+        inner.announcement.entry.state = ServerState::Leaving;
+        inner.configure(None);
+    }
+
+    /// Requests running and waiting.
+    pub(crate) fn in_flight(&self) -> u32 {
+        let inner = lock(&self.inner);
+        let waiting = u32::try_from(inner.gate.waiting()).unwrap_or(u32::MAX);
+        inner.gate.running().saturating_add(waiting)
+    }
+
+    /// Waits for a slot for at most `remaining`, unless the gate refuses at once.
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        remaining: Duration,
+        queue_requests: u64,
+    ) -> Result<Slot, AdmissionRefusal> {
+        let (ticket, turn) = {
+            let mut inner = lock(&self.inner);
+            inner.configure(Some(queue_requests));
+            match inner.gate.arrive(remaining) {
+                Admission::Run => return Ok(self.slot()),
+                Admission::Refused(refusal) => return Err(refusal),
+                Admission::Wait => self.join_queue(&mut inner),
+            }
+        };
+        let outcome = async_std::future::timeout(remaining, turn).await;
+        let retry_after = lock(&self.inner).gate.expected_wait();
+        drop(ticket);
+        match outcome {
+            Ok(Ok(slot)) => Ok(slot),
+            Ok(Err(_)) => Err(AdmissionRefusal::Draining),
+            Err(_) => Err(AdmissionRefusal::TooLate { retry_after }),
+        }
+    }
+
+    fn join_queue(self: &Arc<Self>, inner: &mut Inner) -> (Ticket, oneshot::Receiver<Slot>) {
+        let (sender, turn) = oneshot::channel();
+        inner.next_ticket += 1;
+        let number = inner.next_ticket;
+        inner.queue.push_back((number, sender));
+        let ticket = Ticket {
+            server: Arc::clone(self),
+            number,
+        };
+        (ticket, turn)
+    }
+
+    fn slot(self: &Arc<Self>) -> Slot {
+        Slot {
+            server: Arc::clone(self),
+            since: Instant::now(),
+            is_sample: false,
+        }
+    }
+
+    fn finish(self: &Arc<Self>, run_time: Option<Duration>) {
+        let next = {
+            let mut inner = lock(&self.inner);
+            match inner.gate.finish(run_time) {
+                true => inner.queue.pop_front(),
+                false => None,
+            }
+        };
+        if let Some((_, turn)) = next {
+            // A request that gave up meanwhile drops the slot, which frees it for the next.
+            let _ = turn.send(self.slot());
+        }
+    }
+
+    /// Sends a request to the backend server and reads its whole answer.
+    ///
+    /// A reused connection may have been closed by the other side unnoticed, after which nobody
+    /// knows whether the request arrived; `is_fresh` asks for a new one.
+    pub(crate) async fn exchange(
+        &self,
+        request: HttpRequest<'_>,
+        limit_bytes: usize,
+        is_fresh: bool,
+    ) -> Result<HttpAnswer, HttpError> {
+        let mut connection = self.connection(is_fresh).await?;
+        let answer = connection.exchange(request, limit_bytes).await?;
+        if connection.is_reusable() {
+            self.give_back(connection);
+        }
+        Ok(answer)
+    }
+
+    async fn connection(&self, is_fresh: bool) -> Result<HttpConnection, HttpError> {
+        let (idle, addr) = {
+            let mut inner = lock(&self.inner);
+            let idle = if is_fresh { None } else { inner.idle.pop() };
+            (idle, inner.announcement.addr)
+        };
+        match idle {
+            Some(connection) => Ok(connection),
+            None => open(addr).await,
+        }
+    }
+
+    fn give_back(&self, connection: HttpConnection) {
+        let mut inner = lock(&self.inner);
+        let busy = inner.gate.running() as usize;
+        if inner.idle.len() + busy <= self.connection_limit {
+            inner.idle.push(connection);
+        }
+    }
+}
+
+impl Inner {
+    fn configure(&mut self, queue_requests: Option<u64>) {
+        let entry = &self.announcement.entry;
+        let is_draining = entry.state == ServerState::Leaving;
+        self.gate
+            .configure(entry.slots, queue_requests, is_draining);
+    }
+}
+
+async fn open(addr: SocketAddr) -> Result<HttpConnection, HttpError> {
+    let opening = HttpConnection::open(addr);
+    match async_std::future::timeout(CONNECT_TIMEOUT, opening).await {
+        Ok(connection) => connection,
+        Err(_) => Err(HttpError::Connect(std::io::ErrorKind::TimedOut.into())),
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/logger.rs
@@ -0,0 +1,33 @@
+//! Log output: readable lines on a terminal, JSON lines otherwise.
+
+use slog::{o, Drain, Level, Logger};
+use std::io::IsTerminal;
+
+/// Entries that may wait for a slow output before they are dropped and counted.
+const LOG_QUEUE: usize = 4096;
+
+/// A logger to standard error.
+pub(crate) fn build(level: Level, daemon: &str, failure_domain: &str) -> Logger {
+    let values = o!(
+        "daemon" => daemon.to_owned(),
+        "failure_domain" => failure_domain.to_owned(),
+    );
+    if std::io::stderr().is_terminal() {
+        let decorator = slog_term::TermDecorator::new().stderr().build();
+        let drain = slog_term::FullFormat::new(decorator).build().fuse();
+        root(drain, level, values)
+    } else {
+        let drain = slog_json::Json::default(std::io::stderr()).fuse();
+        root(drain, level, values)
+    }
+}
+
+fn root<D, T>(drain: D, level: Level, values: slog::OwnedKV<T>) -> Logger
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+    T: slog::SendSyncRefUnwindSafeKV + 'static,
+{
+    let drain = slog_async::Async::new(drain).chan_size(LOG_QUEUE).build();
+    let drain = slog::LevelFilter::new(drain.fuse(), level).fuse();
+    Logger::root(drain, values)
+}
