--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/peer_client.rs
@@ -0,0 +1,354 @@
+//! Client side of the connections between daemons.
+//!
+//! An RPC system is bound to its thread, so each client owns threads that keep one connection per
+//! address. Requests reach them over a channel; dropping a request's future cancels it.
+
+use crate::meter::{ByteCounters, MeteredStream};
+use async_std::channel::{bounded, Receiver, Sender};
+use async_std::net::TcpStream;
+use async_std::task;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::RpcSystem;
+use foxtailgauge_wire::foxtailgauge_capnp::{calls, control};
+use foxtailgauge_wire::handshake::{self, ClusterKey, ConnectionKind, Hello};
+use foxtailgauge_wire::{CallReply, CallRequest};
+use futures::channel::oneshot;
+use futures::future::{FutureExt, LocalBoxFuture, Shared};
+use futures::io::{AsyncReadExt, BufReader, BufWriter};
+use std::cell::RefCell;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::HashMap;
+use std::fmt;
+use std::hash::{Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Requests that may wait for a client thread.
+const REQUEST_QUEUE: usize = 4096;
+/// Time to open a connection, the handshake included.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A request to another daemon.
+#[derive(Debug)]
+pub(crate) enum PeerRequest {
+    /// A message of a consensus group, one way.
+    Consensus {
+        group: u8,
+        envelope: Vec<u8>,
+        sender_addr: String,
+    },
+    /// Asks a source for news.
+    Poll(Vec<u8>),
+    /// Reports to a source.
+    Report(Vec<u8>),
+    /// Asks how current a daemon is.
+    Probe,
+    /// A request to a replica.
+    Submit(Vec<u8>),
+    /// Runs a request on a backend server.
+    Execute(Box<CallRequest>),
+}
+
+/// The answer of another daemon.
+#[derive(Debug)]
+pub(crate) enum PeerReply {
+    /// Nothing but that it arrived.
+    Done,
+    /// An encoded payload.
+    Payload(Vec<u8>),
+    /// The end of a call.
+    Call(CallReply),
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerError {
+    /// No connection could be opened; nothing was handed on.
+    NotSent,
+    /// The request was handed on, and no answer came.
+    NoAnswer,
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PeerError::NotSent => write!(f, "no connection to the daemon"),
+            PeerError::NoAnswer => write!(f, "no answer from the daemon"),
+        }
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+/// What a client needs to introduce itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    /// Introduction.
+    pub(crate) hello: Hello,
+    /// Secret shared by all daemons.
+    pub(crate) key: ClusterKey,
+    /// Counters of the connections.
+    pub(crate) counters: ByteCounters,
+}
+
+struct Command {
+    addr: String,
+    request: PeerRequest,
+    timeout: Duration,
+    reply: oneshot::Sender<Result<PeerReply, PeerError>>,
+}
+
+/// A client with its threads. Dropping the last clone ends them.
+#[derive(Clone)]
+pub(crate) struct PeerClient {
+    threads: Vec<Sender<Command>>,
+}
+
+impl PeerClient {
+    /// Starts a client with a number of threads.
+    pub(crate) fn start(identity: &Identity, threads: usize) -> Self {
+        let start = |_| {
+            let (sender, receiver) = bounded(REQUEST_QUEUE);
+            let identity = identity.clone();
+            std::thread::spawn(move || task::block_on(serve(identity, receiver)));
+            sender
+        };
+        PeerClient {
+            threads: (0..threads).map(start).collect(),
+        }
+    }
+
+    /// Sends a request and waits for the answer. Dropping the future cancels the request.
+    pub(crate) async fn call(
+        &self,
+        addr: &str,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let (reply, answer) = oneshot::channel();
+        let command = Command {
+            addr: addr.to_owned(),
+            request,
+            timeout,
+            reply,
+        };
+        let thread = &self.threads[self.thread_of(addr)];
+        thread.send(command).await.map_err(|_| PeerError::NotSent)?;
+        answer.await.unwrap_or(Err(PeerError::NoAnswer))
+    }
+
+    /// Sends a request without waiting; dropped when the client is overloaded.
+    pub(crate) fn cast(&self, addr: &str, request: PeerRequest, timeout: Duration) {
+        let (reply, _) = oneshot::channel();
+        let command = Command {
+            addr: addr.to_owned(),
+            request,
+            timeout,
+            reply,
+        };
+        // Consensus repeats what is lost.
+        let _ = self.threads[self.thread_of(addr)].try_send(command);
+    }
+
+    fn thread_of(&self, addr: &str) -> usize {
+        let mut hasher = DefaultHasher::new();
+        addr.hash(&mut hasher);
+        hasher.finish() as usize % self.threads.len()
+    }
+}
+
+#[derive(Clone)]
+enum Remote {
+    Control(control::Client),
+    Calls(calls::Client),
+}
+
+type Connecting = Shared<LocalBoxFuture<'static, Option<Remote>>>;
+
+#[derive(Clone)]
+struct Slot {
+    serial: u64,
+    connecting: Connecting,
+}
+
+struct Connections {
+    identity: Identity,
+    slots: RefCell<HashMap<String, Slot>>,
+    next_serial: RefCell<u64>,
+}
+
+async fn serve(identity: Identity, commands: Receiver<Command>) {
+    let connections = Rc::new(Connections {
+        identity,
+        slots: RefCell::new(HashMap::new()),
+        next_serial: RefCell::new(0),
+    });
+    while let Ok(command) = commands.recv().await {
+        task::spawn_local(run(Rc::clone(&connections), command));
+    }
+}
+
+async fn run(connections: Rc<Connections>, command: Command) {
+    let Command {
+        addr,
+        request,
+        timeout,
+        mut reply,
+    } = command;
+    let is_one_way = matches!(request, PeerRequest::Consensus { .. });
+    let exchange = connections.exchange(addr, request, timeout);
+    if is_one_way {
+        let _ = exchange.await;
+        return;
+    }
+    let exchange = Box::pin(exchange);
+    let outcome = match futures::future::select(exchange, reply.cancellation()).await {
+        futures::future::Either::Left((outcome, _)) => outcome,
+        futures::future::Either::Right(_) => return,
+    };
+    let _ = reply.send(outcome);
+}
+
+impl Connections {
+    async fn exchange(
+        &self,
+        addr: String,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let slot = self.slot(&addr);
+        let Some(remote) = slot.connecting.clone().await else {
+            self.forget(&addr, slot.serial);
+            return Err(PeerError::NotSent);
+        };
+        let answer = async_std::future::timeout(timeout, send(remote, request)).await;
+        match answer {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => {
+                self.forget(&addr, slot.serial);
+                Err(PeerError::NoAnswer)
+            }
+            // The other daemon may be frozen: the next request tries a new connection.
+            Err(_) => {
+                self.forget(&addr, slot.serial);
+                Err(PeerError::NoAnswer)
+            }
+        }
+    }
+
+    fn slot(&self, addr: &str) -> Slot {
+        let mut slots = self.slots.borrow_mut();
+        if let Some(slot) = slots.get(addr) {
+            return slot.clone();
+        }
+        let mut serial = self.next_serial.borrow_mut();
+        *serial += 1;
+        let connecting = open(addr.to_owned(), self.identity.clone())
+            .boxed_local()
+            .shared();
+        let slot = Slot {
+            serial: *serial,
+            connecting,
+        };
+        slots.insert(addr.to_owned(), slot.clone());
+        slot
+    }
+
+    fn forget(&self, addr: &str, serial: u64) {
+        let mut slots = self.slots.borrow_mut();
+        if slots.get(addr).is_some_and(|slot| slot.serial == serial) {
+            slots.remove(addr);
+        }
+    }
+}
+
+async fn open(addr: String, identity: Identity) -> Option<Remote> {
+    let connecting = connect(&addr, &identity);
+    let stream = async_std::future::timeout(CONNECT_TIMEOUT, connecting).await;
+    let stream = stream.ok()??;
+    let metered = MeteredStream::new(stream, identity.counters);
+    let (reader, writer) = metered.split();
+    let network = Box::new(VatNetwork::new(
+        BufReader::new(reader),
+        BufWriter::new(writer),
+        Side::Client,
+        Default::default(),
+    ));
+    let mut system = RpcSystem::new(network, None);
+    let remote = match identity.hello.kind {
+        ConnectionKind::Control => Remote::Control(system.bootstrap(Side::Server)),
+        ConnectionKind::Calls => Remote::Calls(system.bootstrap(Side::Server)),
+    };
+    task::spawn_local(async move {
+        // Requests in flight learn of a broken connection by their own errors.
+        let _ = system.await;
+    });
+    Some(remote)
+}
+
+async fn connect(addr: &str, identity: &Identity) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(addr).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    handshake::connect(&mut stream, &identity.hello, &identity.key)
+        .await
+        .ok()?;
+    Some(stream)
+}
+
+async fn send(remote: Remote, request: PeerRequest) -> capnp::Result<PeerReply> {
+    match (remote, request) {
+        (Remote::Calls(client), PeerRequest::Execute(call)) => {
+            let mut request = client.execute_request();
+            call.write(request.get().init_request());
+            let response = request.send().promise.await?;
+            Ok(PeerReply::Call(CallReply::read(
+                response.get()?.get_reply()?,
+            )?))
+        }
+        (Remote::Control(client), request) => send_control(&client, request).await,
+        (Remote::Calls(_), _) => Err(wrong_kind()),
+    }
+}
+
+async fn send_control(client: &control::Client, request: PeerRequest) -> capnp::Result<PeerReply> {
+    let payload = match request {
+        PeerRequest::Consensus {
+            group,
+            envelope,
+            sender_addr,
+        } => {
+            let mut request = client.consensus_request();
+            request.get().set_sender_addr(&sender_addr);
+            request.get().set_group(group);
+            request.get().set_envelope(&envelope);
+            request.send().promise.await?;
+            return Ok(PeerReply::Done);
+        }
+        PeerRequest::Poll(payload) => {
+            let mut request = client.poll_request();
+            request.get().set_request(&payload);
+            request.send().promise.await?.get()?.get_reply()?.to_vec()
+        }
+        PeerRequest::Report(payload) => {
+            let mut request = client.report_request();
+            request.get().set_request(&payload);
+            request.send().promise.await?.get()?.get_reply()?.to_vec()
+        }
+        PeerRequest::Probe => {
+            let request = client.probe_request();
+            request.send().promise.await?.get()?.get_reply()?.to_vec()
+        }
+        PeerRequest::Submit(payload) => {
+            let mut request = client.submit_request();
+            request.get().set_request(&payload);
+            request.send().promise.await?.get()?.get_reply()?.to_vec()
+        }
+        PeerRequest::Execute(_) => return Err(wrong_kind()),
+    };
+    Ok(PeerReply::Payload(payload))
+}
+
+fn wrong_kind() -> capnp::Error {
+    capnp::Error::failed("request does not fit the connection".to_owned())
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/peer_server.rs
@@ -0,0 +1,272 @@
+//! Server side of the connections between daemons.
+
+use crate::emit;
+use crate::events;
+use crate::executor::Executor;
+use crate::meter::{ByteCounters, MeteredStream};
+use crate::replica::group_of;
+use crate::shared::Shared;
+use crate::source;
+use async_std::channel::{bounded, Receiver, Sender};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::RpcSystem;
+use foxtailgauge_core::{Envelope, PollRequest, ReportRequest};
+use foxtailgauge_wire::foxtailgauge_capnp::{calls, control};
+use foxtailgauge_wire::handshake::{self, ConnectionKind};
+use foxtailgauge_wire::{
+    decode, encode, CallRequest, FormationState, Group, SubmitReply, SubmitRequest,
+};
+use futures::io::{AsyncReadExt, BufReader, BufWriter};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Threads that serve calls.
+const CALL_THREADS: usize = 2;
+/// Time for a handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Connections that may wait for a serving thread.
+const CONNECTION_QUEUE: usize = 1024;
+
+/// What the servers work on.
+#[derive(Clone)]
+pub(crate) struct Services {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) executor: Arc<Executor>,
+    /// Formation state until the groups are started.
+    pub(crate) formation: Arc<Mutex<Option<FormationState>>>,
+}
+
+/// Serves control connections.
+pub(crate) fn serve_control(services: &Services, listener: TcpListener) {
+    let counters = services.shared.metrics.control.clone();
+    let threads = start_threads(services, 1, counters, serve_control_stream);
+    task::spawn(accept(
+        services.clone(),
+        listener,
+        ConnectionKind::Control,
+        threads,
+    ));
+}
+
+/// Serves call connections.
+pub(crate) fn serve_calls(services: &Services, listener: TcpListener) {
+    let counters = services.shared.metrics.call_bytes.clone();
+    let threads = start_threads(services, CALL_THREADS, counters, serve_calls_stream);
+    task::spawn(accept(
+        services.clone(),
+        listener,
+        ConnectionKind::Calls,
+        threads,
+    ));
+}
+
+type Metered = MeteredStream<TcpStream>;
+
+fn start_threads(
+    services: &Services,
+    count: usize,
+    counters: ByteCounters,
+    serve: fn(Services, Metered),
+) -> Vec<Sender<TcpStream>> {
+    let start = |_| {
+        let (sender, receiver): (_, Receiver<TcpStream>) = bounded(CONNECTION_QUEUE);
+        let services = services.clone();
+        let counters = counters.clone();
+        std::thread::spawn(move || {
+            task::block_on(async move {
+                while let Ok(stream) = receiver.recv().await {
+                    serve(
+                        services.clone(),
+                        MeteredStream::new(stream, counters.clone()),
+                    );
+                }
+            });
+        });
+        sender
+    };
+    (0..count).map(start).collect()
+}
+
+async fn accept(
+    services: Services,
+    listener: TcpListener,
+    kind: ConnectionKind,
+    threads: Vec<Sender<TcpStream>>,
+) {
+    let mut next = 0;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            task::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        next = (next + 1) % threads.len();
+        task::spawn(greet(services.clone(), stream, kind, threads[next].clone()));
+    }
+}
+
+async fn greet(
+    services: Services,
+    mut stream: TcpStream,
+    kind: ConnectionKind,
+    thread: Sender<TcpStream>,
+) {
+    let shared = &services.shared;
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let handshake = handshake::accept(&mut stream, &shared.settings.cluster_key);
+    let refused = match async_std::future::timeout(HANDSHAKE_TIMEOUT, handshake).await {
+        Ok(Ok(hello)) if hello.kind == kind => {
+            // The thread ends only with the process.
+            let _ = thread.send(stream).await;
+            return;
+        }
+        Ok(Ok(_)) => "connection of another kind".to_owned(),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no handshake in time".to_owned(),
+    };
+    emit!(shared.log, events::PEER_REFUSED, "error" => refused);
+}
+
+fn serve_control_stream(services: Services, stream: Metered) {
+    let client: control::Client = capnp_rpc::new_client(ControlServer { services });
+    serve_stream(stream, client.client);
+}
+
+fn serve_calls_stream(services: Services, stream: Metered) {
+    let client: calls::Client = capnp_rpc::new_client(CallsServer { services });
+    serve_stream(stream, client.client);
+}
+
+fn serve_stream(stream: Metered, bootstrap: capnp::capability::Client) {
+    let (reader, writer) = stream.split();
+    let network = VatNetwork::new(
+        BufReader::new(reader),
+        BufWriter::new(writer),
+        Side::Server,
+        Default::default(),
+    );
+    let system = RpcSystem::new(Box::new(network), Some(bootstrap));
+    task::spawn_local(async move {
+        // A broken connection ends the calls on it; the client tries again.
+        let _ = system.await;
+    });
+}
+
+struct CallsServer {
+    services: Services,
+}
+
+impl calls::Server for CallsServer {
+    async fn execute(
+        self: Rc<Self>,
+        params: calls::ExecuteParams,
+        mut results: calls::ExecuteResults,
+    ) -> Result<(), capnp::Error> {
+        let request = CallRequest::read(params.get()?.get_request()?)?;
+        let executor = Arc::clone(&self.services.executor);
+        let reply = executor.execute(request).await;
+        reply.write(results.get().init_reply());
+        Ok(())
+    }
+}
+
+struct ControlServer {
+    services: Services,
+}
+
+impl ControlServer {
+    fn read<T: DeserializeOwned>(&self, kind: &'static str, bytes: &[u8]) -> capnp::Result<T> {
+        self.services
+            .shared
+            .metrics
+            .payload("received", kind, bytes.len());
+        decode(bytes).map_err(|error| capnp::Error::failed(error.to_string()))
+    }
+}
+
+fn written(value: &impl Serialize) -> capnp::Result<Vec<u8>> {
+    encode(value).map_err(|error| capnp::Error::failed(error.to_string()))
+}
+
+impl control::Server for ControlServer {
+    async fn consensus(
+        self: Rc<Self>,
+        params: control::ConsensusParams,
+        _results: control::ConsensusResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let envelope: Envelope = self.read("consensus", params.get_envelope()?)?;
+        let group = Group::from_number(params.get_group());
+        let replica = self.services.shared.replica.get();
+        if let (Some(group), Some(replica)) = (group, replica) {
+            let sender_addr = params.get_sender_addr()?.to_string()?;
+            replica.group(group).deliver(envelope, sender_addr);
+        }
+        Ok(())
+    }
+
+    async fn poll(
+        self: Rc<Self>,
+        params: control::PollParams,
+        mut results: control::PollResults,
+    ) -> Result<(), capnp::Error> {
+        let request: PollRequest = self.read("poll", params.get()?.get_request()?)?;
+        let shared = &self.services.shared;
+        let reply = source::poll(shared, request).await;
+        let bytes = written(&reply)?;
+        source::count_reply(shared, &reply, bytes.len());
+        results.get().set_reply(&bytes);
+        Ok(())
+    }
+
+    async fn report(
+        self: Rc<Self>,
+        params: control::ReportParams,
+        mut results: control::ReportResults,
+    ) -> Result<(), capnp::Error> {
+        let request: ReportRequest = self.read("report", params.get()?.get_request()?)?;
+        let reply = source::report(&self.services.shared, request);
+        results.get().set_reply(&written(&reply)?);
+        Ok(())
+    }
+
+    async fn probe(
+        self: Rc<Self>,
+        _params: control::ProbeParams,
+        mut results: control::ProbeResults,
+    ) -> Result<(), capnp::Error> {
+        let reply = source::probe(&self.services.shared);
+        results.get().set_reply(&written(&reply)?);
+        Ok(())
+    }
+
+    async fn submit(
+        self: Rc<Self>,
+        params: control::SubmitParams,
+        mut results: control::SubmitResults,
+    ) -> Result<(), capnp::Error> {
+        let request: SubmitRequest = self.read("submit", params.get()?.get_request()?)?;
+        let reply = submit(&self.services, request).await;
+        results.get().set_reply(&written(&reply)?);
+        Ok(())
+    }
+}
+
+async fn submit(services: &Services, request: SubmitRequest) -> SubmitReply {
+    let replica = services.shared.replica.get();
+    match (request, replica) {
+        (SubmitRequest::Formation, _) => {
+            let formation = crate::shared::lock(&services.formation).clone();
+            formation.map_or(SubmitReply::Unavailable, SubmitReply::Formation)
+        }
+        (request, Some(replica)) => replica.group(group_of(&request)).submit(request).await,
+        (_, None) => SubmitReply::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -0,0 +1,642 @@
+//! Driver of one consensus group on one replica: a thread that owns node, store and state machine.
+
+use crate::emit;
+use crate::events;
+use crate::metrics::GroupLabels;
+use crate::peer_client::PeerRequest;
+use crate::shared::{lock, unix_ms, Shared};
+use crate::store::{GroupStore, StoreError};
+use async_std::channel::{bounded, Receiver, Sender};
+use error_stack::{Report, ResultExt};
+use foxtailgauge_core::{
+    Change, ChangeAnswer, ConfigProblem, Entry, Envelope, Ledger, LedgerCommand, LogIndex,
+    Membership, Node, Payload, ProposeError, Registry, ReplicaId, Role, StateSnapshot, Stored,
+    Term,
+};
+use foxtailgauge_wire::{decode, encode, Group, GroupStatus, SubmitReply, SubmitRequest};
+use futures::channel::oneshot;
+use std::collections::{BTreeMap, HashMap};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Events that may wait for a group's thread.
+const EVENT_QUEUE: usize = 16_384;
+/// Events handled before one sync.
+const EVENTS_PER_ROUND: usize = 1_024;
+/// Longest time between two rounds.
+const TICK: Duration = Duration::from_millis(20);
+/// Time for which a consensus message may stay unanswered.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Shortest log that is compacted, in entries.
+const COMPACT_MIN_ENTRIES: usize = 4_096;
+/// Interval at which a leader lets old keys expire.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(60);
+
+/// An event for a group's thread.
+pub(crate) enum GroupEvent {
+    /// A message of another replica, and the control address it came from.
+    Message(Envelope, String),
+    /// A request and where its answer goes.
+    Submit {
+        request: Box<SubmitRequest>,
+        reply: oneshot::Sender<SubmitReply>,
+    },
+}
+
+/// Handle of one group on this replica.
+pub(crate) struct GroupHandle {
+    sender: Sender<GroupEvent>,
+    status: Arc<Mutex<StatusCell>>,
+}
+
+struct StatusCell {
+    status: GroupStatus,
+    at: Instant,
+    ledger_keys: u64,
+}
+
+impl GroupHandle {
+    /// Hands over a message; dropped when the thread is overloaded, as consensus repeats it.
+    pub(crate) fn deliver(&self, envelope: Envelope, sender_addr: String) {
+        let _ = self
+            .sender
+            .try_send(GroupEvent::Message(envelope, sender_addr));
+    }
+
+    /// Hands over a request and waits for its answer.
+    pub(crate) async fn submit(&self, request: SubmitRequest) -> SubmitReply {
+        let (reply, answer) = oneshot::channel();
+        let event = GroupEvent::Submit {
+            request: Box::new(request),
+            reply,
+        };
+        if self.sender.try_send(event).is_err() {
+            return SubmitReply::Unavailable;
+        }
+        // The thread drops a reply only when it ends, with the command possibly in its log.
+        answer.await.unwrap_or(SubmitReply::OutcomeUnknown)
+    }
+
+    /// Status as of the last round.
+    pub(crate) fn status(&self) -> GroupStatus {
+        lock(&self.status).status.clone()
+    }
+
+    /// Time since contact with a majority.
+    pub(crate) fn quorum_age_ms(&self) -> Option<u64> {
+        let cell = lock(&self.status);
+        let since = u64::try_from(cell.at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        Some(cell.status.quorum_age_ms?.saturating_add(since))
+    }
+}
+
+/// Replica parts of a daemon.
+pub(crate) struct ReplicaHandles {
+    /// Configuration group.
+    pub(crate) config: GroupHandle,
+    /// Ledger group.
+    pub(crate) ledger: GroupHandle,
+}
+
+impl ReplicaHandles {
+    /// Handle of a group.
+    pub(crate) fn group(&self, group: Group) -> &GroupHandle {
+        match group {
+            Group::Config => &self.config,
+            Group::Ledger => &self.ledger,
+        }
+    }
+
+    /// Status of all groups.
+    pub(crate) fn statuses(&self) -> Vec<GroupStatus> {
+        vec![self.config.status(), self.ledger.status()]
+    }
+
+    /// Keys on record in the ledger.
+    pub(crate) fn ledger_keys(&self) -> u64 {
+        lock(&self.ledger.status).ledger_keys
+    }
+}
+
+/// The group that serves a request.
+pub(crate) fn group_of(request: &SubmitRequest) -> Group {
+    match request {
+        SubmitRequest::Ledger(_) => Group::Ledger,
+        SubmitRequest::Join { group, .. } => *group,
+        _ => Group::Config,
+    }
+}
+
+/// Opens a group's store and starts its thread.
+///
+/// `initial` is the group's first membership for a store that was never started.
+pub(crate) fn start_group(
+    shared: &Arc<Shared>,
+    group: Group,
+    id: ReplicaId,
+    dir: &Path,
+    initial: Option<&Membership>,
+) -> Result<GroupHandle, Report<StoreError>> {
+    let dir = dir.join(group.as_str());
+    let (mut store, mut stored, notes) = GroupStore::open(&dir)?;
+    if notes.cut_bytes > 0 {
+        emit!(shared.log, events::STORE_TAIL_CUT,
+            "group" => group.as_str(), "cut_bytes" => notes.cut_bytes);
+    }
+    let is_empty = stored.entries.is_empty() && stored.snapshot.is_none();
+    match initial {
+        Some(initial) if is_empty => stored = initialize(&mut store, initial)?,
+        None if is_empty && stored.hard_state == Default::default() => {
+            return Err(Report::new(StoreError::Missing { path: dir }));
+        }
+        _ => {}
+    }
+    emit!(shared.log, events::STORE_OPENED,
+        "group" => group.as_str(), "entries" => stored.entries.len());
+    let (sender, receiver) = bounded(EVENT_QUEUE);
+    let mut driver = Driver::new(shared, group, id, store, stored)?;
+    let status = Arc::clone(&driver.status);
+    std::thread::spawn(move || {
+        if let Err(error) = async_std::task::block_on(driver.run(receiver)) {
+            // Without its store a replica must not go on: it would forget what it promised.
+            emit!(driver.shared.log, events::STORE_FAILED, "error" => format!("{error:?}"));
+        }
+    });
+    Ok(GroupHandle { sender, status })
+}
+
+fn initialize(store: &mut GroupStore, initial: &Membership) -> Result<Stored, Report<StoreError>> {
+    let (hard_state, entries) = if initial.members.is_empty() {
+        // A learner starts without entries and takes them from the leader.
+        (
+            foxtailgauge_core::HardState {
+                term: 1,
+                voted_for: None,
+            },
+            Vec::new(),
+        )
+    } else {
+        Node::initial_entries(initial)
+    };
+    let ready = foxtailgauge_core::Ready {
+        hard_state: Some(hard_state),
+        entries: entries.clone(),
+        ..Default::default()
+    };
+    store.persist(&ready, hard_state)?;
+    Ok(Stored {
+        hard_state,
+        snapshot: None,
+        entries,
+    })
+}
+
+/// The replicated state of a group.
+enum Machine {
+    Config(Box<Registry>),
+    Ledger(Box<Ledger>),
+}
+
+impl Machine {
+    fn restore(group: Group, snapshot: Option<&StateSnapshot>) -> Result<Self, Report<StoreError>> {
+        let data = snapshot.map(|snapshot| snapshot.data.as_slice());
+        let failed = || StoreError::Encode;
+        Ok(match group {
+            Group::Config => Machine::Config(match data {
+                Some(data) => decode(data).change_context_lazy(failed)?,
+                None => Box::default(),
+            }),
+            Group::Ledger => Machine::Ledger(match data {
+                Some(data) => decode(data).change_context_lazy(failed)?,
+                None => Box::default(),
+            }),
+        })
+    }
+
+    fn encode(&self) -> Result<Vec<u8>, Report<StoreError>> {
+        match self {
+            Machine::Config(registry) => encode(registry),
+            Machine::Ledger(ledger) => encode(ledger),
+        }
+        .change_context(StoreError::Encode)
+    }
+
+    /// Entries after which writing a snapshot costs no more than what it saves.
+    fn compact_after(&self) -> usize {
+        match self {
+            Machine::Config(_) => COMPACT_MIN_ENTRIES,
+            Machine::Ledger(ledger) => COMPACT_MIN_ENTRIES.max(2 * ledger.len()),
+        }
+    }
+}
+
+struct Waiting {
+    term: Term,
+    reply: oneshot::Sender<SubmitReply>,
+}
+
+struct Driver {
+    shared: Arc<Shared>,
+    group: Group,
+    node: Node,
+    store: GroupStore,
+    machine: Machine,
+    /// Commands in the log whose answers are waited for.
+    waiting: BTreeMap<LogIndex, Waiting>,
+    /// Reads whose leadership is not confirmed yet.
+    reads: HashMap<u64, (SubmitRequest, oneshot::Sender<SubmitReply>)>,
+    status: Arc<Mutex<StatusCell>>,
+    /// Where replicas were heard from, for those that the membership does not name yet.
+    addresses: HashMap<ReplicaId, String>,
+    started: Instant,
+    last_role: (Role, Term),
+    last_members: Membership,
+    announced_commit: LogIndex,
+    expire_at: Instant,
+}
+
+impl Driver {
+    fn new(
+        shared: &Arc<Shared>,
+        group: Group,
+        id: ReplicaId,
+        store: GroupStore,
+        stored: Stored,
+    ) -> Result<Self, Report<StoreError>> {
+        let machine = Machine::restore(group, stored.snapshot.as_ref())?;
+        let node = Node::new(id, stored, 0, rand::random());
+        let status = StatusCell {
+            status: group_status(group, &node),
+            at: Instant::now(),
+            ledger_keys: 0,
+        };
+        let driver = Driver {
+            shared: Arc::clone(shared),
+            group,
+            last_role: (node.role(), node.term()),
+            last_members: node.membership().clone(),
+            node,
+            store,
+            machine,
+            waiting: BTreeMap::new(),
+            reads: HashMap::new(),
+            status: Arc::new(Mutex::new(status)),
+            addresses: HashMap::new(),
+            started: Instant::now(),
+            announced_commit: 0,
+            expire_at: Instant::now() + EXPIRE_INTERVAL,
+        };
+        driver.publish();
+        Ok(driver)
+    }
+
+    async fn run(&mut self, events: Receiver<GroupEvent>) -> Result<(), Report<StoreError>> {
+        loop {
+            match async_std::future::timeout(TICK, events.recv()).await {
+                Ok(Ok(event)) => self.handle(event),
+                Ok(Err(_)) => return Ok(()),
+                Err(_) => {}
+            }
+            for _ in 1..EVENTS_PER_ROUND {
+                match events.try_recv() {
+                    Ok(event) => self.handle(event),
+                    Err(_) => break,
+                }
+            }
+            self.node.tick(self.now_ms());
+            self.expire_keys();
+            self.flush()?;
+            self.compact()?;
+            self.announce_commit()?;
+            self.note_changes();
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn handle(&mut self, event: GroupEvent) {
+        match event {
+            GroupEvent::Message(envelope, sender_addr) => {
+                self.addresses.insert(envelope.from, sender_addr);
+                let now_ms = self.now_ms();
+                self.node.step(envelope, now_ms);
+            }
+            GroupEvent::Submit { request, reply } => self.submit(*request, reply),
+        }
+    }
+
+    fn submit(&mut self, request: SubmitRequest, reply: oneshot::Sender<SubmitReply>) {
+        let proposed = match request {
+            SubmitRequest::Change(change) => self.propose(&change),
+            SubmitRequest::Ledger(command) => self.propose(&stamped(command)),
+            SubmitRequest::Join {
+                replica,
+                control_addr,
+                ..
+            } => {
+                let _ = reply.send(self.join(replica, &control_addr));
+                return;
+            }
+            request => return self.read(request, reply),
+        };
+        match proposed {
+            Ok((index, term)) => {
+                self.waiting.insert(index, Waiting { term, reply });
+            }
+            Err(refusal) => {
+                let _ = reply.send(refusal);
+            }
+        }
+    }
+
+    fn propose(
+        &mut self,
+        command: &impl serde::Serialize,
+    ) -> Result<(LogIndex, Term), SubmitReply> {
+        let bytes = encode(command).map_err(|_| SubmitReply::Unavailable)?;
+        self.node
+            .propose(bytes)
+            .map_err(|error| self.refusal(error))
+    }
+
+    fn join(&mut self, replica: ReplicaId, control_addr: &str) -> SubmitReply {
+        match self.node.add_learner(replica, control_addr) {
+            Ok(_) | Err(ProposeError::Unchanged) => SubmitReply::Joined,
+            Err(error) => self.refusal(error),
+        }
+    }
+
+    fn read(&mut self, request: SubmitRequest, reply: oneshot::Sender<SubmitReply>) {
+        match self.node.read() {
+            Ok(read) => {
+                self.reads.insert(read, (request, reply));
+            }
+            Err(error) => {
+                let _ = reply.send(self.refusal(error));
+            }
+        }
+    }
+
+    fn refusal(&self, error: ProposeError) -> SubmitReply {
+        match error {
+            ProposeError::NotLeader { leader } => SubmitReply::NotLeader {
+                leader_addr: leader
+                    .and_then(|id| self.node.member_addr(id))
+                    .map(str::to_owned),
+            },
+            ProposeError::MembershipBusy | ProposeError::Unchanged => SubmitReply::Unavailable,
+        }
+    }
+
+    /// Carries out what the node asks for: send, sync, send, apply, answer.
+    fn flush(&mut self) -> Result<(), Report<StoreError>> {
+        let ready = self.node.ready();
+        self.send(&ready.early_messages);
+        if ready.has_records() {
+            self.store.persist(&ready, self.node.hard_state())?;
+            self.count_sync();
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            self.machine = Machine::restore(self.group, Some(snapshot))?;
+            emit!(self.shared.log, events::SNAPSHOT_INSTALLED,
+                "group" => self.group.as_str(), "index" => snapshot.index);
+            self.publish();
+        }
+        self.node.persisted();
+        self.send(&ready.messages);
+        for entry in self.node.take_committed() {
+            self.apply(&entry)?;
+        }
+        self.answer_reads();
+        Ok(())
+    }
+
+    fn send(&self, envelopes: &[Envelope]) {
+        for envelope in envelopes {
+            let heard = self.addresses.get(&envelope.to).map(String::as_str);
+            let Some(addr) = self.node.member_addr(envelope.to).or(heard) else {
+                continue;
+            };
+            let Ok(bytes) = encode(envelope) else {
+                continue;
+            };
+            self.shared
+                .metrics
+                .payload("sent", "consensus", bytes.len());
+            let request = PeerRequest::Consensus {
+                group: self.group.number(),
+                envelope: bytes,
+                sender_addr: self.shared.settings.advertise_control.clone(),
+            };
+            self.shared
+                .clients
+                .consensus
+                .cast(addr, request, MESSAGE_TIMEOUT);
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry) -> Result<(), Report<StoreError>> {
+        let answer = match &entry.payload {
+            Payload::Command(bytes) => Some(self.apply_command(bytes)?),
+            Payload::Noop | Payload::Membership(_) => None,
+        };
+        let Some(waiting) = self.waiting.remove(&entry.index) else {
+            return Ok(());
+        };
+        // An entry of another term stands where the command was: it was not taken.
+        let reply = match answer {
+            Some(answer) if waiting.term == entry.term => answer,
+            _ => SubmitReply::NotLeader { leader_addr: None },
+        };
+        let _ = waiting.reply.send(reply);
+        Ok(())
+    }
+
+    fn apply_command(&mut self, bytes: &[u8]) -> Result<SubmitReply, Report<StoreError>> {
+        let labels = GroupLabels {
+            group: self.group.as_str(),
+        };
+        self.shared.metrics.commits.get_or_create(&labels).inc();
+        match &mut self.machine {
+            Machine::Config(registry) => {
+                let change: Change = decode(bytes).change_context(StoreError::Encode)?;
+                let version = registry.version();
+                let answer = registry.apply(&change);
+                if registry.version() > version {
+                    self.shared.publish(registry.snapshot());
+                }
+                self.log_answer(&change, &answer);
+                Ok(SubmitReply::Change(answer))
+            }
+            Machine::Ledger(ledger) => {
+                let command: LedgerCommand = decode(bytes).change_context(StoreError::Encode)?;
+                Ok(SubmitReply::Ledger(ledger.apply(&command)))
+            }
+        }
+    }
+
+    fn log_answer(&self, change: &Change, answer: &ChangeAnswer) {
+        if self.node.role() != Role::Leader {
+            return;
+        }
+        let line = format!("{answer:?}");
+        match answer {
+            ChangeAnswer::Accepted { .. } => emit!(self.shared.log, events::CHANGE_ACCEPTED,
+                "team" => &change.team, "change_id" => &change.change_id,
+                "author" => &change.author, "answer" => line),
+            _ => emit!(self.shared.log, events::CHANGE_REFUSED,
+                "team" => &change.team, "change_id" => &change.change_id,
+                "author" => &change.author, "answer" => line),
+        }
+    }
+
+    fn answer_reads(&mut self) {
+        if self.node.role() != Role::Leader {
+            for (_, (_, reply)) in self.reads.drain() {
+                let _ = reply.send(SubmitReply::NotLeader { leader_addr: None });
+            }
+        }
+        // Committed entries are applied before, so every confirmed index is reached.
+        for ready in self.node.take_reads() {
+            if let Some((request, reply)) = self.reads.remove(&ready.read) {
+                let _ = reply.send(self.answer_read(request));
+            }
+        }
+    }
+
+    fn answer_read(&self, request: SubmitRequest) -> SubmitReply {
+        let Machine::Config(registry) = &self.machine else {
+            return SubmitReply::Unavailable;
+        };
+        match request {
+            SubmitRequest::Check { team, text } => {
+                SubmitReply::Checked(check(registry, &team, &text))
+            }
+            SubmitRequest::Read { team, revision } => {
+                SubmitReply::Revision(registry.revision_record(&team, revision).cloned())
+            }
+            SubmitRequest::History { team } => {
+                SubmitReply::History(registry.history(&team).cloned().collect())
+            }
+            SubmitRequest::Audit { team } => {
+                SubmitReply::Audit(registry.audit(team.as_deref()).cloned().collect())
+            }
+            SubmitRequest::Status => SubmitReply::Status(self.shared.fleet_status()),
+            _ => SubmitReply::Unavailable,
+        }
+    }
+
+    /// Lets followers apply a change at once instead of with the next heartbeat.
+    fn announce_commit(&mut self) -> Result<(), Report<StoreError>> {
+        let commit = self.node.commit();
+        if self.group == Group::Config && commit > self.announced_commit {
+            self.announced_commit = commit;
+            self.node.announce_commit();
+            self.flush()?;
+        }
+        Ok(())
+    }
+
+    fn compact(&mut self) -> Result<(), Report<StoreError>> {
+        if self.node.log().len() < self.machine.compact_after() {
+            return Ok(());
+        }
+        let index = self.node.applied();
+        let data = self.machine.encode()?;
+        let Some(snapshot) = self.node.compact(index, data) else {
+            return Ok(());
+        };
+        let log = self.node.log();
+        let rest = log.range(log.start_index() + 1, log.len());
+        self.store
+            .save_snapshot(&snapshot, self.node.hard_state(), &rest)?;
+        emit!(self.shared.log, events::SNAPSHOT_SAVED,
+            "group" => self.group.as_str(), "index" => index);
+        Ok(())
+    }
+
+    fn expire_keys(&mut self) {
+        let is_due = self.group == Group::Ledger && Instant::now() >= self.expire_at;
+        if !is_due {
+            return;
+        }
+        self.expire_at = Instant::now() + EXPIRE_INTERVAL;
+        let retention = self.shared.settings.ledger_retention.as_millis();
+        let retention_ms = u64::try_from(retention).unwrap_or(u64::MAX);
+        let command = LedgerCommand::Expire {
+            before_ms: unix_ms().saturating_sub(retention_ms),
+        };
+        // Only a leader can propose; the others have nothing to do.
+        let _ = self.propose(&command);
+    }
+
+    fn publish(&self) {
+        if let Machine::Config(registry) = &self.machine {
+            self.shared.publish(registry.snapshot());
+        }
+    }
+
+    fn count_sync(&self) {
+        let labels = GroupLabels {
+            group: self.group.as_str(),
+        };
+        self.shared.metrics.syncs.get_or_create(&labels).inc();
+    }
+
+    fn note_changes(&mut self) {
+        let role = (self.node.role(), self.node.term());
+        if role != self.last_role {
+            self.last_role = role;
+            emit!(self.shared.log, events::ROLE_CHANGED, "group" => self.group.as_str(),
+                "role" => format!("{:?}", role.0), "term" => role.1);
+        }
+        if *self.node.membership() != self.last_members {
+            self.last_members = self.node.membership().clone();
+            emit!(self.shared.log, events::MEMBERSHIP_CHANGED, "group" => self.group.as_str(),
+                "voters" => self.last_members.voters().count(),
+                "members" => self.last_members.members.len());
+        }
+        let mut cell = lock(&self.status);
+        cell.status = group_status(self.group, &self.node);
+        cell.at = Instant::now();
+        if let Machine::Ledger(ledger) = &self.machine {
+            cell.ledger_keys = ledger.len() as u64;
+        }
+    }
+}
+
+fn check(registry: &Registry, team: &str, text: &str) -> Vec<ConfigProblem> {
+    registry.check(team, text).err().unwrap_or_default()
+}
+
+/// Replaces the times of a command by those of the leader's clock.
+fn stamped(mut command: LedgerCommand) -> LedgerCommand {
+    let now_ms = unix_ms();
+    match &mut command {
+        LedgerCommand::Claim {
+            at_ms, until_ms, ..
+        } => {
+            let run_ms = until_ms.saturating_sub(*at_ms);
+            *at_ms = now_ms;
+            *until_ms = now_ms + run_ms;
+        }
+        LedgerCommand::Void { at_ms, .. } => *at_ms = now_ms,
+        _ => {}
+    }
+    command
+}
+
+fn group_status(group: Group, node: &Node) -> GroupStatus {
+    GroupStatus {
+        group,
+        role: node.role(),
+        term: node.term(),
+        leader: node.leader(),
+        commit_index: node.commit(),
+        quorum_age_ms: node.quorum_age_ms(),
+        members: node.membership().clone(),
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/replica_client.rs
@@ -0,0 +1,140 @@
+//! Sends requests to the leader of a group, whichever replica that is.
+
+use crate::peer_client::{PeerError, PeerReply, PeerRequest};
+use crate::replica::group_of;
+use crate::shared::{lock, Shared};
+use foxtailgauge_wire::{decode, encode, Group, SubmitReply, SubmitRequest};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time one replica has to answer before another one is asked.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Wait between rounds in which no leader was found.
+const ROUND_WAIT: Duration = Duration::from_millis(40);
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SubmitError {
+    /// No replica took the request: it has no effect.
+    Unavailable,
+    /// A replica may have taken the request: it may have an effect.
+    OutcomeUnknown,
+}
+
+impl std::fmt::Display for SubmitError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            SubmitError::Unavailable => write!(f, "no replica takes the request"),
+            SubmitError::OutcomeUnknown => write!(f, "the request may have taken effect"),
+        }
+    }
+}
+
+impl std::error::Error for SubmitError {}
+
+/// A client of the replicas.
+#[derive(Clone)]
+pub(crate) struct ReplicaClient {
+    shared: Arc<Shared>,
+    /// Address at which each group's leader was last found.
+    leaders: Arc<Mutex<HashMap<Group, String>>>,
+}
+
+impl ReplicaClient {
+    /// A client that knows no leader yet.
+    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
+        ReplicaClient {
+            shared: Arc::clone(shared),
+            leaders: Arc::default(),
+        }
+    }
+
+    /// Sends a request until a leader answers it, for at most `timeout`. Requests may reach the
+    /// state machine twice; each kind is idempotent there.
+    pub(crate) async fn submit(
+        &self,
+        request: SubmitRequest,
+        timeout: Duration,
+    ) -> Result<SubmitReply, SubmitError> {
+        let deadline = Instant::now() + timeout;
+        let group = group_of(&request);
+        let mut is_uncertain = false;
+        let mut hint = lock(&self.leaders).get(&group).cloned();
+        let mut next = rand::random::<u32>() as usize;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                lock(&self.leaders).remove(&group);
+                return Err(match is_uncertain {
+                    true => SubmitError::OutcomeUnknown,
+                    false => SubmitError::Unavailable,
+                });
+            }
+            let replicas = &self.shared.settings.replicas;
+            let addr = hint
+                .take()
+                .unwrap_or_else(|| replicas[next % replicas.len()].clone());
+            match self
+                .submit_to(&addr, &request, left.min(ATTEMPT_TIMEOUT))
+                .await
+            {
+                Ok(SubmitReply::NotLeader { leader_addr }) => {
+                    hint = leader_addr.filter(|leader| *leader != addr);
+                }
+                Ok(SubmitReply::Unavailable) | Err(PeerError::NotSent) => {}
+                Ok(SubmitReply::OutcomeUnknown) | Err(PeerError::NoAnswer) => is_uncertain = true,
+                Ok(reply) => {
+                    lock(&self.leaders).insert(group, addr);
+                    return Ok(reply);
+                }
+            }
+            if hint.is_none() {
+                next = next.wrapping_add(1);
+                async_std::task::sleep(ROUND_WAIT.min(left)).await;
+            }
+        }
+    }
+
+    async fn submit_to(
+        &self,
+        addr: &str,
+        request: &SubmitRequest,
+        timeout: Duration,
+    ) -> Result<SubmitReply, PeerError> {
+        if let (true, Some(replica)) = (
+            addr == self.shared.settings.advertise_control,
+            self.shared.replica.get(),
+        ) {
+            let submit = replica.group(group_of(request)).submit(request.clone());
+            let answer = async_std::future::timeout(timeout, submit).await;
+            return answer.map_err(|_| PeerError::NoAnswer);
+        }
+        self.submit_remote(addr, request, timeout).await
+    }
+
+    async fn submit_remote(
+        &self,
+        addr: &str,
+        request: &SubmitRequest,
+        timeout: Duration,
+    ) -> Result<SubmitReply, PeerError> {
+        let bytes = encode(request).map_err(|_| PeerError::NotSent)?;
+        self.shared.metrics.payload("sent", "submit", bytes.len());
+        let client = &self.shared.clients.control;
+        match client
+            .call(addr, PeerRequest::Submit(bytes), timeout)
+            .await?
+        {
+            PeerReply::Payload(bytes) => decode(&bytes).map_err(|_| PeerError::NoAnswer),
+            PeerReply::Done | PeerReply::Call(_) => Err(PeerError::NoAnswer),
+        }
+    }
+
+    /// Asks one replica whether it belongs to a group.
+    pub(crate) async fn formation(&self, addr: &str, timeout: Duration) -> Option<SubmitReply> {
+        self.submit_remote(addr, &SubmitRequest::Formation, timeout)
+            .await
+            .ok()
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -0,0 +1,475 @@
+//! State that the tasks of one daemon share: configuration held, directory, route view.
+
+use crate::emit;
+use crate::events;
+use crate::metrics::Metrics;
+use crate::peer_client::PeerClient;
+use crate::replica::ReplicaHandles;
+use crate::settings::Settings;
+use event_listener::Event;
+use foxtailgauge_core::{
+    Balancer, Candidate, Children, ConfigVersion, Cursor, Digest, Directory, Fingerprint,
+    Freshness, Incarnation, InstanceState, PollReply, ReportRequest, ServerEntry, ServerKey,
+    ServerState, ServiceName, SessionLimit, Sightings, Snapshot, SnapshotError, SnapshotHistory,
+    SuspectIndex, UnixMs, Update,
+};
+use foxtailgauge_wire::{DomainStatus, FleetStatus};
+use slog::Logger;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Past versions kept as bases for deltas.
+const DELTA_BASES: usize = 256;
+
+/// Locks without regard to a panic of another holder: all guarded values stay whole.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Milliseconds since the Unix epoch.
+pub(crate) fn unix_ms() -> UnixMs {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Clients for other daemons, by what they carry.
+#[derive(Clone)]
+pub(crate) struct Clients {
+    /// Configuration, directory, submissions.
+    pub(crate) control: PeerClient,
+    /// Consensus messages.
+    pub(crate) consensus: PeerClient,
+    /// Calls.
+    pub(crate) calls: PeerClient,
+}
+
+/// What a gateway routes by. Built from one snapshot and one directory, swapped whole.
+///
+/// Invariant: every candidate belongs to a service of the snapshot.
+#[derive(Debug, Default)]
+pub(crate) struct RouteView {
+    /// Configuration.
+    pub(crate) snapshot: Option<Arc<Snapshot>>,
+    /// Backend servers that take work, by service.
+    pub(crate) candidates: HashMap<ServiceName, Vec<Candidate>>,
+    /// Requests that were in flight when backend servers died.
+    pub(crate) suspects: SuspectIndex,
+}
+
+struct ConfigCell {
+    history: SnapshotHistory,
+    /// Highest version heard of anywhere.
+    highest_heard: ConfigVersion,
+}
+
+/// The daemon's own entry in the directory.
+#[derive(Default)]
+struct OwnEntry {
+    sequence: u64,
+    servers: Vec<ServerEntry>,
+    sightings: Sightings,
+}
+
+/// Contact with a majority through the source.
+#[derive(Clone, Copy, Debug, Default)]
+struct Contact {
+    /// Age at the time it was heard, and when that was.
+    heard: Option<(Duration, Instant)>,
+}
+
+/// State shared by the tasks of one daemon.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Metrics,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clients: Clients,
+    pub(crate) balancer: Mutex<Balancer>,
+    /// Notified when configuration or directory changed.
+    pub(crate) news: Event,
+    /// Notified when there is something to report upwards.
+    pub(crate) upward: Event,
+    /// Replica parts, on daemons with a store.
+    pub(crate) replica: OnceLock<ReplicaHandles>,
+    started: Instant,
+    config: Mutex<ConfigCell>,
+    directory: Mutex<Directory>,
+    children: Mutex<Children>,
+    sessions: Mutex<SessionLimit>,
+    own: Mutex<OwnEntry>,
+    contact: Mutex<Contact>,
+    view: RwLock<Arc<RouteView>>,
+}
+
+impl Shared {
+    /// State of a daemon that holds nothing yet.
+    pub(crate) fn new(settings: Settings, log: Logger, metrics: Metrics, clients: Clients) -> Self {
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let incarnation = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
+        let shared = Shared {
+            directory: Mutex::new(Directory::new(settings.name.clone(), incarnation)),
+            sessions: Mutex::new(SessionLimit::new(settings.distribution.sessions_per_second)),
+            balancer: Mutex::new(Balancer::new(settings.failure_domain.clone())),
+            settings,
+            log,
+            metrics,
+            incarnation,
+            clients,
+            news: Event::new(),
+            upward: Event::new(),
+            replica: OnceLock::new(),
+            started: Instant::now(),
+            config: Mutex::new(ConfigCell {
+                history: SnapshotHistory::new(DELTA_BASES),
+                highest_heard: 0,
+            }),
+            children: Mutex::new(Children::default()),
+            own: Mutex::new(OwnEntry::default()),
+            contact: Mutex::new(Contact::default()),
+            view: RwLock::new(Arc::new(RouteView::default())),
+        };
+        shared.republish(|_| {});
+        shared
+    }
+
+    /// Milliseconds since the start of the daemon.
+    pub(crate) fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The routes in force.
+    pub(crate) fn view(&self) -> Arc<RouteView> {
+        Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Version and digest held.
+    pub(crate) fn held(&self) -> (ConfigVersion, Digest) {
+        let config = lock(&self.config);
+        let current = config.history.current();
+        (current.version, current.digest)
+    }
+
+    /// Takes over an update, whole or not at all.
+    pub(crate) fn take_update(&self, update: &Update) -> Result<(), SnapshotError> {
+        let mut config = lock(&self.config);
+        if update.version() < config.highest_heard && config.history.current().version == 0 {
+            // A daemon that holds nothing may have held a newer version before its restart.
+            return Err(SnapshotError::Older);
+        }
+        let next = config.history.current().updated(update)?;
+        self.advance(&mut config, next)
+    }
+
+    /// Makes the configuration of the own replica current.
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        let mut config = lock(&self.config);
+        // The own replica may be behind what was taken from a source.
+        let _ = self.advance(&mut config, Arc::new(snapshot));
+    }
+
+    fn advance(&self, config: &mut ConfigCell, next: Arc<Snapshot>) -> Result<(), SnapshotError> {
+        let version = next.version;
+        config.history.advance(next)?;
+        config.highest_heard = config.highest_heard.max(version);
+        self.rebuild_view(config.history.current());
+        self.metrics
+            .version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        emit!(self.log, events::VERSION_HELD, "version" => version);
+        self.news.notify(usize::MAX);
+        self.upward.notify(usize::MAX);
+        Ok(())
+    }
+
+    /// Notes a version that some daemon holds.
+    pub(crate) fn hear_version(&self, version: ConfigVersion) {
+        let mut config = lock(&self.config);
+        config.highest_heard = config.highest_heard.max(version);
+    }
+
+    /// Highest version heard of.
+    pub(crate) fn highest_heard(&self) -> ConfigVersion {
+        lock(&self.config).highest_heard
+    }
+
+    fn rebuild_view(&self, snapshot: &Arc<Snapshot>) {
+        let directory = lock(&self.directory);
+        let mut candidates: HashMap<ServiceName, Vec<Candidate>> = HashMap::new();
+        for instance in directory.live() {
+            for server in &instance.servers {
+                let is_known = snapshot.services.contains_key(&server.service);
+                if server.state == ServerState::Ready && is_known {
+                    let list = candidates.entry(server.service.clone()).or_default();
+                    list.push(candidate(instance, server));
+                }
+            }
+        }
+        let suspects = directory.live().flat_map(|i| i.suspects.iter().copied());
+        let view = RouteView {
+            snapshot: Some(Arc::clone(snapshot)),
+            suspects: SuspectIndex::collect(suspects),
+            candidates,
+        };
+        self.metrics.daemons.set(directory.live().count() as i64);
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    }
+
+    fn directory_changed(&self) {
+        let config = lock(&self.config);
+        self.rebuild_view(config.history.current());
+        drop(config);
+        self.forget_gone_servers();
+        self.news.notify(usize::MAX);
+        self.upward.notify(usize::MAX);
+    }
+
+    fn forget_gone_servers(&self) {
+        let view = self.view();
+        let known: std::collections::HashSet<&ServerKey> =
+            view.candidates.values().flatten().map(|c| &c.key).collect();
+        lock(&self.balancer).retain(|key| known.contains(key));
+    }
+
+    /// Announces the daemon's own backend servers.
+    pub(crate) fn announce(&self, servers: Vec<ServerEntry>) {
+        self.republish(|own| own.servers = servers);
+    }
+
+    /// Announces a request that was in flight when a backend server died.
+    pub(crate) fn record_sighting(&self, fingerprint: Fingerprint) {
+        self.republish(|own| own.sightings.record(fingerprint, unix_ms()));
+    }
+
+    /// Writes a new state of the own entry.
+    fn republish(&self, change: impl FnOnce(&mut OwnEntry)) {
+        let mut own = lock(&self.own);
+        change(&mut own);
+        own.sequence += 1;
+        let state = self.own_state(&own);
+        drop(own);
+        if lock(&self.directory).set_own(state) {
+            self.directory_changed();
+        }
+    }
+
+    fn own_state(&self, own: &OwnEntry) -> InstanceState {
+        InstanceState {
+            name: self.settings.name.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+            incarnation: self.incarnation,
+            sequence: own.sequence,
+            control_addr: self.settings.advertise_control.clone(),
+            calls_addr: self.settings.advertise_calls.clone(),
+            is_replica: self.settings.store_dir.is_some(),
+            is_lost: false,
+            servers: own.servers.clone(),
+            suspects: own.sightings.announced(unix_ms()),
+        }
+    }
+
+    /// Writes a new state of the own entry, so that it spreads from a new source.
+    pub(crate) fn renew_own_entry(&self) {
+        self.republish(|_| {});
+    }
+
+    /// Takes over entries heard from a neighbour.
+    pub(crate) fn merge_instances(&self, instances: Vec<InstanceState>, via: &str) {
+        if lock(&self.directory).merge(instances, via) {
+            self.directory_changed();
+        }
+        self.refute_loss();
+    }
+
+    fn refute_loss(&self) {
+        let Some(sequence) = lock(&self.directory).own_refutation() else {
+            return;
+        };
+        emit!(self.log, events::LOST_REFUTED, "sequence" => sequence);
+        let mut own = lock(&self.own);
+        own.sequence = own.sequence.max(sequence);
+        drop(own);
+        self.republish(|_| {});
+    }
+
+    /// Reads the directory under its lock.
+    pub(crate) fn with_directory<T>(&self, read: impl FnOnce(&Directory) -> T) -> T {
+        read(&lock(&self.directory))
+    }
+
+    /// Takes the report of a subscriber.
+    pub(crate) fn take_report(&self, request: ReportRequest) {
+        for count in &request.counts {
+            self.hear_version(count.version);
+        }
+        let now_ms = self.now_ms();
+        let mut children = lock(&self.children);
+        let has_changed = children.report(request, &mut lock(&self.directory), now_ms);
+        self.metrics.children.set(children.len() as i64);
+        drop(children);
+        if has_changed {
+            self.directory_changed();
+        }
+    }
+
+    /// Marks subscribers lost whose lease ended.
+    pub(crate) fn expire_children(&self) {
+        let now_ms = self.now_ms();
+        let mut children = lock(&self.children);
+        let lost = children.expire(&mut lock(&self.directory), now_ms);
+        self.metrics.children.set(children.len() as i64);
+        drop(children);
+        for name in &lost {
+            emit!(self.log, events::DAEMON_LOST, "lost" => name);
+        }
+        if !lost.is_empty() {
+            self.directory_changed();
+        }
+    }
+
+    /// What to report to a source: entries changed since the cursor, and the versions held below.
+    pub(crate) fn report_since(
+        &self,
+        cursor: Option<Cursor>,
+        source: &str,
+    ) -> (ReportRequest, Cursor) {
+        let (instances, cursor) = lock(&self.directory).changes_since(cursor, source);
+        let (version, _) = self.held();
+        let counts = lock(&self.children).counts(&self.settings.failure_domain, version);
+        let request = ReportRequest {
+            daemon: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            instances,
+            counts,
+        };
+        (request, cursor)
+    }
+
+    /// What a subscriber has not seen yet; `None` if there is nothing.
+    pub(crate) fn news_for(&self, request: &foxtailgauge_core::PollRequest) -> Option<PollReply> {
+        let update = lock(&self.config)
+            .history
+            .update_for(request.held_version, &request.held_digest)
+            .map(Box::new);
+        let (instances, cursor) =
+            lock(&self.directory).changes_since(request.cursor, &request.daemon);
+        if update.is_none() && instances.is_empty() {
+            return None;
+        }
+        Some(PollReply::News {
+            update,
+            instances,
+            cursor,
+            freshness: self.freshness(),
+        })
+    }
+
+    /// Answer to a poll without news.
+    pub(crate) fn no_news(&self) -> PollReply {
+        PollReply::News {
+            update: None,
+            instances: Vec::new(),
+            cursor: lock(&self.directory).cursor(),
+            freshness: self.freshness(),
+        }
+    }
+
+    /// Admits a new subscriber, or tells when to come back.
+    pub(crate) fn admit_session(&self) -> Result<(), Duration> {
+        lock(&self.sessions).admit(self.now_ms())
+    }
+
+    /// Whether a cursor was given out by this process.
+    pub(crate) fn is_own_cursor(&self, cursor: Option<Cursor>) -> bool {
+        cursor.is_some_and(|cursor| cursor.epoch == self.incarnation)
+    }
+
+    /// How current this daemon is.
+    pub(crate) fn freshness(&self) -> Freshness {
+        let config = lock(&self.config);
+        Freshness {
+            version: config.history.current().version,
+            highest_version: config.highest_heard,
+            quorum_age_ms: self.quorum_age_ms(),
+            epoch: self.incarnation,
+        }
+    }
+
+    /// Time since contact with a majority, directly or through the source.
+    pub(crate) fn quorum_age_ms(&self) -> Option<u64> {
+        if let Some(replica) = self.replica.get() {
+            return replica.config.quorum_age_ms();
+        }
+        let (age, at) = lock(&self.contact).heard?;
+        u64::try_from((age + at.elapsed()).as_millis()).ok()
+    }
+
+    /// Notes how current the source is.
+    pub(crate) fn hear_source(&self, freshness: &Freshness) {
+        self.hear_version(freshness.highest_version.max(freshness.version));
+        if let Some(age_ms) = freshness.quorum_age_ms {
+            let heard = Some((Duration::from_millis(age_ms), Instant::now()));
+            *lock(&self.contact) = Contact { heard };
+        }
+    }
+
+    /// Where the fleet stands, seen from here.
+    pub(crate) fn fleet_status(&self) -> FleetStatus {
+        let (version, _) = self.held();
+        let domains = self.with_directory(|directory| domain_statuses(directory.all()));
+        FleetStatus {
+            version,
+            answered_by: self.settings.name.clone(),
+            groups: self
+                .replica
+                .get()
+                .map(ReplicaHandles::statuses)
+                .unwrap_or_default(),
+            domains,
+            held: lock(&self.children).counts(&self.settings.failure_domain, version),
+            ledger_keys: self.replica.get().map_or(0, ReplicaHandles::ledger_keys),
+        }
+    }
+}
+
+fn candidate(instance: &InstanceState, server: &ServerEntry) -> Candidate {
+    Candidate {
+        key: ServerKey {
+            daemon: instance.name.clone(),
+            server: server.name.clone(),
+        },
+        failure_domain: instance.failure_domain.clone(),
+        calls_addr: instance.calls_addr.clone(),
+        slots: server.slots,
+    }
+}
+
+fn domain_statuses<'a>(instances: impl Iterator<Item = &'a InstanceState>) -> Vec<DomainStatus> {
+    let mut domains: BTreeMap<String, DomainStatus> = BTreeMap::new();
+    for instance in instances {
+        let name = &instance.failure_domain;
+        let status = domains.entry(name.clone()).or_insert_with(|| DomainStatus {
+            failure_domain: name.clone(),
+            daemons: 0,
+            lost_daemons: 0,
+            ready_servers: 0,
+            leaving_servers: 0,
+        });
+        if instance.is_lost {
+            status.lost_daemons += 1;
+            continue;
+        }
+        status.daemons += 1;
+        for server in &instance.servers {
+            match server.state {
+                ServerState::Ready => status.ready_servers += 1,
+                ServerState::Leaving => status.leaving_servers += 1,
+            }
+        }
+    }
+    domains.into_values().collect()
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/source.rs
@@ -0,0 +1,82 @@
+//! Source side of distribution: answers polls, reports and probes of subscribers.
+
+use crate::shared::Shared;
+use crate::timer::sleep_until;
+use foxtailgauge_core::{PollReply, PollRequest, ReportReply, ReportRequest, Update};
+use futures::future::{select, Either};
+
+use std::time::Instant;
+
+/// Answers a poll: at once if there is news, else when there is, or at the end of its hold.
+pub(crate) async fn poll(shared: &Shared, request: PollRequest) -> PollReply {
+    if !shared.is_own_cursor(request.cursor) {
+        if let Err(wait) = shared.admit_session() {
+            let retry_after_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
+            return PollReply::Busy { retry_after_ms };
+        }
+    }
+    let hold = shared.settings.distribution.hold;
+    let hold = hold.min(std::time::Duration::from_millis(request.hold_ms));
+    let deadline = Instant::now() + hold;
+    let mut is_first = true;
+    loop {
+        let news = shared.news.listen();
+        let has_update = shared.held().0 > request.held_version;
+        if is_first || has_update {
+            if let Some(reply) = shared.news_for(&request) {
+                return reply;
+            }
+        }
+        is_first = false;
+        if let Either::Right(_) = select(news, sleep_until(deadline)).await {
+            return shared.no_news();
+        }
+        gather(shared, &request, deadline).await;
+        if let Some(reply) = shared.news_for(&request) {
+            return reply;
+        }
+    }
+}
+
+/// Lets changes of the directory gather for the batch time; a new version is not held up.
+async fn gather(shared: &Shared, request: &PollRequest, deadline: Instant) {
+    let end = deadline.min(Instant::now() + shared.settings.distribution.batch);
+    loop {
+        let news = shared.news.listen();
+        if shared.held().0 > request.held_version {
+            return;
+        }
+        if let Either::Right(_) = select(news, sleep_until(end)).await {
+            return;
+        }
+    }
+}
+
+/// Takes a report.
+pub(crate) fn report(shared: &Shared, request: ReportRequest) -> ReportReply {
+    shared.take_report(request);
+    probe(shared)
+}
+
+/// Tells how current this daemon is.
+pub(crate) fn probe(shared: &Shared) -> ReportReply {
+    ReportReply {
+        freshness: shared.freshness(),
+    }
+}
+
+/// Counts the payload of an answer by its kind.
+pub(crate) fn count_reply(shared: &Shared, reply: &PollReply, bytes: usize) {
+    let kind = match reply {
+        PollReply::News {
+            update: Some(update),
+            ..
+        } => match **update {
+            Update::Full(_) => "full",
+            Update::Delta(_) => "delta",
+        },
+        PollReply::News { instances, .. } if !instances.is_empty() => "instances",
+        PollReply::News { .. } | PollReply::Busy { .. } => "poll",
+    };
+    shared.metrics.payload("sent", kind, bytes);
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/store.rs
@@ -0,0 +1,343 @@
+//! Durable storage of one consensus group: a log of batches and one snapshot.
+//!
+//! A batch is `marker, length, CRC-32, payload`; it is written in one piece and synced before
+//! anything depends on it. An unfinished last batch was never relied on and is cut off at the
+//! start. Any other damage stops the start.
+
+use error_stack::{Report, ResultExt};
+use foxtailgauge_core::{Entry, HardState, LogIndex, Ready, StateSnapshot, Stored};
+use foxtailgauge_wire::{decode, encode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::fs::{File, OpenOptions};
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+/// First bytes of every batch.
+const MARKER: [u8; 4] = *b"FXB1";
+/// Bytes before the payload: marker, length, CRC-32.
+const HEADER_BYTES: usize = 12;
+/// Name of the log file.
+const LOG_FILE: &str = "log";
+/// Name of the snapshot file.
+const SNAPSHOT_FILE: &str = "snapshot";
+
+/// Why the store cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreError {
+    /// A file operation failed.
+    Io {
+        /// File or folder.
+        path: PathBuf,
+    },
+    /// A file is damaged, other than by an unfinished last batch.
+    Damaged {
+        /// File.
+        path: PathBuf,
+        /// Where the damage begins, in bytes.
+        offset_bytes: u64,
+    },
+    /// Entries do not follow each other.
+    Gap {
+        /// File.
+        path: PathBuf,
+        /// Entry that does not follow the one before it.
+        index: LogIndex,
+    },
+    /// The files of a group that was started before are gone.
+    Missing {
+        /// Folder.
+        path: PathBuf,
+    },
+    /// A record cannot be encoded or decoded.
+    Encode,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Io { path } => write!(f, "{}: file operation failed", path.display()),
+            StoreError::Damaged { path, offset_bytes } => {
+                write!(f, "{}: damaged at byte {offset_bytes}", path.display())
+            }
+            StoreError::Gap { path, index } => {
+                write!(f, "{}: entry {index} does not follow", path.display())
+            }
+            StoreError::Missing { path } => {
+                write!(f, "{}: log and snapshot are gone", path.display())
+            }
+            StoreError::Encode => write!(f, "record cannot be encoded or decoded"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum LogRecord {
+    HardState(HardState),
+    /// Entries from this index on are no longer valid.
+    Truncate(LogIndex),
+    Entry(Entry),
+}
+
+/// What opening a store found besides its content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OpenNotes {
+    /// Bytes of an unfinished last batch that were cut off.
+    pub cut_bytes: u64,
+}
+
+/// Files of one group.
+#[derive(Debug)]
+pub struct GroupStore {
+    dir: PathBuf,
+    log: File,
+}
+
+impl GroupStore {
+    /// Opens or creates the store in a folder and reads what it holds.
+    pub fn open(dir: &Path) -> Result<(Self, Stored, OpenNotes), Report<StoreError>> {
+        std::fs::create_dir_all(dir).change_context_lazy(|| io_error(dir))?;
+        let snapshot: Option<StateSnapshot> = read_frame(&dir.join(SNAPSHOT_FILE))?;
+        let path = dir.join(LOG_FILE);
+        let mut log = open_log(&path)?;
+        let mut bytes = Vec::new();
+        log.read_to_end(&mut bytes)
+            .change_context_lazy(|| io_error(&path))?;
+        let (records, valid_bytes) = scan(&path, &bytes)?;
+        let cut_bytes = bytes.len() as u64 - valid_bytes;
+        if cut_bytes > 0 {
+            log.set_len(valid_bytes)
+                .and_then(|()| log.sync_all())
+                .change_context_lazy(|| io_error(&path))?;
+        }
+        log.seek(SeekFrom::End(0))
+            .change_context_lazy(|| io_error(&path))?;
+        sync_dir(dir)?;
+        let stored = replay(&path, records, snapshot)?;
+        let store = GroupStore {
+            dir: dir.to_owned(),
+            log,
+        };
+        Ok((store, stored, OpenNotes { cut_bytes }))
+    }
+
+    /// Makes the records of one round durable, with one sync. `current` is the term and vote
+    /// after the round, for a log that is written anew.
+    pub fn persist(&mut self, ready: &Ready, current: HardState) -> Result<(), Report<StoreError>> {
+        if let Some(snapshot) = &ready.snapshot {
+            return self.save_snapshot(snapshot, current, &ready.entries);
+        }
+        let hard_state = ready.hard_state.map(LogRecord::HardState);
+        let truncate = ready.truncate_from.map(LogRecord::Truncate);
+        let entries = ready.entries.iter().cloned().map(LogRecord::Entry);
+        let records: Vec<LogRecord> = hard_state
+            .into_iter()
+            .chain(truncate)
+            .chain(entries)
+            .collect();
+        if records.is_empty() {
+            return Ok(());
+        }
+        let batch = frame(&records)?;
+        let path = self.dir.join(LOG_FILE);
+        self.log
+            .write_all(&batch)
+            .and_then(|()| self.log.sync_data())
+            .change_context_lazy(|| io_error(&path))
+    }
+
+    /// Replaces the log by a snapshot and the entries after it.
+    ///
+    /// The snapshot is in place before the log shrinks, so that a crash in between loses nothing.
+    pub fn save_snapshot(
+        &mut self,
+        snapshot: &StateSnapshot,
+        hard_state: HardState,
+        entries: &[Entry],
+    ) -> Result<(), Report<StoreError>> {
+        write_frame(&self.dir.join(SNAPSHOT_FILE), snapshot)?;
+        let mut records = vec![LogRecord::HardState(hard_state)];
+        records.extend(entries.iter().cloned().map(LogRecord::Entry));
+        let path = self.dir.join(LOG_FILE);
+        replace_file(&path, &frame(&records)?)?;
+        self.log = open_log(&path)?;
+        self.log
+            .seek(SeekFrom::End(0))
+            .change_context_lazy(|| io_error(&path))?;
+        Ok(())
+    }
+}
+
+/// Reads a file that holds one frame; `None` if there is no such file.
+pub fn read_frame<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, Report<StoreError>> {
+    let bytes = match std::fs::read(path) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(Report::new(error).change_context(io_error(path))),
+    };
+    let damaged = || StoreError::Damaged {
+        path: path.to_owned(),
+        offset_bytes: 0,
+    };
+    match payload_at(&bytes, 0) {
+        Some((payload, end)) if end == bytes.len() => {
+            Ok(Some(decode(payload).change_context_lazy(damaged)?))
+        }
+        _ => Err(Report::new(damaged())),
+    }
+}
+
+/// Writes a file that holds one frame, in one step.
+pub fn write_frame(path: &Path, value: &impl Serialize) -> Result<(), Report<StoreError>> {
+    replace_file(path, &frame(value)?)
+}
+
+fn io_error(path: &Path) -> StoreError {
+    StoreError::Io {
+        path: path.to_owned(),
+    }
+}
+
+fn open_log(path: &Path) -> Result<File, Report<StoreError>> {
+    OpenOptions::new()
+        .read(true)
+        .write(true)
+        .create(true)
+        .truncate(false)
+        .open(path)
+        .change_context_lazy(|| io_error(path))
+}
+
+fn replace_file(path: &Path, bytes: &[u8]) -> Result<(), Report<StoreError>> {
+    let temporary = path.with_extension("new");
+    let write = || -> std::io::Result<()> {
+        let mut file = File::create(&temporary)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        std::fs::rename(&temporary, path)
+    };
+    write().change_context_lazy(|| io_error(path))?;
+    match path.parent() {
+        Some(dir) => sync_dir(dir),
+        None => Ok(()),
+    }
+}
+
+fn sync_dir(dir: &Path) -> Result<(), Report<StoreError>> {
+    File::open(dir)
+        .and_then(|dir| dir.sync_all())
+        .change_context_lazy(|| io_error(dir))
+}
+
+fn frame(value: &impl Serialize) -> Result<Vec<u8>, Report<StoreError>> {
+    let payload = encode(value).change_context(StoreError::Encode)?;
+    let length = u32::try_from(payload.len()).change_context(StoreError::Encode)?;
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
+    bytes.extend_from_slice(&MARKER);
+    bytes.extend_from_slice(&length.to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    bytes.extend_from_slice(&payload);
+    Ok(bytes)
+}
+
+/// The payload of the whole frame at an offset, and where the frame ends.
+fn payload_at(bytes: &[u8], offset: usize) -> Option<(&[u8], usize)> {
+    let header = bytes.get(offset..offset + HEADER_BYTES)?;
+    let (marker, numbers) = header.split_at(MARKER.len());
+    let (length, crc) = numbers.split_at(4);
+    if marker != MARKER {
+        return None;
+    }
+    let length = u32::from_le_bytes(length.try_into().ok()?) as usize;
+    let crc = u32::from_le_bytes(crc.try_into().ok()?);
+    let start = offset + HEADER_BYTES;
+    let payload = bytes.get(start..start.checked_add(length)?)?;
+    (crc32fast::hash(payload) == crc).then_some((payload, start + length))
+}
+
+/// Reads all batches; returns the records and the length of the valid part.
+fn scan(path: &Path, bytes: &[u8]) -> Result<(Vec<LogRecord>, u64), Report<StoreError>> {
+    let mut records = Vec::new();
+    let mut offset = 0;
+    let damaged = |offset: usize| StoreError::Damaged {
+        path: path.to_owned(),
+        offset_bytes: offset as u64,
+    };
+    while offset < bytes.len() {
+        let Some((payload, end)) = payload_at(bytes, offset) else {
+            // Only the last batch can be unfinished; a whole one after it proves damage.
+            if has_frame_after(bytes, offset + 1) {
+                return Err(Report::new(damaged(offset)));
+            }
+            break;
+        };
+        let batch: Vec<LogRecord> = decode(payload).change_context_lazy(|| damaged(offset))?;
+        records.extend(batch);
+        offset = end;
+    }
+    Ok((records, offset as u64))
+}
+
+fn has_frame_after(bytes: &[u8], from: usize) -> bool {
+    (from..bytes.len()).any(|offset| payload_at(bytes, offset).is_some())
+}
+
+fn replay(
+    path: &Path,
+    records: Vec<LogRecord>,
+    snapshot: Option<StateSnapshot>,
+) -> Result<Stored, Report<StoreError>> {
+    let mut hard_state = HardState::default();
+    let mut entries: Vec<Entry> = Vec::new();
+    for record in records {
+        match record {
+            LogRecord::HardState(state) => hard_state = state,
+            LogRecord::Truncate(from) => entries.retain(|entry| entry.index < from),
+            LogRecord::Entry(entry) => {
+                let expected = entries.last().map(|last| last.index + 1);
+                if expected.is_some_and(|expected| expected != entry.index) {
+                    let index = entry.index;
+                    let path = path.to_owned();
+                    return Err(Report::new(StoreError::Gap { path, index }));
+                }
+                entries.push(entry);
+            }
+        }
+    }
+    let entries = after_snapshot(path, entries, snapshot.as_ref())?;
+    Ok(Stored {
+        hard_state,
+        snapshot,
+        entries,
+    })
+}
+
+/// Drops the entries that a snapshot replaces, as after a crash before the log was shortened.
+fn after_snapshot(
+    path: &Path,
+    entries: Vec<Entry>,
+    snapshot: Option<&StateSnapshot>,
+) -> Result<Vec<Entry>, Report<StoreError>> {
+    let (index, term) = snapshot.map_or((0, 0), |s| (s.index, s.term));
+    let Some(first) = entries.first().map(|entry| entry.index) else {
+        return Ok(entries);
+    };
+    if first > index + 1 {
+        let path = path.to_owned();
+        return Err(Report::new(StoreError::Gap { path, index: first }));
+    }
+    let follows = first == index + 1
+        || entries
+            .iter()
+            .any(|entry| entry.index == index && entry.term == term);
+    if !follows {
+        return Ok(Vec::new());
+    }
+    Ok(entries
+        .into_iter()
+        .filter(|entry| entry.index > index)
+        .collect())
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/subscriber.rs
@@ -0,0 +1,364 @@
+//! Subscriber side of distribution: takes configuration and directory from a source, reports to it.
+
+use crate::emit;
+use crate::events;
+use crate::peer_client::{PeerReply, PeerRequest};
+use crate::shared::{lock, Shared};
+use crate::timer::sleep_until;
+use foxtailgauge_core::{
+    sources, Backoff, Cursor, Freshness, InstanceState, PollReply, PollRequest, ReportReply, Role,
+    Source, REPORT_INTERVAL_MS,
+};
+use foxtailgauge_wire::{decode, encode};
+use futures::future::{select, Either};
+use rand::Rng;
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time a subscriber waits for an answer beyond the hold it asked for.
+const POLL_SLACK: Duration = Duration::from_secs(2);
+/// Time a subscriber waits for the answer to a report or a probe.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a source is avoided after a failure.
+const AVOID_FAILED: Duration = Duration::from_secs(5);
+/// Interval at which a neighbour is asked for the version it holds.
+const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+/// Shortest and longest wait between attempts to reach a source.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+const RETRY_MAX: Duration = Duration::from_secs(2);
+/// Time until a daemon without a source looks for one again.
+const NO_SOURCE_WAIT: Duration = Duration::from_millis(100);
+
+/// The current source, shared by the polling and the reporting task.
+struct Current {
+    /// Changes with each new source.
+    serial: u64,
+    source: Option<Source>,
+    /// How far the source has been told about the directory.
+    reported: Option<Cursor>,
+    /// Start of the source process that was told.
+    source_epoch: u64,
+}
+
+struct Subscriber {
+    shared: Arc<Shared>,
+    current: Mutex<Current>,
+    avoided: Mutex<HashMap<String, Instant>>,
+    moved: event_listener::Event,
+}
+
+/// Starts the tasks of the subscriber.
+pub(crate) fn start(shared: &Arc<Shared>) {
+    let subscriber = Arc::new(Subscriber {
+        shared: Arc::clone(shared),
+        current: Mutex::new(Current {
+            serial: 0,
+            source: None,
+            reported: None,
+            source_epoch: 0,
+        }),
+        avoided: Mutex::new(HashMap::new()),
+        moved: event_listener::Event::new(),
+    });
+    async_std::task::spawn(poll_loop(Arc::clone(&subscriber)));
+    async_std::task::spawn(report_loop(Arc::clone(&subscriber)));
+    async_std::task::spawn(probe_loop(subscriber));
+    async_std::task::spawn(expire_loop(Arc::clone(shared)));
+}
+
+async fn expire_loop(shared: Arc<Shared>) {
+    loop {
+        async_std::task::sleep(Duration::from_millis(500)).await;
+        shared.expire_children();
+    }
+}
+
+impl Subscriber {
+    /// Sources in order of preference; none for a leader, which takes from nobody.
+    fn choices(&self) -> Vec<Source> {
+        let shared = &self.shared;
+        if let Some(replica) = shared.replica.get() {
+            let status = replica.config.status();
+            if status.role == Role::Leader {
+                return Vec::new();
+            }
+            let member = status.leader.and_then(|id| status.members.members.get(&id));
+            let source = member.map(|member| Source {
+                name: None,
+                control_addr: member.control_addr.clone(),
+            });
+            return source.into_iter().collect();
+        }
+        let settings = &shared.settings;
+        shared.with_directory(|directory| {
+            sources(
+                &settings.name,
+                &settings.failure_domain,
+                directory.live(),
+                &settings.replicas,
+                settings.distribution.relays,
+            )
+        })
+    }
+
+    /// The best source that is not avoided, else the one that is avoided for the shortest time.
+    fn choose(&self) -> Option<Source> {
+        let choices = self.choices();
+        let now = Instant::now();
+        let avoided = lock(&self.avoided);
+        let until = |source: &Source| avoided.get(&source.control_addr).copied().unwrap_or(now);
+        let free = choices.iter().find(|source| until(source) <= now);
+        free.or_else(|| choices.iter().min_by_key(|source| until(source)))
+            .cloned()
+    }
+
+    fn avoid(&self, source: &Source) {
+        let until = Instant::now() + AVOID_FAILED;
+        lock(&self.avoided).insert(source.control_addr.clone(), until);
+    }
+
+    /// Makes a source the current one; returns its serial.
+    fn attach(&self, source: &Source) -> u64 {
+        let mut current = lock(&self.current);
+        if current.source.as_ref().map(|s| &s.control_addr) == Some(&source.control_addr) {
+            return current.serial;
+        }
+        current.serial += 1;
+        current.source = Some(source.clone());
+        current.reported = None;
+        let serial = current.serial;
+        drop(current);
+        emit!(self.shared.log, events::SOURCE_CHANGED, "source" => &source.control_addr);
+        // A new state of the own entry leads answers and leases along the new path.
+        self.shared.renew_own_entry();
+        self.moved.notify(usize::MAX);
+        serial
+    }
+
+    fn detach(&self) {
+        let mut current = lock(&self.current);
+        if current.source.take().is_some() {
+            current.serial += 1;
+        }
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        source: &Source,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Option<T> {
+        let client = &self.shared.clients.control;
+        match client.call(&source.control_addr, request, timeout).await {
+            Ok(PeerReply::Payload(bytes)) => decode(&bytes).ok(),
+            _ => None,
+        }
+    }
+}
+
+async fn poll_loop(subscriber: Arc<Subscriber>) {
+    let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    let mut read: Option<(u64, Cursor)> = None;
+    loop {
+        let Some(source) = subscriber.choose() else {
+            subscriber.detach();
+            async_std::task::sleep(NO_SOURCE_WAIT).await;
+            continue;
+        };
+        let serial = subscriber.attach(&source);
+        let cursor = read
+            .filter(|(at, _)| *at == serial)
+            .map(|(_, cursor)| cursor);
+        match poll_once(&subscriber, &source, cursor).await {
+            Polled::News(cursor) => {
+                backoff.reset();
+                read = Some((serial, cursor));
+            }
+            Polled::Wait(wait) => async_std::task::sleep(wait).await,
+            Polled::Failed => {
+                subscriber.avoid(&source);
+                let wait = backoff.next_wait(&mut rand::rng());
+                async_std::task::sleep(wait).await;
+            }
+        }
+    }
+}
+
+enum Polled {
+    /// The directory is read up to the cursor.
+    News(Cursor),
+    /// The source asks to come back later.
+    Wait(Duration),
+    /// No answer, or one of no use.
+    Failed,
+}
+
+async fn poll_once(subscriber: &Subscriber, source: &Source, cursor: Option<Cursor>) -> Polled {
+    let shared = &subscriber.shared;
+    let (held_version, held_digest) = shared.held();
+    let hold = shared.settings.distribution.hold;
+    let request = PollRequest {
+        daemon: shared.settings.name.clone(),
+        held_version,
+        held_digest,
+        cursor,
+        hold_ms: u64::try_from(hold.as_millis()).unwrap_or(u64::MAX),
+    };
+    let Ok(bytes) = encode(&request) else {
+        return Polled::Failed;
+    };
+    shared.metrics.payload("sent", "poll", bytes.len());
+    let answer = subscriber
+        .ask(source, PeerRequest::Poll(bytes), hold + POLL_SLACK)
+        .await;
+    match answer {
+        Some(PollReply::News {
+            update,
+            instances,
+            cursor,
+            freshness,
+        }) => {
+            take_instances(shared, source, instances);
+            shared.hear_source(&freshness);
+            // The own replica may have been faster than the source.
+            let update = update.filter(|update| update.version() > shared.held().0);
+            if let Some(update) = update {
+                if let Err(error) = shared.take_update(&update) {
+                    emit!(shared.log, events::UPDATE_REFUSED, "source" => &source.control_addr,
+                        "version" => update.version(), "error" => error.to_string());
+                }
+            }
+            leave_if_stale(subscriber, source, &freshness);
+            Polled::News(cursor)
+        }
+        Some(PollReply::Busy { retry_after_ms }) => {
+            emit!(shared.log, events::SOURCE_BUSY, "retry_after_ms" => retry_after_ms);
+            let spread_ms = rand::rng().random_range(0..=retry_after_ms);
+            Polled::Wait(Duration::from_millis(retry_after_ms + spread_ms))
+        }
+        None => {
+            emit!(shared.log, events::SOURCE_FAILED, "source" => &source.control_addr);
+            Polled::Failed
+        }
+    }
+}
+
+fn take_instances(shared: &Shared, source: &Source, instances: Vec<InstanceState>) {
+    if instances.is_empty() {
+        return;
+    }
+    // The source's name is known once its entry has been read.
+    let by_addr = |i: &&InstanceState| i.control_addr == source.control_addr;
+    let heard = instances.iter().find(by_addr).map(|i| i.name.clone());
+    let known = || {
+        shared.with_directory(|directory| {
+            let mut all = directory.all();
+            all.find(|i| i.control_addr == source.control_addr)
+                .map(|i| i.name.clone())
+        })
+    };
+    let via = source.name.clone().or(heard).or_else(known);
+    shared.merge_instances(
+        instances,
+        &via.unwrap_or_else(|| source.control_addr.clone()),
+    );
+}
+
+fn leave_if_stale(subscriber: &Subscriber, source: &Source, freshness: &Freshness) {
+    let shared = &subscriber.shared;
+    if freshness.is_stale(shared.highest_heard()) && subscriber.choices().len() > 1 {
+        emit!(shared.log, events::SOURCE_STALE, "source" => &source.control_addr,
+            "version" => freshness.version);
+        subscriber.avoid(source);
+    }
+}
+
+async fn report_loop(subscriber: Arc<Subscriber>) {
+    let shared = Arc::clone(&subscriber.shared);
+    loop {
+        let upward = shared.upward.listen();
+        let moved = subscriber.moved.listen();
+        report_once(&subscriber).await;
+        let deadline = Instant::now() + Duration::from_millis(REPORT_INTERVAL_MS);
+        let news = select(upward, moved);
+        if let Either::Left(_) = select(news, sleep_until(deadline)).await {
+            // Gathers what a burst of changes below brings.
+            async_std::task::sleep(shared.settings.distribution.batch).await;
+        }
+    }
+}
+
+async fn report_once(subscriber: &Subscriber) {
+    let shared = &subscriber.shared;
+    let (serial, source, reported) = {
+        let current = lock(&subscriber.current);
+        let Some(source) = current.source.clone() else {
+            return;
+        };
+        (current.serial, source, current.reported)
+    };
+    let name = source.name.clone().unwrap_or_else(|| {
+        shared.with_directory(|directory| {
+            let mut all = directory.all();
+            let found = all.find(|i| i.control_addr == source.control_addr);
+            found.map(|i| i.name.clone()).unwrap_or_default()
+        })
+    });
+    let (request, cursor) = shared.report_since(reported, &name);
+    let Ok(bytes) = encode(&request) else {
+        return;
+    };
+    shared.metrics.payload("sent", "report", bytes.len());
+    let answer: Option<ReportReply> = subscriber
+        .ask(&source, PeerRequest::Report(bytes), REPORT_TIMEOUT)
+        .await;
+    let Some(answer) = answer else {
+        subscriber.avoid(&source);
+        return;
+    };
+    shared.hear_source(&answer.freshness);
+    leave_if_stale(subscriber, &source, &answer.freshness);
+    let mut current = lock(&subscriber.current);
+    if current.serial != serial {
+        return;
+    }
+    // A source that restarted has forgotten what it was told.
+    let is_same_process = current.source_epoch == answer.freshness.epoch;
+    let was_complete = reported.is_none() || is_same_process;
+    current.source_epoch = answer.freshness.epoch;
+    current.reported = was_complete.then_some(cursor);
+    if !was_complete {
+        drop(current);
+        shared.upward.notify(usize::MAX);
+    }
+}
+
+/// Asks a neighbour now and then which version it holds, so that a source that is cut off does not
+/// pass for current.
+async fn probe_loop(subscriber: Arc<Subscriber>) {
+    let shared = &subscriber.shared;
+    loop {
+        let jitter = rand::rng().random_range(0.5..1.0);
+        async_std::task::sleep(PROBE_INTERVAL.mul_f64(jitter)).await;
+        let neighbours: Vec<Source> = shared.with_directory(|directory| {
+            let others = directory.live().filter(|i| i.name != shared.settings.name);
+            let source = |i: &InstanceState| Source {
+                name: Some(i.name.clone()),
+                control_addr: i.control_addr.clone(),
+            };
+            others.map(source).collect()
+        });
+        if neighbours.is_empty() {
+            continue;
+        }
+        let index = rand::rng().random_range(0..neighbours.len());
+        let answer: Option<ReportReply> = subscriber
+            .ask(&neighbours[index], PeerRequest::Probe, REPORT_TIMEOUT)
+            .await;
+        if let Some(answer) = answer {
+            shared.hear_version(answer.freshness.highest_version);
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/timer.rs
@@ -0,0 +1,10 @@
+//! Waiting until a point in time.
+
+use futures::future::BoxFuture;
+use std::time::Instant;
+
+/// Ends at the instant.
+pub(crate) fn sleep_until(deadline: Instant) -> BoxFuture<'static, ()> {
+    let wait = deadline.saturating_duration_since(Instant::now());
+    Box::pin(async_std::task::sleep(wait))
+}
--- /dev/null
+++ b/crates/foxtailgauge-wire/src/lib.rs
@@ -0,0 +1,26 @@
+//! Protocols between the processes of foxtailgauge: calls, control payloads, the handshake.
+//!
+//! ```
+//! use foxtailgauge_wire::{decode, encode, Group, SubmitRequest};
+//!
+//! let bytes = encode(&SubmitRequest::Status)?;
+//! assert_eq!(decode::<SubmitRequest>(&bytes)?, SubmitRequest::Status);
+//! assert_eq!(Group::from_number(Group::Ledger.number()), Some(Group::Ledger));
+//! # Ok::<(), foxtailgauge_wire::CodecError>(())
+//! ```
+
+pub mod api;
+mod call;
+mod codec;
+#[allow(missing_docs, clippy::all, clippy::pedantic, unsafe_code)]
+#[rustfmt::skip]
+pub mod foxtailgauge_capnp;
+pub mod handshake;
+pub mod http;
+mod submit;
+
+pub use call::{CallAnswer, CallReply, CallRequest, Cause, Outcome};
+pub use codec::{decode, encode, CodecError};
+pub use submit::{
+    DomainStatus, FleetStatus, FormationState, Group, GroupStatus, SubmitReply, SubmitRequest,
+};
