Count holders as sets; notice daemons lost together with the root

A daemon that moved to another source was counted by the old and the new one, and the second count stood in for the missing daemon. The new root never marked the former root lost, as no child had ever reported it.

Ruled out: waiting for leases to end before counting. The counts agree by accident at any time two sources overlap.

Change: counts carry a sum of identity hashes (MemberSet), and only equal sets are "everywhere". The root marks daemons lost that no child reports for 6 s. Reports hold only the own entry and the subtree. A daemon that leaves a source writes a new state, and the source drops it. A source that answers is kept for at least 1 s.

--- a/crates/foxtailgauge-bench/src/fleet.rs
+++ b/crates/foxtailgauge-bench/src/fleet.rs
@@ -18,7 +18,7 @@
 
 /// Arguments of `pids`.
 #[derive(Debug, Args)]
-pub(crate) struct PidsArguments {
+pub struct PidsArguments {
     /// Folder of the fleet.
     #[arg(long)]
     dir: PathBuf,
@@ -26,7 +26,7 @@
 
 /// Arguments of `ready`.
 #[derive(Debug, Args)]
-pub(crate) struct ReadyArguments {
+pub struct ReadyArguments {
     /// Folder of the fleet.
     #[arg(long)]
     dir: PathBuf,
@@ -39,12 +39,12 @@
 }
 
 /// Reads the plan of a fleet.
-pub(crate) fn read_fleet(dir: &std::path::Path) -> BenchResult<Fleet> {
+pub fn read_fleet(dir: &std::path::Path) -> BenchResult<Fleet> {
     read_json(&dir.join("fleet.json"))
 }
 
 /// Enters the ids from `pids.tsv` (name, tab, id) into the plan.
-pub(crate) fn enter_pids(arguments: &PidsArguments) -> BenchResult<()> {
+pub fn enter_pids(arguments: &PidsArguments) -> BenchResult<()> {
     let path = arguments.dir.join("pids.tsv");
     let text =
         std::fs::read_to_string(&path).change_context_lazy(|| BenchError::File(path.clone()))?;
@@ -66,7 +66,7 @@
 }
 
 /// Waits until every daemon knows as many daemons as there are, and holds the version.
-pub(crate) async fn wait_ready(arguments: &ReadyArguments) -> BenchResult<()> {
+pub async fn wait_ready(arguments: &ReadyArguments) -> BenchResult<()> {
     let fleet = read_fleet(&arguments.dir)?;
     let token = std::fs::read_to_string(&fleet.token_file)
         .change_context_lazy(|| BenchError::File(fleet.token_file.clone()))?;
@@ -94,7 +94,7 @@
 }
 
 /// What one daemon holds.
-pub(crate) async fn local(admin: SocketAddr, token: &str) -> Option<LocalReply> {
+pub async fn local(admin: SocketAddr, token: &str) -> Option<LocalReply> {
     let headers = [(
         "Authorization".to_owned(),
         format!("Bearer {}", token.trim()),
--- a/crates/foxtailgauge-bench/src/json_file.rs
+++ b/crates/foxtailgauge-bench/src/json_file.rs
@@ -8,7 +8,7 @@
 
 /// Why a command failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum BenchError {
+pub enum BenchError {
     /// A file cannot be read or written.
     File(PathBuf),
     /// A port or address cannot be had.
@@ -33,23 +33,23 @@
 impl std::error::Error for BenchError {}
 
 /// Result of a command.
-pub(crate) type BenchResult<T> = Result<T, Report<BenchError>>;
+pub type BenchResult<T> = Result<T, Report<BenchError>>;
 
 /// Reads a JSON file.
-pub(crate) fn read_json<T: DeserializeOwned>(path: &Path) -> BenchResult<T> {
+pub fn read_json<T: DeserializeOwned>(path: &Path) -> BenchResult<T> {
     let failed = || BenchError::File(path.to_owned());
     let text = std::fs::read_to_string(path).change_context_lazy(failed)?;
     serde_json::from_str(&text).change_context_lazy(failed)
 }
 
 /// Writes a JSON file.
-pub(crate) fn write_json(path: &Path, value: &impl Serialize) -> BenchResult<()> {
+pub fn write_json(path: &Path, value: &impl Serialize) -> BenchResult<()> {
     let failed = || BenchError::File(path.to_owned());
     let text = serde_json::to_string_pretty(value).change_context_lazy(failed)?;
     write_text(path, &text)
 }
 
 /// Writes a text file.
-pub(crate) fn write_text(path: &Path, text: &str) -> BenchResult<()> {
+pub fn write_text(path: &Path, text: &str) -> BenchResult<()> {
     std::fs::write(path, text).change_context_lazy(|| BenchError::File(path.to_owned()))
 }
--- /dev/null
+++ b/crates/foxtailgauge-bench/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-in backend server, load generator, cuttable links and fleet plans. Not shipped.
+//!
+//! ```
+//! use foxtailgauge_bench::relay::RelayPlan;
+//!
+//! let plan = RelayPlan { links: Vec::new() };
+//! assert!(plan.links.is_empty());
+//! ```
+
+pub mod call;
+pub mod fleet;
+pub mod json_file;
+pub mod load;
+pub mod plan;
+pub mod relay;
+pub mod stand_in;
--- a/crates/foxtailgauge-bench/src/load.rs
+++ b/crates/foxtailgauge-bench/src/load.rs
@@ -25,7 +25,7 @@
 
 /// Arguments of `load`.
 #[derive(Clone, Debug, Args)]
-pub(crate) struct LoadArguments {
+pub struct LoadArguments {
     /// Addresses to send to, in turn.
     #[arg(long, value_delimiter = ',', required = true)]
     to: Vec<SocketAddr>,
@@ -77,7 +77,7 @@
 }
 
 /// Runs a load and prints what it measured as one JSON line.
-pub(crate) async fn run(arguments: &LoadArguments) -> BenchResult<()> {
+pub async fn run(arguments: &LoadArguments) -> BenchResult<()> {
     let shared = Arc::new(Shared {
         arguments: arguments.clone(),
         next: AtomicU64::new(0),
--- a/crates/foxtailgauge-bench/src/main.rs
+++ b/crates/foxtailgauge-bench/src/main.rs
@@ -1,13 +1,7 @@
 //! Stand-in backend server, load generator, cuttable links and fleet plans. Not shipped.
 
-mod fleet;
-mod json_file;
-mod load;
-mod plan;
-mod relay;
-mod stand_in;
-
 use clap::{Parser, Subcommand};
+use foxtailgauge_bench::{call, fleet, load, plan, relay, stand_in};
 use std::process::ExitCode;
 
 /// Tools around a fleet on one machine.
@@ -30,6 +24,8 @@
     Backend(stand_in::StandInArguments),
     /// Run the links between the daemons of a cuttable fleet.
     Relay(relay::RelayArguments),
+    /// Send one request and print the answer.
+    Call(call::CallArguments),
     /// Send requests and measure.
     Load(load::LoadArguments),
     /// Print a new idempotency key.
@@ -45,6 +41,7 @@
             Command::Ready(arguments) => fleet::wait_ready(&arguments).await,
             Command::Backend(arguments) => stand_in::run(arguments).await,
             Command::Relay(arguments) => relay::run(&arguments).await,
+            Command::Call(arguments) => call::run(&arguments).await,
             Command::Load(arguments) => load::run(&arguments).await,
             Command::Key => {
                 println!("{}", uuid::Uuid::now_v7());
--- a/crates/foxtailgauge-bench/src/plan.rs
+++ b/crates/foxtailgauge-bench/src/plan.rs
@@ -15,7 +15,7 @@
 
 /// Users' deployments, at the sizes of today.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
-pub(crate) enum Deployment {
+pub enum Deployment {
     /// Three failure domains, three services.
     Rybar,
     /// Four failure domains, three services.
@@ -24,7 +24,7 @@
 
 /// Arguments of `plan`.
 #[derive(Debug, Args)]
-pub(crate) struct PlanArguments {
+pub struct PlanArguments {
     /// Deployment.
     #[arg(long, value_enum, default_value = "rybar")]
     deployment: Deployment,
@@ -44,46 +44,61 @@
 
 /// A planned fleet.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Fleet {
+pub struct Fleet {
     /// Team that owns the configuration.
-    pub(crate) team: String,
+    pub team: String,
     /// File with the team's admin token.
-    pub(crate) token_file: PathBuf,
+    pub token_file: PathBuf,
     /// The team's configuration.
-    pub(crate) config_file: PathBuf,
+    pub config_file: PathBuf,
     /// Daemons.
-    pub(crate) daemons: Vec<DaemonPlan>,
+    pub daemons: Vec<DaemonPlan>,
     /// Backend servers.
-    pub(crate) backend_servers: Vec<BackendPlan>,
+    pub backend_servers: Vec<BackendPlan>,
     /// Process id of the links, 0 if the fleet cannot be cut.
-    pub(crate) relay_pid: u32,
+    pub relay_pid: u32,
 }
 
 /// One daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct DaemonPlan {
-    pub(crate) name: String,
-    pub(crate) failure_domain: String,
-    pub(crate) pid: u32,
-    pub(crate) caller_addr: SocketAddr,
-    pub(crate) admin_addr: SocketAddr,
-    pub(crate) announce_addr: SocketAddr,
-    pub(crate) replica: bool,
-    pub(crate) data_dir: Option<PathBuf>,
-    pub(crate) settings_file: PathBuf,
+pub struct DaemonPlan {
+    /// Unique name.
+    pub name: String,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Process id, 0 before the start.
+    pub pid: u32,
+    /// Callers' HTTP.
+    pub caller_addr: SocketAddr,
+    /// Operators' HTTP.
+    pub admin_addr: SocketAddr,
+    /// Announcements of backend servers.
+    pub announce_addr: SocketAddr,
+    /// Whether it keeps replicated state.
+    pub replica: bool,
+    /// Data folder of a replica.
+    pub data_dir: Option<PathBuf>,
+    /// Settings.
+    pub settings_file: PathBuf,
 }
 
 /// One backend server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct BackendPlan {
-    pub(crate) name: String,
-    pub(crate) service: String,
-    pub(crate) failure_domain: String,
-    pub(crate) pid: u32,
-    pub(crate) addr: SocketAddr,
-    pub(crate) journal: PathBuf,
+pub struct BackendPlan {
+    /// Unique name.
+    pub name: String,
+    /// Service it belongs to.
+    pub service: String,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Process id, 0 before the start.
+    pub pid: u32,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Journal file.
+    pub journal: PathBuf,
     /// Daemon beside it.
-    pub(crate) daemon: String,
+    pub daemon: String,
 }
 
 struct Shape {
@@ -153,7 +168,7 @@
 }
 
 /// Writes a plan.
-pub(crate) fn run(arguments: &PlanArguments) -> BenchResult<()> {
+pub fn run(arguments: &PlanArguments) -> BenchResult<()> {
     let dir = absolute(&arguments.dir)?;
     let shape = arguments.deployment.shape();
     let members = members(shape, arguments.scale);
--- a/crates/foxtailgauge-bench/src/relay.rs
+++ b/crates/foxtailgauge-bench/src/relay.rs
@@ -22,7 +22,7 @@
 
 /// Arguments of `relay`.
 #[derive(Debug, Args)]
-pub(crate) struct RelayArguments {
+pub struct RelayArguments {
     /// Links.
     #[arg(long)]
     plan: PathBuf,
@@ -34,22 +34,26 @@
 
 /// All links.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct RelayPlan {
-    pub(crate) links: Vec<Link>,
+pub struct RelayPlan {
+    /// All links.
+    pub links: Vec<Link>,
 }
 
 /// A link to one port of one daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Link {
-    pub(crate) listen: SocketAddr,
-    pub(crate) target: SocketAddr,
-    pub(crate) failure_domain: String,
+pub struct Link {
+    /// Address of the link.
+    pub listen: SocketAddr,
+    /// Address it leads to.
+    pub target: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: String,
 }
 
 type Cuts = Arc<RwLock<BTreeSet<String>>>;
 
 /// Runs the links until the process is ended.
-pub(crate) async fn run(arguments: &RelayArguments) -> BenchResult<()> {
+pub async fn run(arguments: &RelayArguments) -> BenchResult<()> {
     let plan: RelayPlan = read_json(&arguments.plan)?;
     let cuts = Cuts::default();
     for link in plan.links {
--- a/crates/foxtailgauge-bench/src/stand_in.rs
+++ b/crates/foxtailgauge-bench/src/stand_in.rs
@@ -35,7 +35,7 @@
 
 /// Arguments of `backend`.
 #[derive(Clone, Debug, Args)]
-pub(crate) struct StandInArguments {
+pub struct StandInArguments {
     /// Name.
     #[arg(long)]
     name: String,
@@ -107,7 +107,7 @@
 }
 
 /// Runs the backend server until it is told to leave and has nothing left to do.
-pub(crate) async fn run(arguments: StandInArguments) -> BenchResult<()> {
+pub async fn run(arguments: StandInArguments) -> BenchResult<()> {
     let journal = match &arguments.journal {
         Some(path) => Some(
             File::options()
--- a/crates/foxtailgauge-cli/src/commands.rs
+++ b/crates/foxtailgauge-cli/src/commands.rs
@@ -202,9 +202,10 @@
 /// Whether every live daemon holds the version or a newer one.
 fn is_everywhere(status: &FleetStatus, version: ConfigVersion) -> bool {
     !status.domains.is_empty()
-        && status.domains.iter().all(|domain| {
-            render::holders(status, &domain.failure_domain, version) >= domain.daemons
-        })
+        && status
+            .domains
+            .iter()
+            .all(|domain| render::holders(status, &domain.failure_domain, version) == domain.live)
 }
 
 async fn watch(client: &Client, timeout_s: u64, keep: bool) -> Result<Exit, ClientError> {
--- a/crates/foxtailgauge-cli/src/render.rs
+++ b/crates/foxtailgauge-cli/src/render.rs
@@ -1,6 +1,6 @@
 //! Text for people.
 
-use foxtailgauge_core::{ChangeAnswer, ConfigProblem, ConfigVersion};
+use foxtailgauge_core::{ChangeAnswer, ConfigProblem, ConfigVersion, MemberSet};
 use foxtailgauge_wire::api::{AuditReply, HistoryReply};
 use foxtailgauge_wire::FleetStatus;
 use serde::Serialize;
@@ -77,12 +77,14 @@
 }
 
 /// Daemons of a failure domain that hold the version or a newer one.
-pub(crate) fn holders(status: &FleetStatus, domain: &str, version: ConfigVersion) -> u32 {
-    let holds = status
-        .held
-        .iter()
-        .filter(|count| count.failure_domain == domain && count.version >= version);
-    holds.map(|count| count.daemons).sum()
+pub(crate) fn holders(status: &FleetStatus, domain: &str, version: ConfigVersion) -> MemberSet {
+    let mut members = MemberSet::default();
+    for count in &status.held {
+        if count.failure_domain == domain && count.version >= version {
+            members.extend(count.members);
+        }
+    }
+    members
 }
 
 /// One line a failure domain: how many of its daemons hold a version.
@@ -90,10 +92,11 @@
     let mut text = String::new();
     for domain in &status.domains {
         let name = &domain.failure_domain;
-        let count = holders(status, name, version).min(domain.daemons);
+        let live = domain.live.daemons;
+        let count = holders(status, name, version).daemons.min(live);
         line(
             &mut text,
-            format_args!("  {name}: {count} of {} daemons", domain.daemons),
+            format_args!("  {name}: {count} of {live} daemons"),
         );
     }
     text
@@ -143,8 +146,9 @@
         .iter()
         .map(|domain| {
             let name = &domain.failure_domain;
-            let count = holders(status, name, status.version).min(domain.daemons);
-            format!("{name} {count}/{}", domain.daemons)
+            let live = domain.live.daemons;
+            let count = holders(status, name, status.version).daemons.min(live);
+            format!("{name} {count}/{live}")
         })
         .collect();
     format!("version {}  {}", status.version, parts.join("  "))
--- a/crates/foxtailgauge-core/src/children.rs
+++ b/crates/foxtailgauge-core/src/children.rs
@@ -2,11 +2,11 @@
 
 use crate::directory::Directory;
 use crate::ids::{ConfigVersion, DaemonName, FailureDomain, Incarnation};
-use crate::sync::{ReportRequest, VersionCount, CHILD_LEASE_MS};
+use crate::sync::{MemberSet, ReportRequest, VersionCount, CHILD_LEASE_MS};
 use std::collections::BTreeMap;
 
-/// Time that the subtree of a lost child has to report through another source, in milliseconds.
-const ORPHAN_GRACE_MS: u64 = 10_000;
+/// Time that daemons have to report through another source when theirs is lost, in milliseconds.
+const ORPHAN_GRACE_MS: u64 = 6_000;
 
 #[derive(Clone, Debug)]
 struct Child {
@@ -23,6 +23,8 @@
     children: BTreeMap<DaemonName, Child>,
     /// Lost children whose subtree has until the given time to move.
     orphans: BTreeMap<DaemonName, u64>,
+    /// Daemons that no child reports, at the root, with the time until which they may turn up.
+    unheard: BTreeMap<DaemonName, u64>,
 }
 
 impl Children {
@@ -36,6 +38,11 @@
         self.children.is_empty()
     }
 
+    /// Whether the daemon is a child with a lease.
+    pub fn contains(&self, name: &str) -> bool {
+        self.children.contains_key(name)
+    }
+
     /// Takes a report: renews the lease and merges what the subtree tells. Returns whether the
     /// counts or the directory changed.
     pub fn report(
@@ -45,7 +52,7 @@
         now_ms: u64,
     ) -> bool {
         let name = request.daemon;
-        let has_entries_changed = directory.merge(request.instances, &name);
+        let has_entries_changed = directory.merge_report(request.instances, &name);
         let sequence = directory.get(&name).map_or(0, |state| state.sequence);
         self.orphans.remove(&name);
         let child = Child {
@@ -60,8 +67,11 @@
         has_entries_changed || has_counts_changed
     }
 
-    /// Drops children whose lease ended and marks them lost, unless they moved to another source.
+    /// Drops children that moved to another source, and children whose lease ended; marks the
+    /// latter lost.
     pub fn expire(&mut self, directory: &mut Directory, now_ms: u64) -> Vec<DaemonName> {
+        self.children
+            .retain(|name, child| !has_moved(child, name, directory));
         let is_over = |child: &Child| now_ms > child.heard_ms + CHILD_LEASE_MS;
         let over: Vec<DaemonName> = self
             .children
@@ -71,12 +81,11 @@
             .collect();
         let mut lost = Vec::new();
         for name in over {
-            if let Some(child) = self.children.remove(&name) {
-                if !has_moved(&child, &name, directory) && directory.mark_lost(&name) {
-                    lost.push(name.clone());
-                }
-                self.orphans.insert(name, now_ms + ORPHAN_GRACE_MS);
+            self.children.remove(&name);
+            if directory.mark_lost(&name) {
+                lost.push(name.clone());
             }
+            self.orphans.insert(name, now_ms + ORPHAN_GRACE_MS);
         }
         lost.extend(self.expire_orphans(directory, now_ms));
         lost
@@ -101,23 +110,57 @@
         lost
     }
 
+    /// At the root, marks daemons lost that no child has reported for a while, as those that were
+    /// known only through an earlier root.
+    pub fn expire_unheard(&mut self, directory: &mut Directory, now_ms: u64) -> Vec<DaemonName> {
+        let children = &self.children;
+        let unheard = directory.not_heard_via(|via| children.contains_key(via));
+        self.unheard.retain(|name, _| unheard.contains(name));
+        let mut lost = Vec::new();
+        for name in unheard {
+            let due_ms = *self
+                .unheard
+                .entry(name.clone())
+                .or_insert(now_ms + ORPHAN_GRACE_MS);
+            if due_ms <= now_ms && directory.mark_lost(&name) {
+                lost.push(name);
+            }
+        }
+        lost
+    }
+
+    /// Forgets which daemons were unheard, as when another daemon becomes the root.
+    pub fn forget_unheard(&mut self) {
+        self.unheard.clear();
+    }
+
     /// Versions held by the whole subtree, with the source itself at `own_version`.
-    pub fn counts(&self, own_domain: &str, own_version: ConfigVersion) -> Vec<VersionCount> {
-        let mut totals: BTreeMap<(FailureDomain, ConfigVersion), u32> = BTreeMap::new();
-        totals.insert((own_domain.to_owned(), own_version), 1);
+    pub fn counts(
+        &self,
+        own: (&str, Incarnation),
+        own_domain: &str,
+        own_version: ConfigVersion,
+    ) -> Vec<VersionCount> {
+        let mut totals: BTreeMap<(FailureDomain, ConfigVersion), MemberSet> = BTreeMap::new();
+        let own_total = totals
+            .entry((own_domain.to_owned(), own_version))
+            .or_default();
+        own_total.insert(own.0, own.1);
         for count in self.children.values().flat_map(|child| &child.counts) {
             let key = (count.failure_domain.clone(), count.version);
-            *totals.entry(key).or_insert(0) += count.daemons;
+            totals.entry(key).or_default().extend(count.members);
         }
-        let line = |((failure_domain, version), daemons)| VersionCount {
+        let line = |((failure_domain, version), members)| VersionCount {
             failure_domain,
             version,
-            daemons,
+            members,
         };
         totals.into_iter().map(line).collect()
     }
 }
 
+/// Whether the child has written a state since its last report that did not come from it: it wrote
+/// that state for another source.
 fn has_moved(child: &Child, name: &str, directory: &Directory) -> bool {
     directory.get(name).is_some_and(|state| {
         (state.incarnation, state.sequence) > (child.incarnation, child.sequence)
--- a/crates/foxtailgauge-core/src/directory.rs
+++ b/crates/foxtailgauge-core/src/directory.rs
@@ -145,6 +145,19 @@
         has_changed
     }
 
+    /// Takes over the states that a child reports. A state that is held already is from now on
+    /// known through that child.
+    pub fn merge_report(&mut self, states: Vec<InstanceState>, child: &str) -> bool {
+        for state in &states {
+            if let Some(held) = self.entries.get_mut(&state.name) {
+                if held.state.rank() == state.rank() {
+                    held.via = child.to_owned();
+                }
+            }
+        }
+        self.merge(states, child)
+    }
+
     fn merge_one(&mut self, state: InstanceState, via: &str) -> bool {
         let name = state.name.clone();
         if let Some(held) = self.entries.get(&name) {
@@ -173,6 +186,17 @@
             .collect()
     }
 
+    /// Live daemons other than the owner whose state came through no neighbour that fits.
+    pub fn not_heard_via(&self, fits: impl Fn(&str) -> bool) -> Vec<DaemonName> {
+        let is_unheard =
+            |slot: &&Slot| !slot.state.is_lost && slot.via != self.owner && !fits(&slot.via);
+        self.entries
+            .values()
+            .filter(is_unheard)
+            .map(|slot| slot.state.name.clone())
+            .collect()
+    }
+
     /// Sequence the owner must exceed to refute a mark as lost, if it is marked.
     pub fn own_refutation(&self) -> Option<u64> {
         let own = self.get(&self.owner)?;
@@ -194,13 +218,32 @@
         self.merge_one(state, &owner)
     }
 
-    /// Entries changed since the cursor, without those that came from `reader`.
+    /// Entries changed since the cursor, for a reader that takes from this table: all but those
+    /// that came from it.
     ///
     /// A cursor of another epoch, or none, reads from the start.
     pub fn changes_since(
         &self,
         cursor: Option<Cursor>,
         reader: &str,
+    ) -> (Vec<InstanceState>, Cursor) {
+        self.changes(cursor, |via| via != reader)
+    }
+
+    /// Entries changed since the cursor, for a report to a source: the own one and those that came
+    /// from children. What came from a source earlier is not this daemon's to vouch for.
+    pub fn subtree_changes_since(
+        &self,
+        cursor: Option<Cursor>,
+        is_child: impl Fn(&str) -> bool,
+    ) -> (Vec<InstanceState>, Cursor) {
+        self.changes(cursor, |via| via == self.owner || is_child(via))
+    }
+
+    fn changes(
+        &self,
+        cursor: Option<Cursor>,
+        is_wanted: impl Fn(&str) -> bool,
     ) -> (Vec<InstanceState>, Cursor) {
         let from = match cursor {
             Some(cursor) if cursor.epoch == self.epoch => cursor.stamp,
@@ -210,7 +253,7 @@
             .by_stamp
             .range(from + 1..)
             .filter_map(|(_, name)| self.entries.get(name))
-            .filter(|slot| slot.via != reader)
+            .filter(|slot| is_wanted(&slot.via))
             .map(|slot| slot.state.clone())
             .collect();
         (changes, self.cursor())
--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -78,7 +78,7 @@
 pub use retry::RetryBudget;
 pub use snapshot::{Delta, Snapshot, SnapshotError, SnapshotHistory, Update};
 pub use sync::{
-    Freshness, PollReply, PollRequest, ReportReply, ReportRequest, VersionCount, CHILD_LEASE_MS,
-    REPORT_INTERVAL_MS, STALE_SOURCE_MS,
+    identity_hash, Freshness, MemberSet, PollReply, PollRequest, ReportReply, ReportRequest,
+    VersionCount, CHILD_LEASE_MS, REPORT_INTERVAL_MS, STALE_SOURCE_MS,
 };
 pub use tree::{relays, sources, Source};
--- a/crates/foxtailgauge-core/src/sync.rs
+++ b/crates/foxtailgauge-core/src/sync.rs
@@ -4,6 +4,7 @@
 use crate::ids::{ConfigVersion, DaemonName, Digest, FailureDomain, Incarnation};
 use crate::snapshot::Update;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 
 /// Quorum contact older than this makes a subscriber look for a better source, in milliseconds.
 pub const STALE_SOURCE_MS: u64 = 3_000;
@@ -71,6 +72,43 @@
     },
 }
 
+/// A set of daemons in constant size: their number, and the sum of hashes of their identities.
+///
+/// Two sets are taken as equal when both agree. A daemon that is counted twice, while it moves from
+/// one source to another, makes the set differ instead of standing in for a missing daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct MemberSet {
+    /// Number of daemons.
+    pub daemons: u32,
+    /// Wrapping sum of [`identity_hash`] over the daemons.
+    pub hash_sum: u64,
+}
+
+impl MemberSet {
+    /// Adds one daemon.
+    pub fn insert(&mut self, name: &str, incarnation: Incarnation) {
+        self.daemons += 1;
+        self.hash_sum = self.hash_sum.wrapping_add(identity_hash(name, incarnation));
+    }
+
+    /// Adds the daemons of another set.
+    pub fn extend(&mut self, other: MemberSet) {
+        self.daemons += other.daemons;
+        self.hash_sum = self.hash_sum.wrapping_add(other.hash_sum);
+    }
+}
+
+/// Hash of one process of a daemon.
+pub fn identity_hash(name: &str, incarnation: Incarnation) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update(incarnation.to_be_bytes());
+    hasher.update(name);
+    let hash: [u8; 32] = hasher.finalize().into();
+    let mut head = [0; 8];
+    head.copy_from_slice(&hash[..8]);
+    u64::from_be_bytes(head)
+}
+
 /// Daemons of one failure domain that hold one version.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct VersionCount {
@@ -78,8 +116,8 @@
     pub failure_domain: FailureDomain,
     /// Version held.
     pub version: ConfigVersion,
-    /// Number of daemons.
-    pub daemons: u32,
+    /// The daemons.
+    pub members: MemberSet,
 }
 
 /// Tells the source about the subscriber and all that take from it; renews its lease.
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -9,9 +9,9 @@
 use event_listener::Event;
 use foxtailgauge_core::{
     Balancer, Candidate, Children, ConfigVersion, Cursor, Digest, Directory, Fingerprint,
-    Freshness, Incarnation, InstanceState, PollReply, ReportRequest, ServerEntry, ServerKey,
-    ServerState, ServiceName, SessionLimit, Sightings, Snapshot, SnapshotError, SnapshotHistory,
-    SuspectIndex, UnixMs, Update,
+    Freshness, Incarnation, InstanceState, MemberSet, PollReply, ReportRequest, Role, ServerEntry,
+    ServerKey, ServerState, ServiceName, SessionLimit, Sightings, Snapshot, SnapshotError,
+    SnapshotHistory, SuspectIndex, UnixMs, Update, VersionCount,
 };
 use foxtailgauge_wire::{DomainStatus, FleetStatus};
 use slog::Logger;
@@ -314,13 +314,21 @@
         if has_changed {
             self.directory_changed();
         }
+        self.refute_loss();
     }
 
     /// Marks subscribers lost whose lease ended.
     pub(crate) fn expire_children(&self) {
         let now_ms = self.now_ms();
         let mut children = lock(&self.children);
-        let lost = children.expire(&mut lock(&self.directory), now_ms);
+        let mut directory = lock(&self.directory);
+        let mut lost = children.expire(&mut directory, now_ms);
+        if self.is_root() {
+            lost.extend(children.expire_unheard(&mut directory, now_ms));
+        } else {
+            children.forget_unheard();
+        }
+        drop(directory);
         self.metrics.children.set(children.len() as i64);
         drop(children);
         for name in &lost {
@@ -331,15 +339,20 @@
         }
     }
 
+    /// Whether this daemon takes from nobody, as it leads the configuration group.
+    pub(crate) fn is_root(&self) -> bool {
+        let replica = self.replica.get();
+        replica.is_some_and(|replica| replica.config.status().role == Role::Leader)
+    }
+
     /// What to report to a source: entries changed since the cursor, and the versions held below.
-    pub(crate) fn report_since(
-        &self,
-        cursor: Option<Cursor>,
-        source: &str,
-    ) -> (ReportRequest, Cursor) {
-        let (instances, cursor) = lock(&self.directory).changes_since(cursor, source);
+    pub(crate) fn report_since(&self, cursor: Option<Cursor>) -> (ReportRequest, Cursor) {
+        let (instances, cursor) = {
+            let children = lock(&self.children);
+            lock(&self.directory).subtree_changes_since(cursor, |name| children.contains(name))
+        };
         let (version, _) = self.held();
-        let counts = lock(&self.children).counts(&self.settings.failure_domain, version);
+        let counts = self.counts(version);
         let request = ReportRequest {
             daemon: self.settings.name.clone(),
             incarnation: self.incarnation,
@@ -349,6 +362,11 @@
         (request, cursor)
     }
 
+    fn counts(&self, version: ConfigVersion) -> Vec<VersionCount> {
+        let own = (self.settings.name.as_str(), self.incarnation);
+        lock(&self.children).counts(own, &self.settings.failure_domain, version)
+    }
+
     /// What a subscriber has not seen yet; `None` if there is nothing.
     pub(crate) fn news_for(&self, request: &foxtailgauge_core::PollRequest) -> Option<PollReply> {
         let update = lock(&self.config)
@@ -430,7 +448,7 @@
                 .map(ReplicaHandles::statuses)
                 .unwrap_or_default(),
             domains,
-            held: lock(&self.children).counts(&self.settings.failure_domain, version),
+            held: self.counts(version),
             ledger_keys: self.replica.get().map_or(0, ReplicaHandles::ledger_keys),
         }
     }
@@ -454,7 +472,7 @@
         let name = &instance.failure_domain;
         let status = domains.entry(name.clone()).or_insert_with(|| DomainStatus {
             failure_domain: name.clone(),
-            daemons: 0,
+            live: MemberSet::default(),
             lost_daemons: 0,
             ready_servers: 0,
             leaving_servers: 0,
@@ -463,7 +481,7 @@
             status.lost_daemons += 1;
             continue;
         }
-        status.daemons += 1;
+        status.live.insert(&instance.name, instance.incarnation);
         for server in &instance.servers {
             match server.state {
                 ServerState::Ready => status.ready_servers += 1,
--- a/crates/foxtailgauge-daemon/src/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/subscriber.rs
@@ -6,7 +6,7 @@
 use crate::shared::{lock, Shared};
 use crate::timer::sleep_until;
 use foxtailgauge_core::{
-    sources, Backoff, Cursor, Freshness, InstanceState, PollReply, PollRequest, ReportReply, Role,
+    sources, Backoff, Cursor, Freshness, InstanceState, PollReply, PollRequest, ReportReply,
     Source, REPORT_INTERVAL_MS,
 };
 use foxtailgauge_wire::{decode, encode};
@@ -28,6 +28,9 @@
 /// Shortest and longest wait between attempts to reach a source.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 const RETRY_MAX: Duration = Duration::from_secs(2);
+/// Time a daemon stays with a source that answers, so that it does not follow every change of the
+/// directory.
+const MIN_STAY: Duration = Duration::from_secs(1);
 /// Time until a daemon without a source looks for one again.
 const NO_SOURCE_WAIT: Duration = Duration::from_millis(100);
 
@@ -36,6 +39,7 @@
     /// Changes with each new source.
     serial: u64,
     source: Option<Source>,
+    since: Instant,
     /// How far the source has been told about the directory.
     reported: Option<Cursor>,
     /// Start of the source process that was told.
@@ -56,6 +60,7 @@
         current: Mutex::new(Current {
             serial: 0,
             source: None,
+            since: Instant::now(),
             reported: None,
             source_epoch: 0,
         }),
@@ -80,10 +85,10 @@
     fn choices(&self) -> Vec<Source> {
         let shared = &self.shared;
         if let Some(replica) = shared.replica.get() {
-            let status = replica.config.status();
-            if status.role == Role::Leader {
+            if shared.is_root() {
                 return Vec::new();
             }
+            let status = replica.config.status();
             let member = status.leader.and_then(|id| status.members.members.get(&id));
             let source = member.map(|member| Source {
                 name: None,
@@ -109,11 +114,22 @@
         let now = Instant::now();
         let avoided = lock(&self.avoided);
         let until = |source: &Source| avoided.get(&source.control_addr).copied().unwrap_or(now);
+        let stays = self.recent_source().filter(|source| until(source) <= now);
+        if stays.is_some() && !choices.is_empty() {
+            return stays;
+        }
         let free = choices.iter().find(|source| until(source) <= now);
         free.or_else(|| choices.iter().min_by_key(|source| until(source)))
             .cloned()
     }
 
+    /// The current source, if it is a recent one.
+    fn recent_source(&self) -> Option<Source> {
+        let current = lock(&self.current);
+        let is_recent = current.since.elapsed() < MIN_STAY;
+        current.source.clone().filter(|_| is_recent)
+    }
+
     fn avoid(&self, source: &Source) {
         let until = Instant::now() + AVOID_FAILED;
         lock(&self.avoided).insert(source.control_addr.clone(), until);
@@ -127,6 +143,7 @@
         }
         current.serial += 1;
         current.source = Some(source.clone());
+        current.since = Instant::now();
         current.reported = None;
         let serial = current.serial;
         drop(current);
@@ -139,9 +156,13 @@
 
     fn detach(&self) {
         let mut current = lock(&self.current);
-        if current.source.take().is_some() {
-            current.serial += 1;
+        if current.source.take().is_none() {
+            return;
         }
+        current.serial += 1;
+        drop(current);
+        // The former source sees by the new state that this daemon has left it.
+        self.shared.renew_own_entry();
     }
 
     async fn ask<T: DeserializeOwned>(
@@ -268,7 +289,9 @@
 
 fn leave_if_stale(subscriber: &Subscriber, source: &Source, freshness: &Freshness) {
     let shared = &subscriber.shared;
-    if freshness.is_stale(shared.highest_heard()) && subscriber.choices().len() > 1 {
+    let is_settled = subscriber.recent_source().is_none();
+    let is_stale = freshness.is_stale(shared.highest_heard());
+    if is_settled && is_stale && subscriber.choices().len() > 1 {
         emit!(shared.log, events::SOURCE_STALE, "source" => &source.control_addr,
             "version" => freshness.version);
         subscriber.avoid(source);
@@ -299,14 +322,7 @@
         };
         (current.serial, source, current.reported)
     };
-    let name = source.name.clone().unwrap_or_else(|| {
-        shared.with_directory(|directory| {
-            let mut all = directory.all();
-            let found = all.find(|i| i.control_addr == source.control_addr);
-            found.map(|i| i.name.clone()).unwrap_or_default()
-        })
-    });
-    let (request, cursor) = shared.report_since(reported, &name);
+    let (request, cursor) = shared.report_since(reported);
     let Ok(bytes) = encode(&request) else {
         return;
     };
--- a/crates/foxtailgauge-wire/src/submit.rs
+++ b/crates/foxtailgauge-wire/src/submit.rs
@@ -2,8 +2,8 @@
 
 use foxtailgauge_core::{
     AuditEntry, Change, ChangeAnswer, ConfigProblem, ConfigVersion, DaemonName, FailureDomain,
-    LedgerAnswer, LedgerCommand, Membership, ReplicaId, Revision, RevisionRecord, Role, TeamName,
-    Term, VersionCount,
+    LedgerAnswer, LedgerCommand, MemberSet, Membership, ReplicaId, Revision, RevisionRecord, Role,
+    TeamName, Term, VersionCount,
 };
 use serde::{Deserialize, Serialize};
 
@@ -182,7 +182,7 @@
     /// Failure domain.
     pub failure_domain: FailureDomain,
     /// Live daemons.
-    pub daemons: u32,
+    pub live: MemberSet,
     /// Daemons that are known and lost.
     pub lost_daemons: u32,
     /// Backend servers that take work.
