Core suites: ledger, operators' changes, distribution, policy

Cause: the decisions besides consensus had no tests.

Change: table-driven suites for ledger, registry, deltas, directory, tree, admission, balancing, retries and quarantine; a property test runs 2,000 random orders of ledger commands with a fixed seed.

--- a/crates/foxtailgauge-core/tests/consensus.rs
+++ b/crates/foxtailgauge-core/tests/consensus.rs
@@ -79,7 +79,9 @@
     assert!(cluster.node(old).quorum_age_ms().unwrap() >= ELECTION_MIN_MS);
     assert!(cluster.propose_at(old).is_none(), "refuses writes");
     assert!(cluster.node(old).read().is_err(), "refuses reads");
-    cluster.run_until(ELECT_LIMIT_MS, |c| c.leader().is_some_and(|leader| leader != old));
+    cluster.run_until(ELECT_LIMIT_MS, |c| {
+        c.leader().is_some_and(|leader| leader != old)
+    });
     commit_one(&mut cluster);
     cluster.settle();
 }
@@ -118,7 +120,12 @@
     let mut cluster = elected(3, 4);
     let leader = cluster.leader().unwrap();
     let term = cluster.node(leader).term();
-    let other = cluster.replicas.keys().copied().find(|id| *id != leader).unwrap();
+    let other = cluster
+        .replicas
+        .keys()
+        .copied()
+        .find(|id| *id != leader)
+        .unwrap();
     cluster.isolated.insert(other);
     cluster.run_ms(10 * ELECTION_MAX_MS);
     cluster.isolated.clear();
@@ -138,7 +145,12 @@
         let first = cluster.leader().unwrap();
         replace_disk(&mut cluster, first, 100);
         commit_one(&mut cluster);
-        let second = cluster.replicas.keys().copied().find(|id| *id != 100).unwrap();
+        let second = cluster
+            .replicas
+            .keys()
+            .copied()
+            .find(|id| *id != 100)
+            .unwrap();
         replace_disk(&mut cluster, second, 101);
         commit_one(&mut cluster);
         cluster.settle();
@@ -153,7 +165,9 @@
     cluster.add_empty(fresh);
     loop {
         cluster.run_ms(100);
-        let Some(leader) = cluster.leader() else { continue };
+        let Some(leader) = cluster.leader() else {
+            continue;
+        };
         let members = cluster.node(leader).membership().clone();
         if members.is_voter(fresh) {
             break;
@@ -164,7 +178,10 @@
     }
     let leader = cluster.leader().unwrap();
     let members = cluster.node(leader).membership().clone();
-    assert!(!members.members.contains_key(&lost), "the old identity is gone");
+    assert!(
+        !members.members.contains_key(&lost),
+        "the old identity is gone"
+    );
     assert_eq!(members.voters().count(), 3);
 }
 
@@ -192,7 +209,12 @@
     let mut cluster = elected(3, 11);
     cluster.compact_after = 4;
     let leader = cluster.leader().unwrap();
-    let other = cluster.replicas.keys().copied().find(|id| *id != leader).unwrap();
+    let other = cluster
+        .replicas
+        .keys()
+        .copied()
+        .find(|id| *id != leader)
+        .unwrap();
     cluster.crash(other);
     for _ in 0..30 {
         commit_one(&mut cluster);
--- a/crates/foxtailgauge-core/tests/consensus_rules.rs
+++ b/crates/foxtailgauge-core/tests/consensus_rules.rs
@@ -64,10 +64,13 @@
 }
 
 fn is_granted(ready: &Ready) -> bool {
-    ready.messages.iter().any(|envelope| match &envelope.message {
-        Message::VoteReply(reply) => reply.is_granted,
-        _ => false,
-    })
+    ready
+        .messages
+        .iter()
+        .any(|envelope| match &envelope.message {
+            Message::VoteReply(reply) => reply.is_granted,
+            _ => false,
+        })
 }
 
 /// Elects node 1 in a term after `current`, with the vote of node 2.
@@ -118,7 +121,10 @@
     let mut node = node(2, &[]);
     assert!(is_granted(&step(&mut node, 2, vote(5, 9, 9), 1)));
     assert!(!is_granted(&step(&mut node, 3, vote(5, 9, 9), 1)));
-    assert!(is_granted(&step(&mut node, 2, vote(5, 9, 9), 1)), "a resend is answered alike");
+    assert!(
+        is_granted(&step(&mut node, 2, vote(5, 9, 9), 1)),
+        "a resend is answered alike"
+    );
 }
 
 #[test]
@@ -151,7 +157,11 @@
     let stale = (2, 2);
     step(&mut node, 3, append(3, (1, 1), vec![command(2, 3)], 2), 2);
     node.persisted(stale);
-    let applied: Vec<LogIndex> = node.take_committed().iter().map(|entry| entry.index).collect();
+    let applied: Vec<LogIndex> = node
+        .take_committed()
+        .iter()
+        .map(|entry| entry.index)
+        .collect();
     assert!(!applied.contains(&2), "the entry of term 3 is not synced");
 }
 
@@ -162,7 +172,10 @@
     let ready = node.ready();
     node.persisted(ready.last);
     acknowledge(&mut node, 2, 2);
-    assert!(node.commit() < 2, "index 2 is of term 2, the leader's term is 3");
+    assert!(
+        node.commit() < 2,
+        "index 2 is of term 2, the leader's term is 3"
+    );
     acknowledge(&mut node, 2, 3);
     assert_eq!(node.commit(), 3, "the entry of the own term commits both");
 }
@@ -172,7 +185,10 @@
     let mut node = node(1, &[]);
     let ready = step(&mut node, 2, append(1, (1, 1), vec![command(2, 1)], 2), 1);
     let indexes = |node: &mut Node| -> Vec<LogIndex> {
-        node.take_committed().iter().map(|entry| entry.index).collect()
+        node.take_committed()
+            .iter()
+            .map(|entry| entry.index)
+            .collect()
     };
     assert_eq!(indexes(&mut node), [1]);
     node.persisted(ready.last);
@@ -213,10 +229,17 @@
 fn membership_changes_one_voter_at_a_time() {
     let members = members().with_learner(9, "address-2").unwrap();
     let removed = members.next_step(|id| id == 9).unwrap();
-    assert!(!removed.members.contains_key(&2), "the lost disk at the address goes first");
+    assert!(
+        !removed.members.contains_key(&2),
+        "the lost disk at the address goes first"
+    );
     assert!(!removed.is_voter(9));
     let promoted = removed.next_step(|id| id == 9).unwrap();
     assert!(promoted.is_voter(9));
     assert_eq!(promoted.next_step(|_| true), None);
-    assert_eq!(members.next_step(|_| false), None, "not before it caught up");
+    assert_eq!(
+        members.next_step(|_| false),
+        None,
+        "not before it caught up"
+    );
 }
--- /dev/null
+++ b/crates/foxtailgauge-core/tests/distribution.rs
@@ -0,0 +1,416 @@
+//! Deltas, the directory and its reports: late, twice, truncated, against a wrong base, moved.
+
+use foxtailgauge_core::{
+    parse_team, relays, sources, Children, Cursor, Delta, Directory, Freshness, InstanceState,
+    MemberSet, ReportRequest, SessionLimit, Snapshot, SnapshotError, SnapshotHistory, Update,
+    VersionCount, CHILD_LEASE_MS,
+};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+fn snapshot(version: u64, services: usize) -> Arc<Snapshot> {
+    let text: String = (0..services)
+        .map(|n| {
+            format!(
+                "[services/s{n}]\n[routes/r{n}]\nprefix = /r{n}\nmethods = GET\n\
+                 service = s{n}\ndeadline_ms = 1000\n"
+            )
+        })
+        .collect();
+    let config = parse_team("rybar", &text).unwrap();
+    let teams = BTreeMap::from([("rybar".to_owned(), config)]);
+    Arc::new(Snapshot::from_teams(version, &teams))
+}
+
+fn delta(base: &Snapshot, next: &Snapshot) -> Delta {
+    next.delta_from(base)
+}
+
+#[test]
+fn delta_leads_to_the_whole_version() {
+    let (one, two) = (snapshot(1, 3), snapshot(2, 5));
+    for (base, next) in [(&one, &two), (&one, &snapshot(2, 1))] {
+        let update = Update::Delta(delta(base, next));
+        assert_eq!(base.updated(&update).unwrap(), *next);
+    }
+}
+
+#[test]
+fn bad_updates_are_refused_whole() {
+    let (one, two, three) = (snapshot(1, 3), snapshot(2, 5), snapshot(3, 4));
+    let whole = delta(&two, &three);
+    let mut truncated = whole.clone();
+    truncated.services.clear();
+    let mut dangling = delta(&two, &snapshot(3, 6));
+    dangling.services.clear();
+    let mut forged = Snapshot::clone(&three);
+    forged.services.clear();
+    let table = [
+        (
+            "wrong base",
+            &one,
+            Update::Delta(whole.clone()),
+            SnapshotError::WrongBase,
+        ),
+        (
+            "late",
+            &three,
+            Update::Delta(delta(&one, &two)),
+            SnapshotError::Older,
+        ),
+        (
+            "truncated",
+            &two,
+            Update::Delta(truncated),
+            SnapshotError::DigestMismatch,
+        ),
+        (
+            "dangling",
+            &two,
+            Update::Delta(dangling),
+            SnapshotError::DigestMismatch,
+        ),
+        (
+            "older whole",
+            &two,
+            Update::Full(Arc::clone(&one)),
+            SnapshotError::Older,
+        ),
+        (
+            "altered whole",
+            &two,
+            Update::Full(Arc::new(forged)),
+            SnapshotError::DigestMismatch,
+        ),
+    ];
+    for (name, held, update, expected) in table {
+        assert_eq!(held.updated(&update).unwrap_err(), expected, "{name}");
+    }
+    // The same delta twice: the second one finds another base.
+    let update = Update::Delta(whole);
+    let after = two.updated(&update).unwrap();
+    assert_eq!(
+        after.updated(&update).unwrap_err(),
+        SnapshotError::WrongBase
+    );
+}
+
+#[test]
+fn open_reference_is_refused_even_with_a_fitting_digest() {
+    let mut teams = BTreeMap::new();
+    let mut config = parse_team("rybar", "[services/s]\n").unwrap();
+    let route = "[services/t]\n[routes/r]\nprefix = /r\nmethods = GET\n\
+        service = t\ndeadline_ms = 1000\n";
+    config.routes = parse_team("rybar", route).unwrap().routes;
+    teams.insert("rybar".to_owned(), config);
+    let open = Arc::new(Snapshot::from_teams(1, &teams));
+    let update = Update::Full(open);
+    assert_eq!(
+        Snapshot::empty().updated(&update).unwrap_err(),
+        SnapshotError::OpenReference
+    );
+}
+
+#[test]
+fn history_serves_deltas_and_falls_back_to_the_whole() {
+    let mut history = SnapshotHistory::new(2);
+    let versions: Vec<_> = (1..=4).map(|n| snapshot(n, n as usize)).collect();
+    for version in &versions {
+        history.advance(Arc::clone(version)).unwrap();
+    }
+    assert_eq!(
+        history.advance(Arc::clone(&versions[1])),
+        Err(SnapshotError::Older)
+    );
+    assert_eq!(
+        history.advance(Arc::clone(&versions[3])),
+        Err(SnapshotError::Older)
+    );
+    let update_for = |held: &Snapshot| history.update_for(held.version, &held.digest);
+    assert_eq!(update_for(&versions[3]), None);
+    assert!(matches!(update_for(&versions[2]), Some(Update::Delta(_))));
+    assert!(
+        matches!(update_for(&versions[0]), Some(Update::Full(_))),
+        "too long ago"
+    );
+    let other = history.update_for(3, &[0; 32]);
+    assert!(
+        matches!(other, Some(Update::Full(_))),
+        "another content of the version"
+    );
+}
+
+fn instance(name: &str, domain: &str, sequence: u64) -> InstanceState {
+    InstanceState {
+        name: name.to_owned(),
+        failure_domain: domain.to_owned(),
+        incarnation: 1,
+        sequence,
+        control_addr: format!("{name}:1"),
+        calls_addr: format!("{name}:2"),
+        is_replica: false,
+        is_lost: false,
+        servers: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+fn names(states: &[InstanceState]) -> Vec<&str> {
+    states.iter().map(|state| state.name.as_str()).collect()
+}
+
+#[test]
+fn cursor_reads_each_change_once_and_not_ones_own() {
+    let mut directory = Directory::new("source", 7);
+    directory.set_own(instance("source", "a", 1));
+    directory.merge(vec![instance("x", "a", 1), instance("y", "a", 1)], "x");
+    let (all, cursor) = directory.changes_since(None, "z");
+    assert_eq!(names(&all), ["source", "x", "y"]);
+    let (own, _) = directory.changes_since(None, "x");
+    assert_eq!(names(&own), ["source"], "not what the reader told");
+    assert!(directory.changes_since(Some(cursor), "z").0.is_empty());
+    directory.merge(vec![instance("y", "a", 2), instance("x", "a", 1)], "x");
+    let (news, _) = directory.changes_since(Some(cursor), "z");
+    assert_eq!(names(&news), ["y"], "an equal state is no news");
+    assert!(
+        !directory.merge(vec![instance("y", "a", 1)], "x"),
+        "an older one neither"
+    );
+    let foreign = Cursor {
+        epoch: 8,
+        stamp: 100,
+    };
+    assert_eq!(
+        directory.changes_since(Some(foreign), "z").0.len(),
+        3,
+        "another process's"
+    );
+}
+
+#[test]
+fn lost_mark_is_refuted_by_a_newer_state() {
+    let mut directory = Directory::new("x", 7);
+    directory.set_own(instance("x", "a", 1));
+    let mut lost = instance("x", "a", 1);
+    lost.is_lost = true;
+    assert!(directory.merge(vec![lost], "source"));
+    assert_eq!(directory.live().count(), 0);
+    let sequence = directory.own_refutation().unwrap();
+    assert!(directory.set_own(instance("x", "a", sequence + 1)));
+    assert_eq!(directory.own_refutation(), None);
+    assert_eq!(directory.live().count(), 1);
+}
+
+fn report(child: &str, instances: Vec<InstanceState>) -> ReportRequest {
+    let mut members = MemberSet::default();
+    members.insert(child, 1);
+    ReportRequest {
+        daemon: child.to_owned(),
+        incarnation: 1,
+        instances,
+        counts: vec![VersionCount {
+            failure_domain: "a".to_owned(),
+            version: 5,
+            members,
+        }],
+    }
+}
+
+#[test]
+fn silent_child_is_marked_lost_with_its_subtree() {
+    let mut directory = Directory::new("root", 7);
+    let mut children = Children::default();
+    let subtree = vec![instance("relay", "a", 1), instance("leaf", "a", 1)];
+    children.report(report("relay", subtree), &mut directory, 0);
+    assert!(children.expire(&mut directory, CHILD_LEASE_MS).is_empty());
+    assert_eq!(
+        children.expire(&mut directory, CHILD_LEASE_MS + 1),
+        ["relay"]
+    );
+    let late_ms = 3 * CHILD_LEASE_MS;
+    assert_eq!(
+        children.expire(&mut directory, late_ms),
+        ["leaf"],
+        "nobody else reports it"
+    );
+}
+
+#[test]
+fn subtree_that_moved_in_time_stays() {
+    let mut directory = Directory::new("root", 7);
+    let mut children = Children::default();
+    let subtree = vec![instance("relay", "a", 1), instance("leaf", "a", 1)];
+    children.report(report("relay", subtree), &mut directory, 0);
+    children.expire(&mut directory, CHILD_LEASE_MS + 1);
+    let moved = report(
+        "other",
+        vec![instance("other", "a", 1), instance("leaf", "a", 2)],
+    );
+    children.report(moved, &mut directory, CHILD_LEASE_MS + 2);
+    let late_ms = 3 * CHILD_LEASE_MS;
+    children.report(report("other", Vec::new()), &mut directory, late_ms - 1);
+    assert!(children.expire(&mut directory, late_ms).is_empty());
+    assert!(!directory.get("leaf").unwrap().is_lost);
+}
+
+/// The failure that made `apply --wait` say "everywhere" with a dead daemon among the live ones.
+#[test]
+fn daemon_counted_twice_does_not_stand_in_for_a_missing_one() {
+    let mut live = MemberSet::default();
+    let mut held = MemberSet::default();
+    for name in ["x", "y", "dead"] {
+        live.insert(name, 1);
+    }
+    for name in ["x", "y", "x"] {
+        held.insert(name, 1);
+    }
+    assert_eq!(live.daemons, held.daemons);
+    assert_ne!(live, held);
+    let mut restarted = MemberSet::default();
+    for (name, incarnation) in [("x", 1), ("y", 1), ("dead", 2)] {
+        restarted.insert(name, incarnation);
+    }
+    assert_ne!(
+        live, restarted,
+        "another process of the daemon is another member"
+    );
+}
+
+#[test]
+fn child_that_moved_is_no_longer_counted() {
+    let mut directory = Directory::new("old", 7);
+    directory.set_own(instance("old", "a", 1));
+    let mut children = Children::default();
+    children.report(report("x", vec![instance("x", "a", 1)]), &mut directory, 0);
+    assert_eq!(children.len(), 1);
+    // The news comes back from above: the daemon wrote a new state for another source.
+    directory.merge(vec![instance("x", "a", 2)], "source");
+    children.expire(&mut directory, 1);
+    assert!(children.is_empty());
+    assert!(!directory.get("x").unwrap().is_lost);
+}
+
+#[test]
+fn root_marks_daemons_lost_that_only_the_former_root_knew() {
+    let mut directory = Directory::new("new-root", 7);
+    directory.set_own(instance("new-root", "a", 1));
+    let heard = vec![instance("old-root", "a", 1), instance("x", "a", 1)];
+    directory.merge(heard, "old-root");
+    let mut children = Children::default();
+    children.report(report("x", vec![instance("x", "a", 1)]), &mut directory, 0);
+    assert!(children.expire_unheard(&mut directory, 0).is_empty());
+    assert_eq!(
+        children.expire_unheard(&mut directory, 2 * CHILD_LEASE_MS),
+        ["old-root"]
+    );
+    assert!(!directory.get("x").unwrap().is_lost, "its child reports it");
+}
+
+#[test]
+fn report_vouches_only_for_the_subtree() {
+    let mut directory = Directory::new("relay", 7);
+    directory.set_own(instance("relay", "a", 1));
+    directory.merge(vec![instance("far", "b", 1)], "former-source");
+    directory.merge(vec![instance("leaf", "a", 1)], "leaf");
+    let (states, _) = directory.subtree_changes_since(None, |via| via == "leaf");
+    assert_eq!(names(&states), ["relay", "leaf"]);
+}
+
+#[test]
+fn tree_has_a_few_relays_a_domain() {
+    let mut directory = Directory::new("a0", 7);
+    for domain in ["a", "b"] {
+        for n in 0..8 {
+            let name = format!("{domain}{n}");
+            let mut state = instance(&name, domain, 1);
+            state.is_replica = name == "a3";
+            directory.merge(vec![state], "x");
+        }
+    }
+    let replica_addrs = vec!["a3:1".to_owned()];
+    let relays: Vec<&str> = relays(directory.live(), "b", 2)
+        .iter()
+        .map(|relay| relay.name.as_str())
+        .collect();
+    assert_eq!(relays.len(), 2);
+    let sources_of =
+        |name: &str, domain: &str| sources(name, domain, directory.live(), &replica_addrs, 2);
+    for n in 0..8 {
+        let name = format!("b{n}");
+        let first = sources_of(&name, "b")[0].control_addr.clone();
+        match relays.contains(&name.as_str()) {
+            true => assert_eq!(first, "a3:1", "a relay takes from a replica"),
+            false => assert!(relays.iter().any(|relay| first == format!("{relay}:1"))),
+        }
+    }
+    assert_eq!(
+        sources_of("a0", "a").last().unwrap().control_addr,
+        sources_of("a0", "a")[1].control_addr
+    );
+    let unknown = sources("new", "c", directory.live(), &replica_addrs, 2);
+    assert_eq!(unknown[0].control_addr, "a3:1", "no relay known yet");
+}
+
+#[test]
+fn stale_sources_are_told_apart() {
+    let fresh = Freshness {
+        version: 5,
+        highest_version: 5,
+        quorum_age_ms: Some(100),
+        epoch: 1,
+    };
+    let table = [
+        ("fresh", fresh, 5, false),
+        ("behind a neighbour", fresh, 6, true),
+        (
+            "behind what it heard",
+            Freshness {
+                highest_version: 6,
+                ..fresh
+            },
+            5,
+            true,
+        ),
+        (
+            "cut off",
+            Freshness {
+                quorum_age_ms: Some(3_001),
+                ..fresh
+            },
+            5,
+            true,
+        ),
+        (
+            "never had contact",
+            Freshness {
+                quorum_age_ms: None,
+                ..fresh
+            },
+            5,
+            true,
+        ),
+    ];
+    for (name, freshness, heard, expected) in table {
+        assert_eq!(freshness.is_stale(heard), expected, "{name}");
+    }
+}
+
+#[test]
+fn sessions_of_a_herd_are_bounded_a_second() {
+    let mut limit = SessionLimit::new(100);
+    let mut admitted = Vec::new();
+    for now_ms in 10_000..15_000 {
+        let count = (0..50).filter(|_| limit.admit(now_ms).is_ok()).count();
+        admitted.push(count);
+    }
+    for second in admitted.chunks(1000).skip(1) {
+        assert!(second.iter().sum::<usize>() <= 100);
+    }
+    assert!(
+        admitted[..1000].iter().sum::<usize>() <= 200,
+        "a burst of one second at most"
+    );
+    let refused = std::iter::repeat_with(|| limit.admit(15_000)).find_map(Result::err);
+    let wait = refused.unwrap();
+    assert!(wait.as_millis() <= 10);
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/tests/ledger.rs
@@ -0,0 +1,288 @@
+//! The ledger: at most one run a key, and nothing called not run that runs.
+
+use foxtailgauge_core::{
+    Claimant, Ledger, LedgerAnswer, LedgerCommand, RecordedAnswer, CLAIM_GRACE_MS, MAX_KEY_SKEW_MS,
+};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use uuid::{Builder, Uuid};
+
+const NOW_MS: u64 = 1_800_000_000_000;
+const RUN_MS: u64 = 1_000;
+
+fn key(at_ms: u64, number: u8) -> Uuid {
+    Builder::from_unix_timestamp_millis(at_ms, &[number; 10]).into_uuid()
+}
+
+fn attempt(number: u8) -> Uuid {
+    Uuid::from_bytes([number; 16])
+}
+
+fn claimant(number: u8) -> Claimant {
+    Claimant {
+        executor: format!("daemon-{}", number % 3),
+        incarnation: 1,
+        attempt: attempt(number),
+    }
+}
+
+fn claim(number: u8, at_ms: u64) -> LedgerCommand {
+    LedgerCommand::Claim {
+        key: key(NOW_MS, 1),
+        request: [1; 32],
+        claimant: claimant(number),
+        at_ms,
+        until_ms: at_ms + RUN_MS,
+    }
+}
+
+fn void(number: u8, at_ms: u64) -> LedgerCommand {
+    LedgerCommand::Void {
+        key: key(NOW_MS, 1),
+        attempt: attempt(number),
+        request: [1; 32],
+        at_ms,
+    }
+}
+
+fn answer(text: &str) -> RecordedAnswer {
+    RecordedAnswer {
+        status: 200,
+        headers: vec![("content-type".to_owned(), "text/plain".to_owned())],
+        body: text.as_bytes().to_vec(),
+    }
+}
+
+fn done(number: u8) -> LedgerCommand {
+    LedgerCommand::Done {
+        key: key(NOW_MS, 1),
+        claimant: claimant(number),
+        answer: answer("booked"),
+    }
+}
+
+fn release(number: u8) -> LedgerCommand {
+    LedgerCommand::Release {
+        key: key(NOW_MS, 1),
+        claimant: claimant(number),
+    }
+}
+
+fn lose(number: u8) -> LedgerCommand {
+    LedgerCommand::Lose {
+        key: key(NOW_MS, 1),
+        claimant: claimant(number),
+    }
+}
+
+/// Sessions: commands and the answer to each.
+#[test]
+fn sessions_of_one_key() {
+    use LedgerAnswer::{
+        AlreadyDone, Expired, Granted, InProgress, Lost, NotClaimant, Recorded, Voided,
+    };
+    let until_ms = NOW_MS + RUN_MS;
+    let late_ms = until_ms + CLAIM_GRACE_MS + 1;
+    let booked = || AlreadyDone(answer("booked"));
+    let table: Vec<(&str, Vec<(LedgerCommand, LedgerAnswer)>)> = vec![
+        (
+            "run and resend",
+            vec![
+                (claim(1, NOW_MS), Granted),
+                (claim(2, NOW_MS), InProgress { until_ms }),
+                (done(1), Recorded),
+                (claim(2, NOW_MS), booked()),
+                (done(1), booked()),
+            ],
+        ),
+        (
+            "answer to the claim lost: the same claim again",
+            vec![(claim(1, NOW_MS), Granted), (claim(1, NOW_MS + 1), Granted)],
+        ),
+        (
+            "voided before it claimed",
+            vec![
+                (void(1, NOW_MS), Voided),
+                (claim(1, NOW_MS), Voided),
+                (claim(2, NOW_MS), Granted),
+            ],
+        ),
+        (
+            "too late to void",
+            vec![
+                (claim(1, NOW_MS), Granted),
+                (void(1, NOW_MS), InProgress { until_ms }),
+                (done(1), Recorded),
+                (void(1, NOW_MS), booked()),
+            ],
+        ),
+        (
+            "void of another attempt leaves the claim",
+            vec![
+                (claim(1, NOW_MS), Granted),
+                (void(2, NOW_MS), Voided),
+                (done(1), Recorded),
+            ],
+        ),
+        (
+            "refused by the backend server, run by another",
+            vec![
+                (claim(1, NOW_MS), Granted),
+                (release(1), Recorded),
+                (claim(1, NOW_MS), Voided),
+                (claim(2, NOW_MS), Granted),
+                (release(1), NotClaimant),
+                (done(2), Recorded),
+            ],
+        ),
+        (
+            "backend server died",
+            vec![
+                (claim(1, NOW_MS), Granted),
+                (lose(1), Recorded),
+                (claim(2, NOW_MS), Lost),
+                (void(2, NOW_MS), Lost),
+            ],
+        ),
+        (
+            "executor never came back",
+            vec![
+                (claim(1, NOW_MS), Granted),
+                (claim(2, late_ms), Lost),
+                (claim(2, late_ms), Lost),
+            ],
+        ),
+        (
+            "executor came back late and tells",
+            vec![
+                (claim(1, NOW_MS), Granted),
+                (claim(2, late_ms), Lost),
+                (done(1), Recorded),
+                (claim(2, late_ms), booked()),
+            ],
+        ),
+        (
+            "only the claimant concludes",
+            vec![
+                (claim(1, NOW_MS), Granted),
+                (done(2), NotClaimant),
+                (lose(2), NotClaimant),
+                (release(2), NotClaimant),
+                (done(1), Recorded),
+            ],
+        ),
+        ("nothing on record", vec![(done(1), Expired)]),
+    ];
+    for (name, session) in table {
+        let mut ledger = Ledger::default();
+        for (number, (command, expected)) in session.into_iter().enumerate() {
+            assert_eq!(ledger.apply(&command), expected, "{name}, step {number}");
+        }
+    }
+}
+
+#[test]
+fn same_key_with_another_request_is_refused() {
+    let mut ledger = Ledger::default();
+    ledger.apply(&claim(1, NOW_MS));
+    let other = LedgerCommand::Claim {
+        key: key(NOW_MS, 1),
+        request: [2; 32],
+        claimant: claimant(2),
+        at_ms: NOW_MS,
+        until_ms: NOW_MS + RUN_MS,
+    };
+    assert_eq!(ledger.apply(&other), LedgerAnswer::OtherRequest);
+}
+
+#[test]
+fn key_past_its_retention_is_refused_and_never_rerun() {
+    let mut ledger = Ledger::default();
+    ledger.apply(&claim(1, NOW_MS));
+    ledger.apply(&done(1));
+    let before_ms = NOW_MS + 1;
+    ledger.apply(&LedgerCommand::Expire { before_ms });
+    assert!(ledger.is_empty());
+    assert_eq!(ledger.apply(&claim(2, NOW_MS + 2)), LedgerAnswer::Expired);
+    // A clock that goes back does not bring the key back.
+    ledger.apply(&LedgerCommand::Expire { before_ms: 0 });
+    assert_eq!(ledger.apply(&claim(2, NOW_MS + 2)), LedgerAnswer::Expired);
+}
+
+#[test]
+fn key_from_the_future_is_refused() {
+    let mut ledger = Ledger::default();
+    let early = claim(1, NOW_MS - MAX_KEY_SKEW_MS - 1);
+    assert_eq!(ledger.apply(&early), LedgerAnswer::FutureKey);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Claim(u8),
+    Void(u8),
+    Done(u8),
+    Release(u8),
+    Lose(u8),
+}
+
+fn steps() -> impl Strategy<Value = Vec<(Step, u64)>> {
+    let step = (0u8..6).prop_flat_map(|n| {
+        prop_oneof![
+            3 => Just(Step::Claim(n)),
+            2 => Just(Step::Void(n)),
+            1 => Just(Step::Done(n)),
+            1 => Just(Step::Release(n)),
+            1 => Just(Step::Lose(n)),
+        ]
+    });
+    prop::collection::vec((step, 0u64..4_000), 1..60)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Commands of six attempts in any order, repeated and late. An executor runs once it is
+    /// granted and releases only what it has not run.
+    #[test]
+    fn any_order_of_commands_runs_a_key_at_most_once(steps in steps()) {
+        let mut ledger = Ledger::default();
+        let mut now_ms = NOW_MS;
+        let mut ran: BTreeSet<u8> = BTreeSet::new();
+        let mut refused: BTreeSet<u8> = BTreeSet::new();
+        let mut granted: BTreeMap<u8, u32> = BTreeMap::new();
+        for (step, wait_ms) in steps {
+            now_ms += wait_ms;
+            match step {
+                Step::Claim(n) => {
+                    if ledger.apply(&claim(n, now_ms)) == LedgerAnswer::Granted {
+                        prop_assert!(!refused.contains(&n), "a voided attempt was granted");
+                        prop_assert!(ran.iter().all(|other| *other == n), "a second run");
+                        *granted.entry(n).or_insert(0) += 1;
+                    }
+                }
+                Step::Void(n) => {
+                    if ledger.apply(&void(n, now_ms)) == LedgerAnswer::Voided {
+                        prop_assert!(!ran.contains(&n), "called not run, but ran");
+                        refused.insert(n);
+                    }
+                }
+                Step::Done(n) | Step::Lose(n) if granted.contains_key(&n) => {
+                    ran.insert(n);
+                    let end = if matches!(step, Step::Done(_)) { done(n) } else { lose(n) };
+                    ledger.apply(&end);
+                }
+                Step::Release(n) if granted.contains_key(&n) && !ran.contains(&n) => {
+                    ledger.apply(&release(n));
+                    granted.remove(&n);
+                }
+                Step::Done(_) | Step::Lose(_) | Step::Release(_) => {}
+            }
+            prop_assert!(ran.len() <= 1, "two runs");
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/tests/policy.rs
@@ -0,0 +1,225 @@
+//! Admission, balancing, retries and quarantine.
+
+use foxtailgauge_core::{
+    fingerprint, request_digest, Admission, AdmissionGate, AdmissionRefusal, Balancer, CallHealth,
+    Candidate, RetryBudget, ServerKey, Sightings, Suspect, SuspectIndex, SuspectVerdict,
+    QUARANTINE_CRASHES, SUSPECT_TTL_MS,
+};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(60);
+
+#[test]
+fn gate_runs_waits_and_refuses() {
+    let mut gate = AdmissionGate::new(2, 1);
+    assert_eq!(gate.arrive(LONG), Admission::Run);
+    assert_eq!(gate.arrive(LONG), Admission::Run);
+    assert_eq!(gate.arrive(LONG), Admission::Wait);
+    let refused = gate.arrive(LONG);
+    assert!(matches!(
+        refused,
+        Admission::Refused(AdmissionRefusal::QueueFull { .. })
+    ));
+    assert!(gate.finish(None), "the waiting request takes the slot");
+    assert_eq!((gate.running(), gate.waiting()), (2, 0));
+    assert!(!gate.finish(None));
+    assert!(!gate.finish(None));
+    assert_eq!(gate.running(), 0);
+}
+
+#[test]
+fn gate_refuses_at_once_what_cannot_end_in_time() {
+    let mut gate = AdmissionGate::new(1, 100);
+    for _ in 0..50 {
+        gate.arrive(LONG);
+        gate.finish(Some(Duration::from_millis(100)));
+    }
+    assert_eq!(gate.arrive(LONG), Admission::Run);
+    let answer = gate.arrive(Duration::from_millis(50));
+    let Admission::Refused(AdmissionRefusal::TooLate { retry_after }) = answer else {
+        panic!("{answer:?}");
+    };
+    assert!(retry_after > Duration::from_millis(50));
+    assert_eq!(gate.waiting(), 0);
+}
+
+#[test]
+fn leaving_gate_lets_nothing_in_and_ends_what_it_has() {
+    let mut gate = AdmissionGate::new(1, 10);
+    assert_eq!(gate.arrive(LONG), Admission::Run);
+    assert_eq!(gate.arrive(LONG), Admission::Wait);
+    gate.configure(1, None, true);
+    assert_eq!(
+        gate.arrive(LONG),
+        Admission::Refused(AdmissionRefusal::Draining)
+    );
+    assert!(gate.finish(None), "what was let in before still runs");
+    gate.abandon();
+    assert!(!gate.finish(None));
+    assert_eq!((gate.running(), gate.waiting()), (0, 0));
+}
+
+fn candidates(domains: &[&str]) -> Vec<Candidate> {
+    let candidate = |(n, domain): (usize, &&str)| Candidate {
+        key: ServerKey {
+            daemon: format!("daemon-{n}"),
+            server: "server".to_owned(),
+        },
+        failure_domain: (*domain).to_owned(),
+        calls_addr: format!("127.0.0.1:{n}"),
+        slots: 4,
+    };
+    domains.iter().enumerate().map(candidate).collect()
+}
+
+fn chosen(balancer: &mut Balancer, among: &[Candidate], now: Instant) -> Option<Candidate> {
+    let mut rng = StdRng::seed_from_u64(1);
+    balancer.choose(among, &[], now, &mut rng).cloned()
+}
+
+#[test]
+fn own_domain_comes_first_and_spills_over_when_full() {
+    let among = candidates(&["a", "a", "b"]);
+    let mut balancer = Balancer::new("a");
+    let now = Instant::now();
+    for _ in 0..8 {
+        let candidate = chosen(&mut balancer, &among, now).unwrap();
+        assert_eq!(candidate.failure_domain, "a");
+    }
+    let domains: Vec<String> = (0..4)
+        .map(|_| chosen(&mut balancer, &among, now).unwrap().failure_domain)
+        .collect();
+    assert_eq!(domains, ["b"; 4], "own slots are taken");
+    let last = chosen(&mut balancer, &among, now).unwrap();
+    assert_eq!(
+        last.failure_domain, "a",
+        "all are full: the own domain queues"
+    );
+}
+
+#[test]
+fn load_spreads_evenly() {
+    let among = candidates(&["a"; 4]);
+    let mut balancer = Balancer::new("a");
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..16 {
+        let key = balancer
+            .choose(&among, &[], now, &mut rng)
+            .unwrap()
+            .key
+            .clone();
+        *counts.entry(key).or_insert(0) += 1;
+    }
+    assert!(
+        counts.values().all(|count| (2..=6).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn failing_server_is_ejected_but_never_more_than_half() {
+    let among = candidates(&["a"; 4]);
+    let mut balancer = Balancer::new("a");
+    let now = Instant::now();
+    let fail = |balancer: &mut Balancer, n: usize| {
+        for _ in 0..3 {
+            balancer.finish(&among[n].key, CallHealth::Failed, None, now);
+        }
+    };
+    fail(&mut balancer, 0);
+    let mut rng = StdRng::seed_from_u64(4);
+    for _ in 0..40 {
+        let key = balancer
+            .choose(&among, &[], now, &mut rng)
+            .unwrap()
+            .key
+            .clone();
+        assert_ne!(key, among[0].key);
+        balancer.finish(&key, CallHealth::Neutral, None, now);
+    }
+    for n in 1..4 {
+        fail(&mut balancer, n);
+    }
+    assert!(
+        chosen(&mut balancer, &among, now).is_some(),
+        "all failing: all are tried"
+    );
+    let later = now + Duration::from_secs(120);
+    let keys: std::collections::BTreeSet<ServerKey> = (0..60)
+        .map(|_| {
+            balancer
+                .choose(&among, &[], later, &mut rng)
+                .unwrap()
+                .key
+                .clone()
+        })
+        .collect();
+    assert_eq!(keys.len(), 4, "ejections end");
+}
+
+#[test]
+fn tried_servers_are_not_chosen_again() {
+    let among = candidates(&["a", "a"]);
+    let mut balancer = Balancer::new("a");
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(5);
+    let tried = [among[0].key.clone()];
+    let key = balancer
+        .choose(&among, &tried, now, &mut rng)
+        .unwrap()
+        .key
+        .clone();
+    assert_eq!(key, among[1].key);
+    let all = [among[0].key.clone(), among[1].key.clone()];
+    assert!(balancer.choose(&among, &all, now, &mut rng).is_none());
+}
+
+#[test]
+fn retries_stay_inside_the_budget() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn(10);
+        while budget.try_spend() {
+            retries += 1;
+        }
+    }
+    assert!((100..=110).contains(&retries), "{retries}");
+    let mut none = RetryBudget::default();
+    while none.try_spend() {}
+    none.earn(0);
+    assert!(!none.try_spend());
+}
+
+#[test]
+fn crashing_request_is_suspected_then_quarantined() {
+    let digest = request_digest("GET", "/plans/1", b"");
+    let request = fingerprint(&digest);
+    assert_ne!(
+        request,
+        fingerprint(&request_digest("GET", "/plans/2", b""))
+    );
+    let sighting = |at_ms| {
+        let mut sightings = Sightings::default();
+        sightings.record(request, at_ms);
+        sightings.announced(at_ms)
+    };
+    let one: Vec<Suspect> = sighting(0);
+    let index = SuspectIndex::collect(one.iter().copied());
+    assert_eq!(index.verdict(request, 1), SuspectVerdict::Suspect);
+    assert_eq!(index.verdict(request + 1, 1), SuspectVerdict::Clear);
+    // Two daemons saw one crash each.
+    let two = one.iter().copied().chain(sighting(10));
+    let index = SuspectIndex::collect(two);
+    assert_eq!(QUARANTINE_CRASHES, 2);
+    let until_ms = 10 + SUSPECT_TTL_MS;
+    assert_eq!(
+        index.verdict(request, 11),
+        SuspectVerdict::Quarantined { until_ms }
+    );
+    assert_eq!(index.verdict(request, until_ms), SuspectVerdict::Clear);
+}
--- /dev/null
+++ b/crates/foxtailgauge-core/tests/registry.rs
@@ -0,0 +1,162 @@
+//! Operators' changes: races, resends, refusals as a whole.
+
+use foxtailgauge_core::{Change, ChangeAnswer, ConfigProblemKind, Registry};
+
+const VIEWER: &str = "[services/viewer]\n\
+    [routes/plans]\nprefix = /plans\nmethods = GET\nservice = viewer\ndeadline_ms = 1000\n";
+
+fn change(id: &str, base_revision: u64, text: &str) -> Change {
+    Change {
+        team: "rybar".to_owned(),
+        change_id: id.to_owned(),
+        base_revision,
+        text: text.to_owned(),
+        author: "eva".to_owned(),
+        at_ms: 1,
+        rollback_of: None,
+    }
+}
+
+fn of_team(team: &str, mut change: Change) -> Change {
+    change.team = team.to_owned();
+    change
+}
+
+fn accepted(version: u64, revision: u64) -> ChangeAnswer {
+    ChangeAnswer::Accepted { version, revision }
+}
+
+fn kinds(answer: &ChangeAnswer) -> Vec<ConfigProblemKind> {
+    match answer {
+        ChangeAnswer::Invalid { problems } => problems.iter().map(|p| p.kind.clone()).collect(),
+        other => panic!("not refused as invalid: {other:?}"),
+    }
+}
+
+#[test]
+fn of_two_changes_against_one_revision_one_wins() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.apply(&change("a", 0, VIEWER)), accepted(1, 1));
+    let loser = registry.apply(&change("b", 0, "[services/other]\n"));
+    assert_eq!(
+        loser,
+        ChangeAnswer::Conflict {
+            current_revision: 1
+        }
+    );
+    assert_eq!(registry.version(), 1);
+    assert_eq!(registry.apply(&change("c", 1, VIEWER)), accepted(2, 2));
+}
+
+#[test]
+fn resend_gets_the_first_answer_and_makes_no_version() {
+    let mut registry = Registry::default();
+    let first = change("a", 0, VIEWER);
+    assert_eq!(registry.apply(&first), accepted(1, 1));
+    assert_eq!(
+        registry.apply(&change("b", 1, "[services/other]\n")),
+        accepted(2, 2)
+    );
+    let mut resend = first.clone();
+    resend.at_ms = 99;
+    resend.author = "another shell".to_owned();
+    assert_eq!(registry.apply(&resend), accepted(1, 1));
+    assert_eq!(registry.version(), 2);
+    let refused = change("c", 0, VIEWER);
+    let answer = registry.apply(&refused);
+    assert_eq!(
+        answer,
+        ChangeAnswer::Conflict {
+            current_revision: 2
+        }
+    );
+    assert_eq!(
+        registry.apply(&refused),
+        answer,
+        "refusals are remembered as well"
+    );
+    assert_eq!(
+        registry.audit(None).count(),
+        3,
+        "a resend is no second change"
+    );
+}
+
+#[test]
+fn change_id_of_another_change_is_refused() {
+    let mut registry = Registry::default();
+    registry.apply(&change("a", 0, VIEWER));
+    let answer = registry.apply(&change("a", 1, "[services/other]\n"));
+    assert_eq!(answer, ChangeAnswer::ChangeIdReused);
+    assert_eq!(registry.version(), 1);
+}
+
+#[test]
+fn answers_survive_a_snapshot_of_the_state() {
+    let mut registry = Registry::default();
+    let first = change("a", 0, VIEWER);
+    registry.apply(&first);
+    let bytes = postcard::to_stdvec(&registry).unwrap();
+    let mut restored: Registry = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(restored, registry);
+    assert_eq!(restored.apply(&first), accepted(1, 1));
+    assert_eq!(restored.snapshot(), registry.snapshot());
+}
+
+#[test]
+fn configuration_is_checked_across_teams() {
+    let mut registry = Registry::default();
+    registry.apply(&change("a", 0, VIEWER));
+    let foreign_path = VIEWER.replace("= /plans", "= /plans/secret");
+    let answer = registry.apply(&of_team("sugarbird", change("b", 0, &foreign_path)));
+    let team = "rybar".to_owned();
+    assert_eq!(kinds(&answer), [ConfigProblemKind::ForeignPath { team }]);
+    let reference = "[routes/look]\nprefix = /look\nmethods = GET\n\
+        service = rybar/viewer\ndeadline_ms = 1000\n";
+    let answer = registry.apply(&of_team("sugarbird", change("c", 0, reference)));
+    assert_eq!(answer, accepted(2, 1));
+    let answer = registry.apply(&change("d", 1, "[services/other]\n"));
+    let by = "sugarbird/look".to_owned();
+    assert_eq!(kinds(&answer), [ConfigProblemKind::ServiceInUse { by }]);
+    assert_eq!(registry.version(), 2);
+}
+
+#[test]
+fn bad_texts_are_refused_whole_and_name_each_problem() {
+    let route = "[routes/r]\nprefix = /r\nmethods = GET\nservice = s\ndeadline_ms = 1000\n";
+    let with = |from: &str, to: &str| format!("[services/s]\n{}", route.replace(from, to));
+    let table = [
+        ("unknown section", "[servers/s]\n".to_owned()),
+        ("bad name", "[services/S s]\n".to_owned()),
+        ("unknown key", "[services/s]\nretries = 3\n".to_owned()),
+        ("range", "[services/s]\nretry_percent = 90\n".to_owned()),
+        ("unit", with("1000", "1 s")),
+        ("missing key", with("methods = GET\n", "")),
+        ("method", with("GET", "FETCH")),
+        ("relative prefix", with("/r", "r")),
+        ("dot segments", with("/r", "/../r")),
+        ("unknown service", with("service = s", "service = t")),
+        (
+            "idempotent billable",
+            with("GET\n", "POST\nbillable = true\nidempotent = true\n"),
+        ),
+        ("twice", format!("{}{}", with("x", "x"), "[services/s]\n")),
+        (
+            "same calls",
+            format!(
+                "{}{}",
+                with("x", "x"),
+                route.replace("routes/r", "routes/q")
+            ),
+        ),
+        ("key outside", "prefix = /\n".to_owned()),
+    ];
+    let mut registry = Registry::default();
+    for (name, text) in table {
+        let answer = registry.apply(&change(name, 0, &text));
+        assert!(!kinds(&answer).is_empty(), "{name}");
+        assert_eq!(registry.snapshot().version, 0, "{name}");
+    }
+    let both = "[services/s]\nretry_percent = x\nqueue_requests = y\n";
+    assert_eq!(kinds(&registry.apply(&change("both", 0, both))).len(), 2);
+}
--- a/crates/foxtailgauge-core/tests/support/mod.rs
+++ b/crates/foxtailgauge-core/tests/support/mod.rs
@@ -138,7 +138,10 @@
 
     pub fn leader(&self) -> Option<ReplicaId> {
         let leads = |(_, replica): &(&ReplicaId, &Replica)| {
-            replica.node.as_ref().is_some_and(|node| node.role() == Role::Leader)
+            replica
+                .node
+                .as_ref()
+                .is_some_and(|node| node.role() == Role::Leader)
         };
         let mut leaders: Vec<_> = self.replicas.iter().filter(leads).collect();
         leaders.sort_by_key(|(_, replica)| replica.node.as_ref().map(Node::term));
@@ -190,7 +193,10 @@
     pub fn run_until(&mut self, limit_ms: u64, condition: impl Fn(&Cluster) -> bool) -> u64 {
         let start_ms = self.now_ms;
         while !condition(self) {
-            assert!(self.now_ms < start_ms + limit_ms, "not reached within {limit_ms} ms");
+            assert!(
+                self.now_ms < start_ms + limit_ms,
+                "not reached within {limit_ms} ms"
+            );
             self.step();
         }
         self.now_ms - start_ms
@@ -278,13 +284,20 @@
             return;
         };
         let command = command.as_ref().clone();
-        replica.applied.push((entry.index, entry.term, command.clone()));
+        replica
+            .applied
+            .push((entry.index, entry.term, command.clone()));
         // State machine safety: all replicas apply the same command at an index.
         let first = self
             .history
             .entry(entry.index)
             .or_insert_with(|| (entry.term, command.clone()));
-        assert_eq!(*first, (entry.term, command.clone()), "index {}", entry.index);
+        assert_eq!(
+            *first,
+            (entry.term, command.clone()),
+            "index {}",
+            entry.index
+        );
         if let Some((term, waited)) = self.waiting.remove(&(id, entry.index)) {
             if term == entry.term {
                 assert_eq!(waited, command);
@@ -320,7 +333,11 @@
 
     /// Log matching: equal index and term mean equal entries.
     pub fn check_logs(&self) {
-        let nodes: Vec<&Node> = self.replicas.values().filter_map(|r| r.node.as_ref()).collect();
+        let nodes: Vec<&Node> = self
+            .replicas
+            .values()
+            .filter_map(|r| r.node.as_ref())
+            .collect();
         for a in &nodes {
             for b in &nodes {
                 let from = a.log().start_index().max(b.log().start_index()) + 1;
@@ -338,8 +355,11 @@
     /// No acknowledged command is missing on any replica that runs and has caught up.
     pub fn check_acknowledged(&self) {
         let leader = self.leader().expect("a leader");
-        let applied: BTreeSet<&Vec<u8>> =
-            self.replicas[&leader].applied.iter().map(|(_, _, command)| command).collect();
+        let applied: BTreeSet<&Vec<u8>> = self.replicas[&leader]
+            .applied
+            .iter()
+            .map(|(_, _, command)| command)
+            .collect();
         for command in &self.acknowledged {
             assert!(applied.contains(command), "an acknowledged command is gone");
         }
@@ -366,7 +386,9 @@
             self.step();
         };
         self.run_until(30_000, |c| {
-            c.replicas.values().all(|r| r.applied.last().is_some_and(|(_, _, x)| *x == last))
+            c.replicas
+                .values()
+                .all(|r| r.applied.last().is_some_and(|(_, _, x)| *x == last))
         });
         self.check_logs();
         self.check_acknowledged();
@@ -390,9 +412,8 @@
 fn check_hard_state(last: &mut HardState, ready: &Ready) {
     if let Some(next) = ready.hard_state {
         assert!(next.term >= last.term, "term fell");
-        let is_second_vote = next.term == last.term
-            && last.voted_for.is_some()
-            && next.voted_for != last.voted_for;
+        let is_second_vote =
+            next.term == last.term && last.voted_for.is_some() && next.voted_for != last.voted_for;
         assert!(!is_second_vote, "two votes in term {}", next.term);
         *last = next;
     }
