Callers' HTTP: contract test on real daemons; retention in force from the first leader on

Cause: a key older than the retention was taken until the first expiry, 60 s after the start (found by the contract test). No record had been dropped by then, so nothing could run twice, but the stated retention did not hold.

--- a/crates/foxtailgauge-bench/src/plan.rs
+++ b/crates/foxtailgauge-bench/src/plan.rs
@@ -20,6 +20,8 @@
     Rybar,
     /// Four failure domains, three services.
     Sugarbird,
+    /// Three failure domains, one service, all daemons replicas; for tests.
+    Trio,
 }
 
 /// Arguments of `plan`.
@@ -27,19 +29,19 @@
 pub struct PlanArguments {
     /// Deployment.
     #[arg(long, value_enum, default_value = "rybar")]
-    deployment: Deployment,
+    pub deployment: Deployment,
     /// Multiplies the backend servers of each service.
     #[arg(long, default_value_t = 1)]
-    scale: usize,
+    pub scale: usize,
     /// Lead all connections between daemons over links that can be cut.
     #[arg(long)]
-    cuttable: bool,
+    pub cuttable: bool,
     /// Time over which changes of the directory are gathered, in milliseconds.
     #[arg(long, default_value_t = 50)]
-    batch_ms: u64,
+    pub batch_ms: u64,
     /// Folder of the fleet.
     #[arg(long)]
-    dir: PathBuf,
+    pub dir: PathBuf,
 }
 
 /// A planned fleet.
@@ -137,11 +139,25 @@
              service = dispatch\ndeadline_ms = 5000\nbillable = true\n",
 };
 
+const TRIO: Shape = Shape {
+    team: "rybar",
+    domains: &["a", "b", "c"],
+    services: &[("layout", 3)],
+    config: "[services/layout]\nretry_percent = 50\n\n\
+             [routes/plans]\nprefix = /plans\nmethods = GET,HEAD\n\
+             service = layout\ndeadline_ms = 5000\n\n\
+             [routes/notes]\nprefix = /notes\nmethods = POST\n\
+             service = layout\ndeadline_ms = 5000\n\n\
+             [routes/commit-layout]\nprefix = /layouts\nmethods = POST\n\
+             service = layout\ndeadline_ms = 5000\nbillable = true\n",
+};
+
 impl Deployment {
     fn shape(self) -> &'static Shape {
         match self {
             Deployment::Rybar => &RYBAR,
             Deployment::Sugarbird => &SUGARBIRD,
+            Deployment::Trio => &TRIO,
         }
     }
 }
--- a/crates/foxtailgauge-bench/src/relay.rs
+++ b/crates/foxtailgauge-bench/src/relay.rs
@@ -25,11 +25,11 @@
 pub struct RelayArguments {
     /// Links.
     #[arg(long)]
-    plan: PathBuf,
+    pub plan: PathBuf,
     /// File with one cut failure domain a line. A file with `.applied` behind its name tells which
     /// cuts are in force.
     #[arg(long)]
-    cuts: PathBuf,
+    pub cuts: PathBuf,
 }
 
 /// All links.
--- a/crates/foxtailgauge-bench/src/stand_in.rs
+++ b/crates/foxtailgauge-bench/src/stand_in.rs
@@ -30,6 +30,8 @@
 const BODY_LIMIT_BYTES: u64 = 16 << 20;
 /// Path under which the behaviour is set.
 const BEHAVIOUR_PATH: &str = "/stand-in/behaviour";
+/// Exit code after a request that kills the backend server.
+const EXIT_DEAD: i32 = 70;
 /// Request header that makes the backend server die.
 const DIE_HEADER: &str = "bench-die";
 
@@ -38,28 +40,28 @@
 pub struct StandInArguments {
     /// Name.
     #[arg(long)]
-    name: String,
+    pub name: String,
     /// Service it belongs to, as TEAM/SERVICE.
     #[arg(long)]
-    service: String,
+    pub service: String,
     /// Address to take requests at.
     #[arg(long)]
-    addr: SocketAddr,
+    pub addr: SocketAddr,
     /// Announcement address of the daemon beside it.
     #[arg(long)]
-    announce: SocketAddr,
+    pub announce: SocketAddr,
     /// Requests it runs at a time.
     #[arg(long, default_value_t = 20)]
-    slots: u32,
+    pub slots: u32,
     /// Journal file.
     #[arg(long)]
-    journal: Option<PathBuf>,
+    pub journal: Option<PathBuf>,
     /// Time a request runs, in milliseconds.
     #[arg(long, default_value_t = 0)]
-    run_ms: u64,
+    pub run_ms: u64,
     /// Time after the start during which requests run ten times as long, in milliseconds.
     #[arg(long, default_value_t = 0)]
-    cold_ms: u64,
+    pub cold_ms: u64,
 }
 
 /// How the backend server behaves; set by `PUT /stand-in/behaviour`.
@@ -97,17 +99,38 @@
     in_flight: u32,
 }
 
-struct StandIn {
+/// What a request marked to kill the backend server does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Death {
+    /// Ends the process.
+    ExitProcess,
+    /// Breaks all connections and falls silent, for use inside a test process.
+    FallSilent,
+}
+
+/// A running backend server.
+pub struct StandIn {
     arguments: StandInArguments,
     behaviour: Mutex<Behaviour>,
     journal: Mutex<Option<File>>,
     runs: AtomicU64,
     is_leaving: AtomicBool,
+    is_dead: AtomicBool,
+    death: Death,
+    connections: Mutex<Vec<TcpStream>>,
     started: Instant,
 }
 
 /// Runs the backend server until it is told to leave and has nothing left to do.
 pub async fn run(arguments: StandInArguments) -> BenchResult<()> {
+    let server = start(arguments, Death::ExitProcess).await?;
+    watch_signals(&server)?;
+    server.announce_until_gone().await;
+    Ok(())
+}
+
+/// Starts the backend server; it takes requests but is not announced yet.
+pub async fn start(arguments: StandInArguments, death: Death) -> BenchResult<Arc<StandIn>> {
     let journal = match &arguments.journal {
         Some(path) => Some(
             File::options()
@@ -131,20 +154,24 @@
         journal: Mutex::new(journal),
         runs: AtomicU64::new(0),
         is_leaving: AtomicBool::new(false),
+        is_dead: AtomicBool::new(false),
+        death,
+        connections: Mutex::default(),
         started: Instant::now(),
     });
-    watch_signals(&server)?;
     let accepting = Arc::clone(&server);
     task::spawn(async move {
         loop {
             if let Ok((stream, _)) = listener.accept().await {
+                if accepting.is_dead() {
+                    break;
+                }
                 let server = Arc::clone(&accepting);
                 task::spawn(async move { server.serve(stream).await });
             }
         }
     });
-    server.announce_until_gone().await;
-    Ok(())
+    Ok(server)
 }
 
 fn watch_signals(server: &Arc<StandIn>) -> BenchResult<()> {
@@ -152,7 +179,7 @@
     let server = Arc::clone(server);
     std::thread::spawn(move || {
         if signals.forever().next().is_some() {
-            server.is_leaving.store(true, Ordering::SeqCst);
+            server.leave();
         }
     });
     Ok(())
@@ -166,9 +193,37 @@
             .clone()
     }
 
+    /// Whether a marked request has killed it.
+    pub fn is_dead(&self) -> bool {
+        self.is_dead.load(Ordering::SeqCst)
+    }
+
+    /// Makes it leave.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    fn die(&self) {
+        if self.death == Death::ExitProcess {
+            std::process::exit(EXIT_DEAD);
+        }
+        self.is_dead.store(true, Ordering::SeqCst);
+        let mut connections = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for connection in connections.drain(..) {
+            // It may be closed already.
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     /// Announces the backend server; once it leaves, ends when nothing is in flight.
-    async fn announce_until_gone(&self) {
+    pub async fn announce_until_gone(&self) {
         loop {
+            if self.is_dead() {
+                return;
+            }
             let is_leaving = self.is_leaving.load(Ordering::SeqCst);
             let answer = self.announce(is_leaving).await;
             if is_leaving && answer.is_none_or(|answer| answer.in_flight == 0) {
@@ -224,6 +279,13 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
+        if self.death == Death::FallSilent {
+            let mut connections = self
+                .connections
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            connections.push(stream.clone());
+        }
         // A connection that breaks concerns the other side only.
         let _ = async_h1::accept(stream, |request| {
             let server = Arc::clone(&self);
@@ -255,7 +317,8 @@
             .map(|values| values.as_str().to_owned());
         self.note("start", key.as_deref(), &method, &path);
         if request.header(DIE_HEADER).is_some() {
-            std::process::exit(70);
+            self.die();
+            std::future::pending::<()>().await;
         }
         self.work(&behaviour).await;
         self.note("end", key.as_deref(), &method, &path);
--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -285,7 +285,7 @@
             addresses: HashMap::new(),
             started: Instant::now(),
             announced_commit: 0,
-            expire_at: Instant::now() + EXPIRE_INTERVAL,
+            expire_at: Instant::now(),
         };
         driver.publish();
         Ok(driver)
@@ -559,8 +559,8 @@
     }
 
     fn expire_keys(&mut self) {
-        let is_due = self.group == Group::Ledger && Instant::now() >= self.expire_at;
-        if !is_due {
+        let leads = self.group == Group::Ledger && self.node.role() == Role::Leader;
+        if !leads || Instant::now() < self.expire_at {
             return;
         }
         self.expire_at = Instant::now() + EXPIRE_INTERVAL;
@@ -569,7 +569,7 @@
         let command = LedgerCommand::Expire {
             before_ms: unix_ms().saturating_sub(retention_ms),
         };
-        // Only a leader can propose; the others have nothing to do.
+        // Due again later if this replica stops leading meanwhile.
         let _ = self.propose(&command);
     }
 
--- /dev/null
+++ b/crates/foxtailgauge-daemon/tests/support/mod.rs
@@ -0,0 +1,460 @@
+//! A fleet of real daemons on loopback, with stand-in backend servers and cuttable links inside the
+//! test process. All waits are for events, with bounds far above what they take.
+#![allow(dead_code)]
+
+use async_std::task;
+use foxtailgauge_bench::plan::{self, Deployment, Fleet as Plan, PlanArguments};
+use foxtailgauge_bench::relay::{self, RelayArguments};
+use foxtailgauge_bench::stand_in::{self, Death, StandIn, StandInArguments};
+use foxtailgauge_core::ChangeAnswer;
+use foxtailgauge_wire::api::{ChangeBody, ChangeReply, LocalReply};
+use foxtailgauge_wire::http::{fetch, HttpAnswer, HttpRequest};
+use foxtailgauge_wire::FleetStatus;
+use rustix::process::{kill_process, Pid, Signal};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Bound of waits; what is waited for takes a fraction of it.
+pub const LIMIT: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+
+/// A started fleet. Ends its processes when dropped.
+pub struct Fleet {
+    pub plan: Plan,
+    dir: tempfile::TempDir,
+    token: String,
+    daemons: Vec<Option<Child>>,
+    servers: Vec<Option<Arc<StandIn>>>,
+}
+
+/// Plans a fleet and starts all of it.
+pub fn start(deployment: Deployment, scale: usize, cuttable: bool) -> Fleet {
+    let dir = tempfile::tempdir().unwrap();
+    plan::run(&PlanArguments {
+        deployment,
+        scale,
+        cuttable,
+        batch_ms: 20,
+        dir: dir.path().to_owned(),
+    })
+    .unwrap();
+    let plan = foxtailgauge_bench::fleet::read_fleet(dir.path()).unwrap();
+    if cuttable {
+        let arguments = RelayArguments {
+            plan: dir.path().join("relay.json"),
+            cuts: dir.path().join("cuts"),
+        };
+        task::spawn(async move { relay::run(&arguments).await.unwrap() });
+    }
+    let count = plan.daemons.len();
+    let mut fleet = Fleet {
+        token: std::fs::read_to_string(&plan.token_file).unwrap(),
+        plan,
+        dir,
+        daemons: (0..count).map(|_| None).collect(),
+        servers: (0..count).map(|_| None).collect(),
+    };
+    for n in 0..count {
+        fleet.start_daemon(n);
+        fleet.start_server(n);
+    }
+    fleet.wait_ready();
+    fleet
+}
+
+/// A fleet of three daemons, all replicas, with its configuration in force.
+pub fn trio() -> Fleet {
+    let fleet = start(Deployment::Trio, 1, false);
+    fleet.apply_all();
+    fleet
+}
+
+/// Waits until `probe` gives a value.
+pub fn wait_for<T>(what: &str, mut probe: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + LIMIT;
+    loop {
+        if let Some(value) = probe() {
+            return value;
+        }
+        assert!(Instant::now() < end, "not seen in time: {what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+impl Fleet {
+    pub fn start_daemon(&mut self, n: usize) {
+        let log = self
+            .dir
+            .path()
+            .join(format!("{}.log", self.plan.daemons[n].name));
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_foxtailgauged"))
+            .arg("--settings")
+            .arg(&self.plan.daemons[n].settings_file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.daemons[n] = Some(child);
+    }
+
+    pub fn start_server(&mut self, n: usize) {
+        let server = &self.plan.backend_servers[n];
+        let arguments = StandInArguments {
+            name: server.name.clone(),
+            service: server.service.clone(),
+            addr: server.addr,
+            announce: self.plan.daemons[n].announce_addr,
+            slots: 20,
+            journal: Some(server.journal.clone()),
+            run_ms: 0,
+            cold_ms: 0,
+        };
+        let server = task::block_on(stand_in::start(arguments, Death::FallSilent)).unwrap();
+        let announcing = Arc::clone(&server);
+        task::spawn(async move { announcing.announce_until_gone().await });
+        self.servers[n] = Some(server);
+    }
+
+    pub fn server(&self, n: usize) -> &StandIn {
+        self.servers[n].as_ref().unwrap()
+    }
+
+    fn signal(&self, n: usize, signal: Signal) {
+        let child = self.daemons[n].as_ref().expect("a running daemon");
+        let pid = Pid::from_raw(child.id() as i32).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.daemons[n].take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// SIGTERM, and waits for the end of the process.
+    pub fn stop(&mut self, n: usize) -> std::process::ExitStatus {
+        self.signal(n, Signal::TERM);
+        self.daemons[n].take().unwrap().wait().unwrap()
+    }
+
+    /// SIGSTOP.
+    pub fn freeze(&self, n: usize) {
+        self.signal(n, Signal::STOP);
+    }
+
+    /// SIGCONT.
+    pub fn thaw(&self, n: usize) {
+        self.signal(n, Signal::CONT);
+    }
+
+    /// Removes the data folder of a daemon that does not run.
+    pub fn remove_data(&self, n: usize) {
+        assert!(self.daemons[n].is_none());
+        std::fs::remove_dir_all(self.plan.daemons[n].data_dir.as_ref().unwrap()).unwrap();
+    }
+
+    /// Cuts failure domains off, or heals all with an empty list.
+    pub fn cut(&self, domains: &[&str]) {
+        let text: String = domains.iter().map(|domain| format!("{domain}\n")).collect();
+        std::fs::write(self.dir.path().join("cuts"), &text).unwrap();
+        let applied = self.dir.path().join("cuts.applied");
+        wait_for("cut in force", || {
+            (std::fs::read_to_string(&applied).ok()? == text).then_some(())
+        });
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.daemons.len())
+            .filter(|n| self.daemons[*n].is_some())
+            .collect()
+    }
+
+    /// Waits until every running daemon knows all running ones and has contact with a majority.
+    pub fn wait_ready(&self) {
+        let running = self.running();
+        for n in &running {
+            wait_for("daemon is ready", || {
+                let local = self.local(*n)?;
+                let is_ready = local.live_daemons as usize >= running.len()
+                    && local.quorum_age_ms.is_some_and(|age| age < 2_000);
+                is_ready.then_some(())
+            });
+        }
+        let servers = self
+            .servers
+            .iter()
+            .filter(|s| s.as_ref().is_some_and(|s| !s.is_dead()));
+        let servers = servers.count() as u32;
+        wait_for("backend servers are announced", || {
+            let status = self.status()?;
+            let ready: u32 = status
+                .domains
+                .iter()
+                .map(|domain| domain.ready_servers)
+                .sum();
+            (ready >= servers).then_some(())
+        });
+    }
+
+    fn headers(&self) -> Vec<(String, String)> {
+        vec![("Authorization".to_owned(), format!("Bearer {}", self.token))]
+    }
+
+    fn admin<T: DeserializeOwned>(
+        &self,
+        n: usize,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Option<(u16, T)> {
+        let headers = self.headers();
+        let request = HttpRequest {
+            method,
+            target,
+            headers: &headers,
+            body,
+        };
+        let addr = self.plan.daemons[n].admin_addr;
+        let answer = send(addr, request, Duration::from_secs(12))?;
+        Some((answer.status, serde_json::from_slice(&answer.body).ok()?))
+    }
+
+    /// What one daemon holds.
+    pub fn local(&self, n: usize) -> Option<LocalReply> {
+        self.admin(n, "GET", "/v1/local", &[])
+            .map(|(_, local)| local)
+    }
+
+    /// Fleet status from the first daemon that gives one.
+    pub fn status(&self) -> Option<FleetStatus> {
+        let mut running = self.running().into_iter();
+        running.find_map(|n| self.status_from(n))
+    }
+
+    pub fn status_from(&self, n: usize) -> Option<FleetStatus> {
+        self.admin(n, "GET", "/v1/status", &[])
+            .map(|(_, status)| status)
+    }
+
+    /// Index of the daemon that leads the configuration group.
+    pub fn leader(&self) -> usize {
+        wait_for("a leader", || {
+            let name = self.status()?.answered_by;
+            self.plan
+                .daemons
+                .iter()
+                .position(|daemon| daemon.name == name)
+        })
+    }
+
+    /// Sends a change once, through one daemon; `None`: no answer.
+    pub fn change(&self, n: usize, id: &str, base: u64, text: &str) -> Option<ChangeAnswer> {
+        let body = ChangeBody {
+            change_id: id.to_owned(),
+            base_revision: base,
+            text: text.to_owned(),
+            author: "test".to_owned(),
+            rollback_of: None,
+        };
+        let target = format!("/v1/teams/{}/config", self.plan.team);
+        let bytes = serde_json::to_vec(&body).unwrap();
+        let (_, reply): (u16, ChangeReply) = self.admin(n, "PUT", &target, &bytes)?;
+        Some(reply.answer)
+    }
+
+    pub fn config_text(&self) -> String {
+        std::fs::read_to_string(&self.plan.config_file).unwrap()
+    }
+
+    /// The deployment's text with another deadline, to make versions that differ.
+    pub fn config_with_deadline(&self, deadline_ms: u64) -> String {
+        let text = self.config_text();
+        text.replacen(
+            "deadline_ms = 5000",
+            &format!("deadline_ms = {deadline_ms}"),
+            1,
+        )
+    }
+
+    /// Applies a text until it is accepted; returns the version.
+    pub fn apply(&self, id: &str, base: u64, text: &str) -> u64 {
+        wait_for("change is accepted", || {
+            for n in self.running() {
+                match self.change(n, id, base, text) {
+                    Some(ChangeAnswer::Accepted { version, .. }) => return Some(version),
+                    Some(other) => panic!("{other:?}"),
+                    None => {}
+                }
+            }
+            None
+        })
+    }
+
+    pub fn apply_all(&self) {
+        let version = self.apply("first", 0, &self.config_text());
+        self.wait_version(version);
+    }
+
+    /// Waits until every running daemon holds the version or a newer one.
+    pub fn wait_version(&self, version: u64) {
+        for n in self.running() {
+            wait_for("version held", || {
+                (self.local(n)?.version >= version).then_some(())
+            });
+        }
+    }
+
+    /// A caller's request through one daemon; `None`: no answer.
+    pub fn call(&self, n: usize, call: &Call<'_>) -> Option<HttpAnswer> {
+        let request = HttpRequest {
+            method: call.method,
+            target: call.path,
+            headers: &call.headers(),
+            body: call.body.as_bytes(),
+        };
+        send(self.plan.daemons[n].caller_addr, request, call.patience)
+    }
+
+    /// Number of runs begun with a key, over all backend servers.
+    pub fn runs_of(&self, key: &str) -> usize {
+        self.journal_lines("start")
+            .iter()
+            .filter(|line| line.contains(key))
+            .count()
+    }
+
+    /// Journal lines of an event, over all backend servers.
+    pub fn journal_lines(&self, event: &str) -> Vec<String> {
+        let pattern = format!("\"event\":\"{event}\"");
+        let servers = self.plan.backend_servers.iter();
+        let texts = servers.filter_map(|server| std::fs::read_to_string(&server.journal).ok());
+        let lines = texts.flat_map(|text| text.lines().map(str::to_owned).collect::<Vec<_>>());
+        lines.filter(|line| line.contains(&pattern)).collect()
+    }
+
+    /// Sets how a backend server behaves.
+    pub fn behave(&self, n: usize, behaviour: &str) {
+        let request = HttpRequest {
+            method: "PUT",
+            target: "/stand-in/behaviour",
+            headers: &[],
+            body: behaviour.as_bytes(),
+        };
+        let addr = self.plan.backend_servers[n].addr;
+        assert_eq!(send(addr, request, LIMIT).unwrap().status, 204);
+    }
+
+    pub fn log_of(&self, n: usize) -> String {
+        let path: PathBuf = self
+            .dir
+            .path()
+            .join(format!("{}.log", self.plan.daemons[n].name));
+        std::fs::read_to_string(path).unwrap()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for n in 0..self.daemons.len() {
+            self.kill(n);
+        }
+        if std::thread::panicking() {
+            for n in 0..self.daemons.len() {
+                eprintln!("== {}\n{}", self.plan.daemons[n].name, self.log_of(n));
+            }
+        }
+    }
+}
+
+fn send(addr: SocketAddr, request: HttpRequest<'_>, patience: Duration) -> Option<HttpAnswer> {
+    task::block_on(async {
+        let exchange = fetch(addr, request, 64 << 20);
+        async_std::future::timeout(patience, exchange)
+            .await
+            .ok()?
+            .ok()
+    })
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    pub method: &'a str,
+    pub path: &'a str,
+    pub key: Option<String>,
+    pub extra: Vec<(String, String)>,
+    pub body: String,
+    pub patience: Duration,
+}
+
+impl<'a> Call<'a> {
+    pub fn get(path: &'a str) -> Self {
+        Call {
+            method: "GET",
+            path,
+            key: None,
+            extra: Vec::new(),
+            body: String::new(),
+            patience: Duration::from_secs(20),
+        }
+    }
+
+    pub fn billable(path: &'a str) -> Self {
+        Call {
+            method: "POST",
+            key: Some(new_key()),
+            body: "three frames".to_owned(),
+            ..Call::get(path)
+        }
+    }
+
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.extra.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    fn headers(&self) -> Vec<(String, String)> {
+        let key = self
+            .key
+            .iter()
+            .map(|key| ("Idempotency-Key".to_owned(), key.clone()));
+        key.chain(self.extra.iter().cloned()).collect()
+    }
+}
+
+pub fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+pub fn outcome(answer: &HttpAnswer) -> &str {
+    answer.header("foxtailgauge-outcome").unwrap_or("none")
+}
+
+pub fn code(answer: &HttpAnswer) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    body["code"].as_str().unwrap_or("none").to_owned()
+}
+
+/// Sends a request again and again until it ran; panics if it becomes unknown.
+pub fn call_until_ran(fleet: &Fleet, n: usize, call: &Call<'_>) -> HttpAnswer {
+    wait_for("request ran", || {
+        let answer = fleet.call(n, call)?;
+        match outcome(&answer) {
+            "ran" => Some(answer),
+            "not-run" => None,
+            other => panic!("{other}: {}", code(&answer)),
+        }
+    })
+}
