--- a/crates/foxtailgauge-core/src/directory.rs
+++ b/crates/foxtailgauge-core/src/directory.rs
@@ -221,13 +221,15 @@
     /// Entries changed since the cursor, for a reader that takes from this table: all but those
     /// that came from it.
     ///
-    /// A cursor of another epoch, or none, reads from the start.
+    /// A cursor of another epoch, or none, reads all from the start: a reader that restarted has
+    /// forgotten what it once told.
     pub fn changes_since(
         &self,
         cursor: Option<Cursor>,
         reader: &str,
     ) -> (Vec<InstanceState>, Cursor) {
-        self.changes(cursor, |via| via != reader)
+        let is_new = cursor.is_none_or(|cursor| cursor.epoch != self.epoch);
+        self.changes(cursor, |via| is_new || via != reader)
     }
 
     /// Entries changed since the cursor, for a report to a source: the own one and those that came
--- a/crates/foxtailgauge-daemon/src/executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor.rs
@@ -8,7 +8,7 @@
 use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::{
     fingerprint, request_digest, ActionKey, AdmissionRefusal, Claimant, Digest, LedgerAnswer,
-    LedgerCommand, RecordedAnswer, ServerEntry, CLAIM_GRACE_MS,
+    LedgerCommand, RecordedAnswer, ServerEntry, CLAIM_GRACE_MS, REPORT_INTERVAL_MS,
 };
 use foxtailgauge_wire::http::{HttpAnswer, HttpError, HttpRequest};
 use foxtailgauge_wire::{CallAnswer, CallReply, CallRequest, Cause, Outcome};
@@ -20,6 +20,9 @@
 const SHED_STATUS: u16 = 503;
 /// Longest time for a claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Age of the contact with a majority from which claims are not even tried, in milliseconds. News
+/// of the contact takes up to two report intervals from a replica to a daemon below a relay.
+const NO_MAJORITY_MS: u64 = 3 * REPORT_INTERVAL_MS;
 /// When to come back while the ledger has no majority.
 const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// When to come back while another attempt may be running, beyond that attempt's end.
@@ -271,6 +274,14 @@
         claimant: &Claimant,
         deadline: Instant,
     ) -> Result<(), CallReply> {
+        let unreachable = || {
+            let reply = CallReply::without_answer(Outcome::NotRun, Cause::LedgerUnreachable);
+            reply.retry_after(LEDGER_RETRY_AFTER)
+        };
+        let contact_age_ms = self.shared.quorum_age_ms();
+        if contact_age_ms.is_none_or(|age_ms| age_ms > NO_MAJORITY_MS) {
+            return Err(unreachable());
+        }
         let left = deadline.saturating_duration_since(Instant::now());
         let now_ms = unix_ms();
         let command = LedgerCommand::Claim {
@@ -280,7 +291,11 @@
             at_ms: now_ms,
             until_ms: now_ms + u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
-        let answer = self.ledger.command(command, left.min(CLAIM_TIMEOUT)).await;
+        // Half of the time is left for the run, and for the refusal to arrive in time.
+        let answer = self
+            .ledger
+            .command(command, (left / 2).min(CLAIM_TIMEOUT))
+            .await;
         match answer {
             Ok(LedgerAnswer::Granted) => Ok(()),
             Ok(answer) => Err(refused_claim(answer)),
@@ -288,8 +303,7 @@
                 if error == SubmitError::OutcomeUnknown {
                     self.ledger.withdraw(key, digest, claimant.clone());
                 }
-                let reply = CallReply::without_answer(Outcome::NotRun, Cause::LedgerUnreachable);
-                Err(reply.retry_after(LEDGER_RETRY_AFTER))
+                Err(unreachable())
             }
         }
     }
--- a/crates/foxtailgauge-daemon/src/formation.rs
+++ b/crates/foxtailgauge-daemon/src/formation.rs
@@ -64,7 +64,15 @@
         initial: initial.clone(),
     });
     if initial.members.is_empty() {
-        async_std::task::spawn(join(services.clone(), identity.replica, control_addr));
+        for group in Group::ALL {
+            let join = join(
+                services.clone(),
+                group,
+                identity.replica,
+                control_addr.clone(),
+            );
+            async_std::task::spawn(join);
+        }
     }
     Ok(())
 }
@@ -150,28 +158,24 @@
     Membership::default()
 }
 
-/// Asks to be taken in until this replica finds itself among the members of every group.
-async fn join(services: Services, replica: ReplicaId, control_addr: String) {
+/// Asks to be taken in until this replica finds itself among the members of the group.
+async fn join(services: Services, group: Group, replica: ReplicaId, control_addr: String) {
     let shared = &services.shared;
     let client = ReplicaClient::new(shared);
-    for group in Group::ALL {
-        loop {
-            let status = shared
-                .replica
-                .get()
-                .map(|handles| handles.group(group).status());
-            if status.is_some_and(|status| status.members.members.contains_key(&replica)) {
-                break;
-            }
-            let request = SubmitRequest::Join {
-                group,
-                replica,
-                control_addr: control_addr.clone(),
-            };
-            if client.submit(request, JOIN_TIMEOUT).await == Ok(SubmitReply::Joined) {
-                emit!(shared.log, events::GROUP_JOINED, "group" => group.as_str());
-            }
-            async_std::task::sleep(ROUND_WAIT * 5).await;
+    let is_member = || {
+        let handles = shared.replica.get();
+        let status = handles.map(|handles| handles.group(group).status());
+        status.is_some_and(|status| status.members.members.contains_key(&replica))
+    };
+    while !is_member() {
+        let request = SubmitRequest::Join {
+            group,
+            replica,
+            control_addr: control_addr.clone(),
+        };
+        if client.submit(request, JOIN_TIMEOUT).await == Ok(SubmitReply::Joined) {
+            emit!(shared.log, events::GROUP_JOINED, "group" => group.as_str());
         }
+        async_std::task::sleep(ROUND_WAIT * 5).await;
     }
 }
