--- a/crates/foxtailgauge-daemon/src/caller_http.rs
+++ b/crates/foxtailgauge-daemon/src/caller_http.rs
@@ -12,6 +12,7 @@
 use futures::future::{select, Either};
 use http_types::headers::HeaderValue;
 use http_types::{Method, Request, Response, StatusCode};
+use std::net::Shutdown;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -27,6 +28,10 @@
 /// Time a caller may take to send a request once it began.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time and bytes for which a refused request is still read.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+const LINGER_BYTES: u64 = 64 << 20;
+
 /// Answers that concern one request but no route.
 #[derive(Clone, Copy, Debug)]
 enum HttpRefusal {
@@ -115,7 +120,7 @@
             Err(refusal) => {
                 self.count(started, Outcome::NotRun);
                 self.write(refuse(refusal), method).await?;
-                // The rest of the body is not read, so the connection cannot go on.
+                self.linger().await;
                 return Ok(false);
             }
         };
@@ -125,6 +130,18 @@
         Ok(is_kept)
     }
 
+    /// Ends a connection whose request was not read to its end. Closing it at once would reset it,
+    /// and the caller could lose the answer; so what still comes is read and dropped for a while.
+    async fn linger(&self) {
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut rest = self.stream.clone().take(LINGER_BYTES);
+        let dropping = io::copy(&mut rest, io::sink());
+        // Whether it ends or not, the connection is closed now.
+        let _ = async_std::future::timeout(LINGER_TIME, dropping).await;
+    }
+
     /// Handles a request, and cancels it when the caller closes the connection.
     async fn until_gone(&self, request: &CallerRequest) -> Option<CallerAnswer> {
         let handling = Box::pin(self.gateway.handle(request));
