A lost daemon stands in the way of "in force everywhere"

Ruled out: dropping lost daemons after a time; regions may lose each other for an hour, and then the answer would be wrong again.

Change: a daemon is live, lost or stopped. Lost ones are listed by name and count against "everywhere" until they are back or an operator forgets them; a graceful stop says so itself.

--- a/crates/foxtailgauge-cli/src/arguments.rs
+++ b/crates/foxtailgauge-cli/src/arguments.rs
@@ -116,6 +116,11 @@
     },
     /// Show where the fleet stands.
     Status,
+    /// Say that a lost daemon does not come back.
+    Forget {
+        /// Its name.
+        daemon: String,
+    },
     /// Follow the fleet until every daemon holds the newest version.
     Watch {
         /// Longest time to watch, in seconds.
--- a/crates/foxtailgauge-cli/src/client.rs
+++ b/crates/foxtailgauge-cli/src/client.rs
@@ -164,6 +164,24 @@
         self.read("GET", "/v1/status", &[]).await
     }
 
+    /// Says that a lost daemon does not come back.
+    pub(crate) async fn forget(&self, daemon: &str) -> Result<(), ClientError> {
+        let target = format!("/v1/daemons/{daemon}/forget");
+        for address in &self.addresses {
+            match self.request(*address, "POST", &target, &[]).await {
+                Ok(answer) if answer.status == 204 => return Ok(()),
+                Ok(answer) => match parse::<ErrorReply>(&answer) {
+                    Ok(reply) if reply.code != ErrorCode::Unavailable => {
+                        return Err(ClientError::Refused { code: reply.code });
+                    }
+                    _ => {}
+                },
+                Err(_) => {}
+            }
+        }
+        Err(ClientError::Unavailable)
+    }
+
     async fn read<T: DeserializeOwned>(
         &self,
         method: &str,
--- a/crates/foxtailgauge-cli/src/commands.rs
+++ b/crates/foxtailgauge-cli/src/commands.rs
@@ -41,6 +41,10 @@
             render::print(is_json, &status, || render::status(&status));
             Ok(Exit::Done)
         }
+        Command::Forget { daemon } => {
+            client.forget(daemon).await?;
+            Ok(Exit::Done)
+        }
         Command::Watch { timeout_s, keep } => watch(&client, *timeout_s, *keep).await,
     }
 }
@@ -199,13 +203,14 @@
     }
 }
 
-/// Whether every live daemon holds the version or a newer one.
+/// Whether every daemon holds the version or a newer one. A lost daemon may be cut off and serving
+/// an older one, so it stands in the way until it is back or forgotten.
 fn is_everywhere(status: &FleetStatus, version: ConfigVersion) -> bool {
     !status.domains.is_empty()
-        && status
-            .domains
-            .iter()
-            .all(|domain| render::holders(status, &domain.failure_domain, version) == domain.live)
+        && status.domains.iter().all(|domain| {
+            let holders = render::holders(status, &domain.failure_domain, version);
+            domain.lost.is_empty() && holders == domain.live
+        })
 }
 
 async fn watch(client: &Client, timeout_s: u64, keep: bool) -> Result<Exit, ClientError> {
--- a/crates/foxtailgauge-cli/src/render.rs
+++ b/crates/foxtailgauge-cli/src/render.rs
@@ -2,7 +2,7 @@
 
 use foxtailgauge_core::{ChangeAnswer, ConfigProblem, ConfigVersion, MemberSet};
 use foxtailgauge_wire::api::{AuditReply, HistoryReply};
-use foxtailgauge_wire::FleetStatus;
+use foxtailgauge_wire::{DomainStatus, FleetStatus};
 use serde::Serialize;
 use std::fmt::Write;
 
@@ -96,12 +96,19 @@
         let count = holders(status, name, version).daemons.min(live);
         line(
             &mut text,
-            format_args!("  {name}: {count} of {live} daemons"),
+            format_args!("  {name}: {count} of {live} daemons{}", lost(domain)),
         );
     }
     text
 }
 
+fn lost(domain: &DomainStatus) -> String {
+    match domain.lost.as_slice() {
+        [] => String::new(),
+        names => format!("; not heard: {}", names.join(", ")),
+    }
+}
+
 /// The whole status.
 pub(crate) fn status(status: &FleetStatus) -> String {
     let mut text = String::new();
@@ -111,11 +118,8 @@
         line(
             &mut text,
             format_args!(
-                "  {}: {} backend servers ready, {} leaving, {} daemons lost",
-                domain.failure_domain,
-                domain.ready_servers,
-                domain.leaving_servers,
-                domain.lost_daemons
+                "  {}: {} backend servers ready, {} leaving",
+                domain.failure_domain, domain.ready_servers, domain.leaving_servers
             ),
         );
     }
@@ -148,7 +152,11 @@
             let name = &domain.failure_domain;
             let live = domain.live.daemons;
             let count = holders(status, name, status.version).daemons.min(live);
-            format!("{name} {count}/{live}")
+            let lost = domain.lost.len();
+            match lost {
+                0 => format!("{name} {count}/{live}"),
+                _ => format!("{name} {count}/{live} ({lost} lost)"),
+            }
         })
         .collect();
     format!("version {}  {}", status.version, parts.join("  "))
--- a/crates/foxtailgauge-core/src/directory.rs
+++ b/crates/foxtailgauge-core/src/directory.rs
@@ -18,6 +18,18 @@
     Leaving,
 }
 
+/// Whether a daemon takes part. A later variant of the same state wins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Presence {
+    /// It is heard.
+    Live,
+    /// Its source no longer hears it: it may be dead, or cut off and serving.
+    Lost,
+    /// It said that it stops, or operators said that it does not come back.
+    Stopped,
+}
+
 /// One backend server as its daemon announces it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
@@ -48,8 +60,8 @@
     pub calls_addr: String,
     /// Whether it keeps replicated state.
     pub is_replica: bool,
-    /// Set by a parent that no longer hears the daemon.
-    pub is_lost: bool,
+    /// Whether it takes part; only the source may write `Lost`.
+    pub presence: Presence,
     /// Backend servers beside it.
     pub servers: Vec<ServerEntry>,
     /// Requests that were in flight when a backend server beside it died.
@@ -57,8 +69,13 @@
 }
 
 impl InstanceState {
-    fn rank(&self) -> (Incarnation, u64, bool) {
-        (self.incarnation, self.sequence, self.is_lost)
+    /// Whether the daemon is heard.
+    pub fn is_live(&self) -> bool {
+        self.presence == Presence::Live
+    }
+
+    fn rank(&self) -> (Incarnation, u64, Presence) {
+        (self.incarnation, self.sequence, self.presence)
     }
 }
 
@@ -112,12 +129,12 @@
         }
     }
 
-    /// All entries that are not lost.
+    /// All entries of daemons that are heard.
     pub fn live(&self) -> impl Iterator<Item = &InstanceState> + Clone {
         self.entries
             .values()
             .map(|slot| &slot.state)
-            .filter(|state| !state.is_lost)
+            .filter(|state| state.is_live())
     }
 
     /// All entries, lost ones included.
@@ -181,7 +198,7 @@
     pub fn heard_via(&self, neighbour: &str) -> Vec<DaemonName> {
         self.entries
             .values()
-            .filter(|slot| slot.via == neighbour && !slot.state.is_lost)
+            .filter(|slot| slot.via == neighbour && slot.state.is_live())
             .map(|slot| slot.state.name.clone())
             .collect()
     }
@@ -189,7 +206,7 @@
     /// Live daemons other than the owner whose state came through no neighbour that fits.
     pub fn not_heard_via(&self, fits: impl Fn(&str) -> bool) -> Vec<DaemonName> {
         let is_unheard =
-            |slot: &&Slot| !slot.state.is_lost && slot.via != self.owner && !fits(&slot.via);
+            |slot: &&Slot| slot.state.is_live() && slot.via != self.owner && !fits(&slot.via);
         self.entries
             .values()
             .filter(is_unheard)
@@ -200,19 +217,32 @@
     /// Sequence the owner must exceed to refute a mark as lost, if it is marked.
     pub fn own_refutation(&self) -> Option<u64> {
         let own = self.get(&self.owner)?;
-        own.is_lost.then_some(own.sequence)
+        (!own.is_live()).then_some(own.sequence)
     }
 
     /// Marks a daemon lost that a parent no longer hears.
     pub fn mark_lost(&mut self, name: &str) -> bool {
+        self.mark(name, Presence::Live, Presence::Lost)
+    }
+
+    /// Marks a lost daemon as one that does not come back.
+    pub fn forget(&mut self, name: &str) -> bool {
+        self.mark(name, Presence::Lost, Presence::Stopped)
+    }
+
+    fn mark(&mut self, name: &str, from: Presence, to: Presence) -> bool {
         if name == self.owner {
             return false;
         }
-        let Some(held) = self.entries.get(name) else {
+        let Some(held) = self
+            .entries
+            .get(name)
+            .filter(|slot| slot.state.presence == from)
+        else {
             return false;
         };
         let mut state = held.state.clone();
-        state.is_lost = true;
+        state.presence = to;
         state.servers.clear();
         let owner = self.owner.clone();
         self.merge_one(state, &owner)
--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -55,7 +55,7 @@
     HardState, Node, ProposeError, ReadReady, Ready, Role, Stored, ELECTION_MAX_MS,
     ELECTION_MIN_MS, HEARTBEAT_MS,
 };
-pub use directory::{Cursor, Directory, InstanceState, ServerEntry, ServerState};
+pub use directory::{Cursor, Directory, InstanceState, Presence, ServerEntry, ServerState};
 pub use ids::{
     ActionKey, AttemptId, ChangeId, ConfigVersion, DaemonName, Digest, FailureDomain, Incarnation,
     LogIndex, ReplicaId, Revision, RouteName, ServiceName, TeamName, Term, UnixMs,
--- a/crates/foxtailgauge-core/tests/distribution.rs
+++ b/crates/foxtailgauge-core/tests/distribution.rs
@@ -2,8 +2,8 @@
 
 use foxtailgauge_core::{
     parse_team, relays, sources, Children, Cursor, Delta, Directory, Freshness, InstanceState,
-    MemberSet, ReportRequest, SessionLimit, Snapshot, SnapshotError, SnapshotHistory, Update,
-    VersionCount, CHILD_LEASE_MS,
+    MemberSet, Presence, ReportRequest, SessionLimit, Snapshot, SnapshotError, SnapshotHistory,
+    Update, VersionCount, CHILD_LEASE_MS,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -149,7 +149,7 @@
         control_addr: format!("{name}:1"),
         calls_addr: format!("{name}:2"),
         is_replica: false,
-        is_lost: false,
+        presence: Presence::Live,
         servers: Vec::new(),
         suspects: Vec::new(),
     }
@@ -199,7 +199,7 @@
     let mut directory = Directory::new("x", 7);
     directory.set_own(instance("x", "a", 1));
     let mut lost = instance("x", "a", 1);
-    lost.is_lost = true;
+    lost.presence = Presence::Lost;
     assert!(directory.merge(vec![lost], "source"));
     assert_eq!(directory.live().count(), 0);
     let sequence = directory.own_refutation().unwrap();
@@ -208,6 +208,22 @@
     assert_eq!(directory.live().count(), 1);
 }
 
+#[test]
+fn lost_daemon_stays_on_the_list_until_it_is_forgotten() {
+    let mut directory = Directory::new("root", 7);
+    directory.merge(vec![instance("x", "a", 1)], "x");
+    assert!(!directory.forget("x"), "it is heard");
+    assert!(directory.mark_lost("x"));
+    assert_eq!(directory.get("x").unwrap().presence, Presence::Lost);
+    assert!(directory.forget("x"));
+    assert_eq!(directory.get("x").unwrap().presence, Presence::Stopped);
+    assert!(
+        directory.merge(vec![instance("x", "a", 2)], "x"),
+        "it is alive and says so"
+    );
+    assert!(directory.get("x").unwrap().is_live());
+}
+
 fn report(child: &str, instances: Vec<InstanceState>) -> ReportRequest {
     let mut members = MemberSet::default();
     members.insert(child, 1);
@@ -257,7 +273,7 @@
     let late_ms = 3 * CHILD_LEASE_MS;
     children.report(report("other", Vec::new()), &mut directory, late_ms - 1);
     assert!(children.expire(&mut directory, late_ms).is_empty());
-    assert!(!directory.get("leaf").unwrap().is_lost);
+    assert!(directory.get("leaf").unwrap().is_live());
 }
 
 /// The failure that made `apply --wait` say "everywhere" with a dead daemon among the live ones.
@@ -294,7 +310,7 @@
     directory.merge(vec![instance("x", "a", 2)], "source");
     children.expire(&mut directory, 1);
     assert!(children.is_empty());
-    assert!(!directory.get("x").unwrap().is_lost);
+    assert!(directory.get("x").unwrap().is_live());
 }
 
 #[test]
@@ -310,7 +326,10 @@
         children.expire_unheard(&mut directory, 2 * CHILD_LEASE_MS),
         ["old-root"]
     );
-    assert!(!directory.get("x").unwrap().is_lost, "its child reports it");
+    assert!(
+        directory.get("x").unwrap().is_live(),
+        "its child reports it"
+    );
 }
 
 #[test]
--- a/crates/foxtailgauge-daemon/src/admin_http.rs
+++ b/crates/foxtailgauge-daemon/src/admin_http.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tide::{Request, Response, Server, StatusCode};
 
-/// Team whose token may read everything and change nothing.
+/// Holder whose token may read everything, forget lost daemons and change no configuration.
 const OPERATORS: &str = "operators";
 /// Time a change may take to be accepted.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -42,6 +42,7 @@
     app.at("/v1/teams/:team/history").get(history);
     app.at("/v1/teams/:team/audit").get(audit);
     app.at("/v1/status").get(status);
+    app.at("/v1/daemons/:daemon/forget").post(forget);
     app.at("/v1/local").get(local);
     app.at("/metrics").get(metrics);
     app
@@ -243,6 +244,22 @@
     }))
 }
 
+async fn forget(request: Request<Admin>) -> tide::Result {
+    let admin = request.state();
+    match admin.holder(&request) {
+        Ok(holder) if holder.as_deref().is_none_or(|holder| holder == OPERATORS) => {}
+        Ok(_) => return Ok(refusal(ErrorCode::Forbidden)),
+        Err(code) => return Ok(refusal(code)),
+    }
+    let daemon = request.param("daemon").unwrap_or("").to_owned();
+    let reply = admin.submit_read(SubmitRequest::Forget { daemon }).await;
+    respond(reply.map(|reply| match reply {
+        SubmitReply::Forgotten(true) => Response::new(StatusCode::NoContent),
+        SubmitReply::Forgotten(false) => refusal(ErrorCode::NotFound),
+        _ => refusal(ErrorCode::Unavailable),
+    }))
+}
+
 async fn local(request: Request<Admin>) -> tide::Result {
     let admin = request.state();
     if let Err(code) = admin.holder(&request) {
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -34,7 +34,7 @@
 const CALL_CLIENT_THREADS: usize = 2;
 /// Time for requests in flight at a stop.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time for the news of a leaving daemon to spread before its gates close for good.
+/// Time for the news of a stopping daemon to spread.
 const LEAVE_TIME: Duration = Duration::from_millis(300);
 
 /// Why the daemon cannot run.
@@ -89,6 +89,7 @@
         let _ = stop.recv().await;
         emit!(shared.log, events::STOPPING);
         services.executor.drain(DRAIN_TIMEOUT).await;
+        shared.announce_stop();
         task::sleep(LEAVE_TIME).await;
         emit!(shared.log, events::STOPPED);
         Ok(())
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -54,6 +54,7 @@
     SOURCE_BUSY = 3104, Info, "source of configuration admits no session now";
     DAEMON_LOST = 3201, Warning, "daemon is lost";
     LOST_REFUTED = 3202, Info, "mark as lost refuted";
+    DAEMON_FORGOTTEN = 3203, Info, "lost daemon forgotten by operators";
     SERVER_ANNOUNCED = 4001, Info, "backend server announced";
     SERVER_LEAVING = 4002, Info, "backend server leaves";
     SERVER_GONE = 4003, Info, "backend server gone";
--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -525,6 +525,7 @@
                 SubmitReply::Audit(registry.audit(team.as_deref()).cloned().collect())
             }
             SubmitRequest::Status => SubmitReply::Status(self.shared.fleet_status()),
+            SubmitRequest::Forget { daemon } => SubmitReply::Forgotten(self.shared.forget(&daemon)),
             _ => SubmitReply::Unavailable,
         }
     }
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -9,9 +9,9 @@
 use event_listener::Event;
 use foxtailgauge_core::{
     Balancer, Candidate, Children, ConfigVersion, Cursor, Digest, Directory, Fingerprint,
-    Freshness, Incarnation, InstanceState, MemberSet, PollReply, ReportRequest, Role, ServerEntry,
-    ServerKey, ServerState, ServiceName, SessionLimit, Sightings, Snapshot, SnapshotError,
-    SnapshotHistory, SuspectIndex, UnixMs, Update, VersionCount,
+    Freshness, Incarnation, InstanceState, MemberSet, PollReply, Presence, ReportRequest, Role,
+    ServerEntry, ServerKey, ServerState, ServiceName, SessionLimit, Sightings, Snapshot,
+    SnapshotError, SnapshotHistory, SuspectIndex, UnixMs, Update, VersionCount,
 };
 use foxtailgauge_wire::{encode, DomainStatus, FleetStatus};
 use slog::Logger;
@@ -68,8 +68,8 @@
 }
 
 /// The daemon's own entry in the directory.
-#[derive(Default)]
 struct OwnEntry {
+    presence: Presence,
     sequence: u64,
     servers: Vec<ServerEntry>,
     sightings: Sightings,
@@ -133,7 +133,12 @@
                 highest_heard: 0,
             }),
             children: Mutex::new(Children::default()),
-            own: Mutex::new(OwnEntry::default()),
+            own: Mutex::new(OwnEntry {
+                presence: Presence::Live,
+                sequence: 0,
+                servers: Vec::new(),
+                sightings: Sightings::default(),
+            }),
             told_sequence: async_std::sync::Mutex::new(0),
             contact: Mutex::new(Contact::default()),
             view: RwLock::new(Arc::new(RouteView::default())),
@@ -305,7 +310,7 @@
             control_addr: self.settings.advertise_control.clone(),
             calls_addr: self.settings.advertise_calls.clone(),
             is_replica: self.settings.store_dir.is_some(),
-            is_lost: false,
+            presence: own.presence,
             servers: own.servers.clone(),
             suspects: own.sightings.announced(unix_ms()),
         }
@@ -324,7 +329,28 @@
         self.refute_loss();
     }
 
+    /// Announces that this daemon stops.
+    pub(crate) fn announce_stop(&self) {
+        self.republish(|own| {
+            own.presence = Presence::Stopped;
+            own.servers.clear();
+        });
+    }
+
+    /// Takes a lost daemon off the list of those that may come back.
+    pub(crate) fn forget(&self, daemon: &str) -> bool {
+        let is_forgotten = lock(&self.directory).forget(daemon);
+        if is_forgotten {
+            emit!(self.log, events::DAEMON_FORGOTTEN, "forgotten" => daemon);
+            self.directory_changed();
+        }
+        is_forgotten
+    }
+
     fn refute_loss(&self) {
+        if lock(&self.own).presence == Presence::Stopped {
+            return;
+        }
         let Some(sequence) = lock(&self.directory).own_refutation() else {
             return;
         };
@@ -512,13 +538,17 @@
         let status = domains.entry(name.clone()).or_insert_with(|| DomainStatus {
             failure_domain: name.clone(),
             live: MemberSet::default(),
-            lost_daemons: 0,
+            lost: Vec::new(),
             ready_servers: 0,
             leaving_servers: 0,
         });
-        if instance.is_lost {
-            status.lost_daemons += 1;
-            continue;
+        match instance.presence {
+            Presence::Live => {}
+            Presence::Lost => {
+                status.lost.push(instance.name.clone());
+                continue;
+            }
+            Presence::Stopped => continue,
         }
         status.live.insert(&instance.name, instance.incarnation);
         for server in &instance.servers {
--- a/crates/foxtailgauge-daemon/tests/operators.rs
+++ b/crates/foxtailgauge-daemon/tests/operators.rs
@@ -184,6 +184,25 @@
     assert!(answer.header("retry-after").is_some());
 }
 
+#[test]
+fn killed_daemon_stays_listed_and_a_stopped_one_does_not() {
+    let mut fleet = start(Deployment::Trio, 2, false);
+    fleet.apply_all();
+    let lost = |fleet: &support::Fleet| -> Option<Vec<String>> {
+        let domains = fleet.status()?.domains;
+        Some(domains.into_iter().flat_map(|domain| domain.lost).collect())
+    };
+    assert!(fleet.stop(4).success());
+    fleet.kill(5);
+    let name = fleet.plan.daemons[5].name.clone();
+    let listed = wait_for("the loss is noticed", || {
+        lost(&fleet).filter(|names| !names.is_empty())
+    });
+    assert_eq!(listed, [name]);
+    fleet.start_daemon(5);
+    wait_for("it is back", || lost(&fleet).filter(Vec::is_empty));
+}
+
 #[test]
 fn tokens_keep_teams_apart() {
     let fleet = trio();
@@ -215,6 +234,7 @@
         ("GET", "/v1/teams/rybar/config", Some("guess"), "", 401),
         ("PUT", "/v1/teams/rybar/config", Some("guess"), change, 401),
         ("GET", "/v1/status", None, "", 401),
+        ("POST", "/v1/daemons/layout-1/forget", own, "", 403),
         ("GET", "/metrics", None, "", 200),
         ("GET", "/nowhere", own, "", 404),
     ];
--- a/crates/foxtailgauge-wire/src/submit.rs
+++ b/crates/foxtailgauge-wire/src/submit.rs
@@ -76,6 +76,11 @@
     },
     /// Reads where the fleet stands.
     Status,
+    /// Takes a lost daemon off the list of those that may come back.
+    Forget {
+        /// Daemon.
+        daemon: DaemonName,
+    },
     /// A command to the ledger.
     Ledger(LedgerCommand),
     /// Asks to become a learner.
@@ -106,6 +111,8 @@
     Audit(Vec<AuditEntry>),
     /// Where the fleet stands.
     Status(FleetStatus),
+    /// Whether a lost daemon of that name was found and forgotten.
+    Forgotten(bool),
     /// The ledger's answer.
     Ledger(LedgerAnswer),
     /// The learner is or becomes a member.
@@ -183,8 +190,8 @@
     pub failure_domain: FailureDomain,
     /// Live daemons.
     pub live: MemberSet,
-    /// Daemons that are known and lost.
-    pub lost_daemons: u32,
+    /// Daemons that are not heard: dead, or cut off and serving what they hold.
+    pub lost: Vec<DaemonName>,
     /// Backend servers that take work.
     pub ready_servers: u32,
     /// Backend servers that leave.
