--- a/crates/foxtailgauge-bench/src/lib.rs
+++ b/crates/foxtailgauge-bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod json_file;
 pub mod load;
+pub mod measure;
 pub mod plan;
 pub mod relay;
 pub mod stand_in;
--- a/crates/foxtailgauge-bench/src/load.rs
+++ b/crates/foxtailgauge-bench/src/load.rs
@@ -16,8 +16,6 @@
 
 /// Largest answer.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
-/// Time for one request.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 /// Significant digits of the latency figures.
 const DIGITS: u8 = 3;
 /// Longest latency told apart, in microseconds.
@@ -47,6 +45,9 @@
     /// Connections, each with one request at a time.
     #[arg(long, default_value_t = 4)]
     connections: usize,
+    /// Time after which a caller goes away, in milliseconds.
+    #[arg(long, default_value_t = 30_000)]
+    deadline_ms: u64,
     /// Requests a second in all; 0: as fast as the answers come.
     #[arg(long, default_value_t = 0.0)]
     rate: f64,
@@ -58,6 +59,8 @@
     requests: u64,
     seconds: f64,
     per_second: f64,
+    /// Answers with status 200 within the deadline, a second.
+    good_per_second: f64,
     p50_us: u64,
     p99_us: u64,
     max_us: u64,
@@ -74,6 +77,7 @@
 struct Tally {
     latency_us: Histogram<u64>,
     answers: BTreeMap<String, u64>,
+    good: u64,
 }
 
 /// Runs a load and prints what it measured as one JSON line.
@@ -93,6 +97,7 @@
             .latency_us
             .add(&part.latency_us)
             .change_context(BenchError::Plan)?;
+        total.good += part.good;
         for (answer, count) in part.answers {
             *total.answers.entry(answer).or_insert(0) += count;
         }
@@ -102,6 +107,7 @@
         requests: total.latency_us.len(),
         seconds,
         per_second: total.latency_us.len() as f64 / seconds,
+        good_per_second: total.good as f64 / seconds,
         p50_us: total.latency_us.value_at_quantile(0.5),
         p99_us: total.latency_us.value_at_quantile(0.99),
         max_us: total.latency_us.max(),
@@ -120,6 +126,7 @@
     Ok(Tally {
         latency_us,
         answers: BTreeMap::new(),
+        good: 0,
     })
 }
 
@@ -140,8 +147,12 @@
             false => Instant::now(),
         };
         task::sleep(due.saturating_duration_since(Instant::now())).await;
+        let patience = Duration::from_millis(arguments.deadline_ms).saturating_sub(due.elapsed());
         let exchange = send(arguments, addr, &body, &mut connection);
-        let answer = async_std::future::timeout(REQUEST_TIMEOUT, exchange).await;
+        let answer = async_std::future::timeout(patience, exchange).await;
+        if matches!(&answer, Ok(Ok(answer)) if answer.status == 200) {
+            tally.good += 1;
+        }
         let latency_us = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
         tally.latency_us.saturating_record(latency_us.max(1));
         *tally.answers.entry(describe(answer.ok())).or_insert(0) += 1;
--- a/crates/foxtailgauge-bench/src/main.rs
+++ b/crates/foxtailgauge-bench/src/main.rs
@@ -1,7 +1,7 @@
 //! Stand-in backend server, load generator, cuttable links and fleet plans. Not shipped.
 
 use clap::{Parser, Subcommand};
-use foxtailgauge_bench::{call, fleet, load, plan, relay, stand_in};
+use foxtailgauge_bench::{call, fleet, load, measure, plan, relay, stand_in};
 use std::process::ExitCode;
 
 /// Tools around a fleet on one machine.
@@ -28,6 +28,8 @@
     Call(call::CallArguments),
     /// Send requests and measure.
     Load(load::LoadArguments),
+    /// Measure convergence, control bytes, processor time and memory of a started fleet.
+    Measure(measure::MeasureArguments),
     /// Print a new idempotency key.
     Key,
 }
@@ -43,6 +45,7 @@
             Command::Relay(arguments) => relay::run(&arguments).await,
             Command::Call(arguments) => call::run(&arguments).await,
             Command::Load(arguments) => load::run(&arguments).await,
+            Command::Measure(arguments) => measure::run(&arguments).await,
             Command::Key => {
                 println!("{}", uuid::Uuid::now_v7());
                 Ok(())
--- a/crates/foxtailgauge-bench/src/stand_in.rs
+++ b/crates/foxtailgauge-bench/src/stand_in.rs
@@ -1,6 +1,7 @@
 //! A stand-in backend server: announces itself, answers, keeps a journal, and misbehaves on demand.
 
 use crate::json_file::{BenchError, BenchResult};
+use async_std::channel::{bounded, Receiver, Sender};
 use async_std::io::ReadExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -118,6 +119,8 @@
     is_dead: AtomicBool,
     death: Death,
     connections: Mutex<Vec<TcpStream>>,
+    /// One token for each free slot; a request waits for one as long as it takes.
+    slots: (Sender<()>, Receiver<()>),
     started: Instant,
 }
 
@@ -148,7 +151,12 @@
         run_ms: arguments.run_ms,
         ..Behaviour::default()
     };
+    let slots = bounded(arguments.slots as usize);
+    for _ in 0..arguments.slots {
+        slots.0.try_send(()).change_context(BenchError::Plan)?;
+    }
     let server = Arc::new(StandIn {
+        slots,
         arguments,
         behaviour: Mutex::new(behaviour),
         journal: Mutex::new(journal),
@@ -340,9 +348,13 @@
         let cold = Duration::from_millis(self.arguments.cold_ms);
         let factor = if self.started.elapsed() < cold { 10 } else { 1 };
         let run_ms = behaviour.run_ms * factor;
-        if run_ms > 0 {
-            task::sleep(Duration::from_millis(run_ms)).await;
+        if run_ms == 0 {
+            return;
         }
+        // The channel holds as many tokens as it has places, and never closes.
+        let _ = self.slots.1.recv().await;
+        task::sleep(Duration::from_millis(run_ms)).await;
+        let _ = self.slots.0.try_send(());
     }
 
     fn set_behaviour(&self, body: &[u8]) -> Response {
--- a/crates/foxtailgauge-core/src/consensus.rs
+++ b/crates/foxtailgauge-core/src/consensus.rs
@@ -292,6 +292,14 @@
         heard_ms.map(|at| self.now_ms.saturating_sub(at))
     }
 
+    /// When [`Node::tick`] has something to do next, in the driver's time.
+    pub fn next_tick_ms(&self) -> u64 {
+        match self.role {
+            Role::Leader => self.heartbeat_at_ms,
+            _ => self.election_at_ms,
+        }
+    }
+
     /// Advances the time: elections, heartbeats, leadership checks.
     pub fn tick(&mut self, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/consensus_link.rs
@@ -0,0 +1,167 @@
+//! Connections that carry consensus messages one way, in frames.
+//!
+//! An RPC costs three messages a call and answers nothing that consensus needs: its replies are
+//! messages of their own. A frame is a length, the group's number and the encoded envelope; the
+//! first frame of a connection holds the sender's control address instead.
+
+use crate::meter::MeteredStream;
+use crate::peer_client::{connect, Identity};
+use crate::shared::lock;
+use async_std::channel::{bounded, unbounded, Receiver, Sender};
+use async_std::task;
+use foxtailgauge_core::Envelope;
+use foxtailgauge_wire::{decode, Group};
+use futures::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use std::collections::HashMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Messages that may wait for one replica.
+const SEND_QUEUE: usize = 4_096;
+/// Largest frame, in bytes. A snapshot travels in one.
+const MAX_FRAME_BYTES: u32 = 256 << 20;
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for one frame to leave; a peer that is frozen or cut off takes no more.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between attempts to connect.
+const RETRY_WAIT: Duration = Duration::from_millis(100);
+
+/// A message ready to be sent.
+struct Frame {
+    group: Group,
+    envelope: Vec<u8>,
+}
+
+/// Outgoing connections to the other replicas, one for each address.
+#[derive(Clone)]
+pub(crate) struct ConsensusLinks {
+    queues: Arc<Mutex<HashMap<String, Sender<Frame>>>>,
+    /// Leads to the thread that carries the links.
+    opened: Sender<(String, Receiver<Frame>)>,
+}
+
+/// What the carrying thread needs.
+#[derive(Clone)]
+struct Introduction {
+    identity: Identity,
+    own_addr: String,
+}
+
+impl ConsensusLinks {
+    /// Links that introduce themselves with an identity, on a thread of their own, so that no burst
+    /// of calls delays a heartbeat.
+    pub(crate) fn start(identity: Identity, own_addr: impl Into<String>) -> Self {
+        let (opened, links) = unbounded();
+        let introduction = Introduction {
+            identity,
+            own_addr: own_addr.into(),
+        };
+        std::thread::spawn(move || task::block_on(serve(introduction, links)));
+        ConsensusLinks {
+            queues: Arc::default(),
+            opened,
+        }
+    }
+
+    /// Sends a message; drops it when too many wait, as consensus repeats what is lost.
+    pub(crate) fn send(&self, addr: &str, group: Group, envelope: Vec<u8>) {
+        let mut queues = lock(&self.queues);
+        let queue = queues
+            .entry(addr.to_owned())
+            .or_insert_with(|| self.open(addr));
+        let _ = queue.try_send(Frame { group, envelope });
+    }
+
+    fn open(&self, addr: &str) -> Sender<Frame> {
+        let (sender, receiver) = bounded(SEND_QUEUE);
+        // The thread ends only with the process.
+        let _ = self.opened.try_send((addr.to_owned(), receiver));
+        sender
+    }
+}
+
+async fn serve(introduction: Introduction, links: Receiver<(String, Receiver<Frame>)>) {
+    while let Ok((addr, frames)) = links.recv().await {
+        task::spawn_local(carry(introduction.clone(), addr, frames));
+    }
+}
+
+impl Introduction {
+    async fn connect(&self, addr: &str) -> Option<impl AsyncWrite + Unpin> {
+        let connecting = connect(addr, &self.identity);
+        let stream = async_std::future::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .ok()??;
+        let mut stream = MeteredStream::new(stream, self.identity.counters.clone());
+        let hello = write_frame(&mut stream, 0, self.own_addr.as_bytes());
+        async_std::future::timeout(SEND_TIMEOUT, hello)
+            .await
+            .ok()?
+            .ok()?;
+        Some(stream)
+    }
+}
+
+/// Sends what is queued for one address over one connection after the other.
+async fn carry(introduction: Introduction, addr: String, frames: Receiver<Frame>) {
+    loop {
+        let Some(mut stream) = introduction.connect(&addr).await else {
+            // What waited is stale by the time that a connection stands.
+            while frames.try_recv().is_ok() {}
+            task::sleep(RETRY_WAIT).await;
+            continue;
+        };
+        loop {
+            let Ok(frame) = frames.recv().await else {
+                return;
+            };
+            let writing = write_frame(&mut stream, frame.group.number(), &frame.envelope);
+            match async_std::future::timeout(SEND_TIMEOUT, writing).await {
+                Ok(Ok(())) => {}
+                _ => break,
+            }
+        }
+    }
+}
+
+async fn write_frame(
+    stream: &mut (impl AsyncWrite + Unpin),
+    number: u8,
+    payload: &[u8],
+) -> io::Result<()> {
+    let length = u32::try_from(payload.len()).map_err(|_| io::ErrorKind::InvalidInput)?;
+    let mut frame = Vec::with_capacity(5 + payload.len());
+    frame.extend_from_slice(&length.to_le_bytes());
+    frame.push(number);
+    frame.extend_from_slice(payload);
+    stream.write_all(&frame).await
+}
+
+async fn read_frame(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).await?;
+    let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]);
+    if length > MAX_FRAME_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut payload = vec![0; length as usize];
+    stream.read_exact(&mut payload).await?;
+    Ok((head[4], payload))
+}
+
+/// Reads messages from an accepted connection until it ends.
+pub(crate) async fn receive(
+    mut stream: impl AsyncRead + Unpin,
+    deliver: impl Fn(Group, Envelope, &str, usize),
+) -> io::Result<()> {
+    let (_, addr) = read_frame(&mut stream).await?;
+    let addr = String::from_utf8(addr).map_err(|_| io::ErrorKind::InvalidData)?;
+    loop {
+        let (number, payload) = read_frame(&mut stream).await?;
+        let group = Group::from_number(number).ok_or(io::ErrorKind::InvalidData)?;
+        let envelope = decode(&payload).map_err(|_| io::ErrorKind::InvalidData)?;
+        deliver(group, envelope, &addr, payload.len());
+    }
+}
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::admin_http;
 use crate::announce_http;
 use crate::caller_http;
+use crate::consensus_link::ConsensusLinks;
 use crate::emit;
 use crate::events;
 use crate::executor::Executor;
@@ -111,26 +112,22 @@
 }
 
 fn clients(settings: &Settings, metrics: &Metrics) -> Clients {
-    let client = |kind, counters: &ByteCounters, threads| {
-        let identity = Identity {
-            hello: Hello {
-                kind,
-                failure_domain: settings.failure_domain.clone(),
-                name: settings.name.clone(),
-            },
-            key: settings.cluster_key.clone(),
-            counters: counters.clone(),
-        };
-        PeerClient::start(&identity, threads)
+    let identity = |kind, counters: &ByteCounters| Identity {
+        hello: Hello {
+            kind,
+            failure_domain: settings.failure_domain.clone(),
+            name: settings.name.clone(),
+        },
+        key: settings.cluster_key.clone(),
+        counters: counters.clone(),
     };
+    let control = identity(ConnectionKind::Control, &metrics.control);
+    let calls = identity(ConnectionKind::Calls, &metrics.call_bytes);
+    let consensus = identity(ConnectionKind::Consensus, &metrics.consensus);
     Clients {
-        control: client(ConnectionKind::Control, &metrics.control, 1),
-        consensus: client(ConnectionKind::Control, &metrics.consensus, 1),
-        calls: client(
-            ConnectionKind::Calls,
-            &metrics.call_bytes,
-            CALL_CLIENT_THREADS,
-        ),
+        control: PeerClient::start(&control, 1),
+        consensus: ConsensusLinks::start(consensus, settings.advertise_control.clone()),
+        calls: PeerClient::start(&calls, CALL_CLIENT_THREADS),
     }
 }
 
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin_http;
 mod announce_http;
 mod caller_http;
+mod consensus_link;
 mod daemon;
 pub mod events;
 mod executor;
--- a/crates/foxtailgauge-daemon/src/peer_client.rs
+++ b/crates/foxtailgauge-daemon/src/peer_client.rs
@@ -32,12 +32,6 @@
 /// A request to another daemon.
 #[derive(Debug)]
 pub(crate) enum PeerRequest {
-    /// A message of a consensus group, one way.
-    Consensus {
-        group: u8,
-        envelope: Vec<u8>,
-        sender_addr: String,
-    },
     /// Asks a source for news.
     Poll(Vec<u8>),
     /// Reports to a source.
@@ -140,19 +134,6 @@
         answer.await.unwrap_or(Err(PeerError::NoAnswer))
     }
 
-    /// Sends a request without waiting; dropped when the client is overloaded.
-    pub(crate) fn cast(&self, addr: &str, request: PeerRequest, timeout: Duration) {
-        let (reply, _) = oneshot::channel();
-        let command = Command {
-            addr: addr.to_owned(),
-            request,
-            timeout,
-            reply,
-        };
-        // Consensus repeats what is lost.
-        let _ = self.threads[self.thread_of(addr)].try_send(command);
-    }
-
     fn thread_of(&self, addr: &str) -> usize {
         let mut hasher = DefaultHasher::new();
         addr.hash(&mut hasher);
@@ -198,13 +179,7 @@
         timeout,
         mut reply,
     } = command;
-    let is_one_way = matches!(request, PeerRequest::Consensus { .. });
-    let exchange = connections.exchange(addr, request, timeout);
-    if is_one_way {
-        let _ = exchange.await;
-        return;
-    }
-    let exchange = Box::pin(exchange);
+    let exchange = Box::pin(connections.exchange(addr, request, timeout));
     let outcome = match futures::future::select(exchange, reply.cancellation()).await {
         futures::future::Either::Left((outcome, _)) => outcome,
         futures::future::Either::Right(_) => return,
@@ -279,8 +254,10 @@
     ));
     let mut system = RpcSystem::new(network, None);
     let remote = match identity.hello.kind {
-        ConnectionKind::Control => Remote::Control(system.bootstrap(Side::Server)),
         ConnectionKind::Calls => Remote::Calls(system.bootstrap(Side::Server)),
+        ConnectionKind::Control | ConnectionKind::Consensus => {
+            Remote::Control(system.bootstrap(Side::Server))
+        }
     };
     task::spawn_local(async move {
         // Requests in flight learn of a broken connection by their own errors.
@@ -289,7 +266,8 @@
     Some(remote)
 }
 
-async fn connect(addr: &str, identity: &Identity) -> Option<TcpStream> {
+/// Opens a connection and proves the cluster key.
+pub(crate) async fn connect(addr: &str, identity: &Identity) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(addr).await.ok()?;
     stream.set_nodelay(true).ok()?;
     handshake::connect(&mut stream, &identity.hello, &identity.key)
@@ -315,18 +293,6 @@
 
 async fn send_control(client: &control::Client, request: PeerRequest) -> capnp::Result<PeerReply> {
     let payload = match request {
-        PeerRequest::Consensus {
-            group,
-            envelope,
-            sender_addr,
-        } => {
-            let mut request = client.consensus_request();
-            request.get().set_sender_addr(&sender_addr);
-            request.get().set_group(group);
-            request.get().set_envelope(&envelope);
-            request.send().promise.await?;
-            return Ok(PeerReply::Done);
-        }
         PeerRequest::Poll(payload) => {
             let mut request = client.poll_request();
             request.get().set_request(&payload);
@@ -348,7 +314,7 @@
         }
         PeerRequest::Tell(payload) => {
             let mut request = client.tell_request();
-            request.get().set_instances(&payload);
+            request.get().set_instance(&payload);
             request.send().promise.await?;
             return Ok(PeerReply::Done);
         }
--- a/crates/foxtailgauge-daemon/src/peer_server.rs
+++ b/crates/foxtailgauge-daemon/src/peer_server.rs
@@ -1,5 +1,6 @@
 //! Server side of the connections between daemons.
 
+use crate::consensus_link;
 use crate::emit;
 use crate::events;
 use crate::executor::Executor;
@@ -13,15 +14,14 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use capnp_rpc::RpcSystem;
-use foxtailgauge_core::{Envelope, InstanceState, PollRequest, ReportRequest};
+use foxtailgauge_core::{InstanceState, PollRequest, ReportRequest};
 use foxtailgauge_wire::foxtailgauge_capnp::{calls, control};
 use foxtailgauge_wire::handshake::{self, ConnectionKind};
-use foxtailgauge_wire::{
-    decode, encode, CallRequest, FormationState, Group, SubmitReply, SubmitRequest,
-};
+use foxtailgauge_wire::{decode, encode, CallRequest, FormationState, SubmitReply, SubmitRequest};
 use futures::io::{AsyncReadExt, BufReader, BufWriter};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -42,30 +42,33 @@
     pub(crate) formation: Arc<Mutex<Option<FormationState>>>,
 }
 
-/// Serves control connections.
+/// Serves control and consensus connections.
 pub(crate) fn serve_control(services: &Services, listener: TcpListener) {
-    let counters = services.shared.metrics.control.clone();
-    let threads = start_threads(services, 1, counters, serve_control_stream);
-    task::spawn(accept(
-        services.clone(),
-        listener,
-        ConnectionKind::Control,
-        threads,
-    ));
+    let metrics = &services.shared.metrics;
+    let control = start_threads(services, 1, metrics.control.clone(), serve_control_stream);
+    let consensus = start_threads(
+        services,
+        1,
+        metrics.consensus.clone(),
+        serve_consensus_stream,
+    );
+    let threads = HashMap::from([
+        (ConnectionKind::Control, control),
+        (ConnectionKind::Consensus, consensus),
+    ]);
+    task::spawn(accept(services.clone(), listener, threads));
 }
 
 /// Serves call connections.
 pub(crate) fn serve_calls(services: &Services, listener: TcpListener) {
     let counters = services.shared.metrics.call_bytes.clone();
-    let threads = start_threads(services, CALL_THREADS, counters, serve_calls_stream);
-    task::spawn(accept(
-        services.clone(),
-        listener,
-        ConnectionKind::Calls,
-        threads,
-    ));
+    let calls = start_threads(services, CALL_THREADS, counters, serve_calls_stream);
+    let threads = HashMap::from([(ConnectionKind::Calls, calls)]);
+    task::spawn(accept(services.clone(), listener, threads));
 }
 
+/// Serving threads by what their connections carry.
+type Threads = HashMap<ConnectionKind, Vec<Sender<TcpStream>>>;
 type Metered = MeteredStream<TcpStream>;
 
 fn start_threads(
@@ -93,47 +96,55 @@
     (0..count).map(start).collect()
 }
 
-async fn accept(
-    services: Services,
-    listener: TcpListener,
-    kind: ConnectionKind,
-    threads: Vec<Sender<TcpStream>>,
-) {
-    let mut next = 0;
+async fn accept(services: Services, listener: TcpListener, threads: Threads) {
+    let threads = Arc::new(threads);
+    let mut next: usize = 0;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             task::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        next = (next + 1) % threads.len();
-        task::spawn(greet(services.clone(), stream, kind, threads[next].clone()));
+        next = next.wrapping_add(1);
+        task::spawn(greet(services.clone(), stream, Arc::clone(&threads), next));
     }
 }
 
-async fn greet(
-    services: Services,
-    mut stream: TcpStream,
-    kind: ConnectionKind,
-    thread: Sender<TcpStream>,
-) {
+/// Lets a connection prove the cluster key and hands it to a thread that serves its kind.
+async fn greet(services: Services, mut stream: TcpStream, threads: Arc<Threads>, turn: usize) {
     let shared = &services.shared;
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let handshake = handshake::accept(&mut stream, &shared.settings.cluster_key);
     let refused = match async_std::future::timeout(HANDSHAKE_TIMEOUT, handshake).await {
-        Ok(Ok(hello)) if hello.kind == kind => {
-            // The thread ends only with the process.
-            let _ = thread.send(stream).await;
-            return;
-        }
-        Ok(Ok(_)) => "connection of another kind".to_owned(),
+        Ok(Ok(hello)) => match threads.get(&hello.kind) {
+            Some(serving) => {
+                // The threads end only with the process.
+                let _ = serving[turn % serving.len()].send(stream).await;
+                return;
+            }
+            None => "connection of another kind".to_owned(),
+        },
         Ok(Err(error)) => error.to_string(),
         Err(_) => "no handshake in time".to_owned(),
     };
     emit!(shared.log, events::PEER_REFUSED, "error" => refused);
 }
 
+fn serve_consensus_stream(services: Services, stream: Metered) {
+    task::spawn_local(async move {
+        let shared = Arc::clone(&services.shared);
+        let deliver = |group, envelope, addr: &str, bytes| {
+            shared.metrics.payload("received", "consensus", bytes);
+            if let Some(replica) = shared.replica.get() {
+                replica.group(group).deliver(envelope, addr.to_owned());
+            }
+        };
+        // The sender opens another connection when this one ends.
+        let _ = consensus_link::receive(BufReader::new(stream), deliver).await;
+    });
+}
+
 fn serve_control_stream(services: Services, stream: Metered) {
     let client: control::Client = capnp_rpc::new_client(ControlServer { services });
     serve_stream(stream, client.client);
@@ -196,22 +207,6 @@
 }
 
 impl control::Server for ControlServer {
-    async fn consensus(
-        self: Rc<Self>,
-        params: control::ConsensusParams,
-        _results: control::ConsensusResults,
-    ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let envelope: Envelope = self.read("consensus", params.get_envelope()?)?;
-        let group = Group::from_number(params.get_group());
-        let replica = self.services.shared.replica.get();
-        if let (Some(group), Some(replica)) = (group, replica) {
-            let sender_addr = params.get_sender_addr()?.to_string()?;
-            replica.group(group).deliver(envelope, sender_addr);
-        }
-        Ok(())
-    }
-
     async fn poll(
         self: Rc<Self>,
         params: control::PollParams,
@@ -252,7 +247,7 @@
         params: control::TellParams,
         _results: control::TellResults,
     ) -> Result<(), capnp::Error> {
-        let instance: InstanceState = self.read("tell", params.get()?.get_instances()?)?;
+        let instance: InstanceState = self.read("tell", params.get()?.get_instance()?)?;
         let teller = instance.name.clone();
         self.services
             .shared
--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -3,7 +3,6 @@
 use crate::emit;
 use crate::events;
 use crate::metrics::GroupLabels;
-use crate::peer_client::PeerRequest;
 use crate::shared::{lock, unix_ms, Shared};
 use crate::store::{GroupStore, StoreError};
 use async_std::channel::{bounded, Receiver, Sender};
@@ -24,10 +23,8 @@
 const EVENT_QUEUE: usize = 16_384;
 /// Events handled before one sync.
 const EVENTS_PER_ROUND: usize = 1_024;
-/// Longest time between two rounds.
-const TICK: Duration = Duration::from_millis(20);
-/// Time for which a consensus message may stay unanswered.
-const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time between two rounds, so that the status stays fresh.
+const MAX_IDLE: Duration = Duration::from_millis(200);
 /// Shortest log that is compacted, in entries.
 const COMPACT_MIN_ENTRIES: usize = 4_096;
 /// Interval at which a leader lets old keys expire.
@@ -293,7 +290,7 @@
 
     async fn run(&mut self, events: Receiver<GroupEvent>) -> Result<(), Report<StoreError>> {
         loop {
-            match async_std::future::timeout(TICK, events.recv()).await {
+            match async_std::future::timeout(self.idle_time(), events.recv()).await {
                 Ok(Ok(event)) => self.handle(event),
                 Ok(Err(_)) => return Ok(()),
                 Err(_) => {}
@@ -313,6 +310,12 @@
         }
     }
 
+    /// Time until the node's next tick.
+    fn idle_time(&self) -> Duration {
+        let left_ms = self.node.next_tick_ms().saturating_sub(self.now_ms());
+        Duration::from_millis(left_ms).min(MAX_IDLE)
+    }
+
     fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -426,15 +429,7 @@
             self.shared
                 .metrics
                 .payload("sent", "consensus", bytes.len());
-            let request = PeerRequest::Consensus {
-                group: self.group.number(),
-                envelope: bytes,
-                sender_addr: self.shared.settings.advertise_control.clone(),
-            };
-            self.shared
-                .clients
-                .consensus
-                .cast(addr, request, MESSAGE_TIMEOUT);
+            self.shared.clients.consensus.send(addr, self.group, bytes);
         }
     }
 
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of one daemon share: configuration held, directory, route view.
 
+use crate::consensus_link::ConsensusLinks;
 use crate::emit;
 use crate::events;
 use crate::metrics::Metrics;
@@ -43,7 +44,7 @@
     /// Configuration, directory, submissions.
     pub(crate) control: PeerClient,
     /// Consensus messages.
-    pub(crate) consensus: PeerClient,
+    pub(crate) consensus: ConsensusLinks,
     /// Calls.
     pub(crate) calls: PeerClient,
 }
--- a/crates/foxtailgauge-wire/schema/foxtailgauge.capnp
+++ b/crates/foxtailgauge-wire/schema/foxtailgauge.capnp
@@ -62,10 +62,9 @@
 }
 
 interface Control {
-  consensus @0 (group :UInt8, envelope :Data, senderAddr :Text) -> ();
-  poll @1 (request :Data) -> (reply :Data);
-  report @2 (request :Data) -> (reply :Data);
-  probe @3 () -> (reply :Data);
-  submit @4 (request :Data) -> (reply :Data);
-  tell @5 (instances :Data) -> ();
+  poll @0 (request :Data) -> (reply :Data);
+  report @1 (request :Data) -> (reply :Data);
+  probe @2 () -> (reply :Data);
+  submit @3 (request :Data) -> (reply :Data);
+  tell @4 (instance :Data) -> ();
 }
--- a/crates/foxtailgauge-wire/src/foxtailgauge_capnp.rs
+++ b/crates/foxtailgauge-wire/src/foxtailgauge_capnp.rs
@@ -1927,8 +1927,6 @@
 
 pub mod control {
     #![allow(unused_variables)]
-    pub type ConsensusParams<> = ::capnp::capability::Params<crate::foxtailgauge_capnp::control::consensus_params::Owned>;
-    pub type ConsensusResults<> = ::capnp::capability::Results<crate::foxtailgauge_capnp::control::consensus_results::Owned>;
     pub type PollParams<> = ::capnp::capability::Params<crate::foxtailgauge_capnp::control::poll_params::Owned>;
     pub type PollResults<> = ::capnp::capability::Results<crate::foxtailgauge_capnp::control::poll_results::Owned>;
     pub type ReportParams<> = ::capnp::capability::Params<crate::foxtailgauge_capnp::control::report_params::Owned>;
@@ -1988,27 +1986,23 @@
         }
     }
     impl  Client {
-        pub fn consensus_request(&self) -> ::capnp::capability::Request<crate::foxtailgauge_capnp::control::consensus_params::Owned,crate::foxtailgauge_capnp::control::consensus_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
-        }
         pub fn poll_request(&self) -> ::capnp::capability::Request<crate::foxtailgauge_capnp::control::poll_params::Owned,crate::foxtailgauge_capnp::control::poll_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
         pub fn report_request(&self) -> ::capnp::capability::Request<crate::foxtailgauge_capnp::control::report_params::Owned,crate::foxtailgauge_capnp::control::report_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
         pub fn probe_request(&self) -> ::capnp::capability::Request<crate::foxtailgauge_capnp::control::probe_params::Owned,crate::foxtailgauge_capnp::control::probe_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
         pub fn submit_request(&self) -> ::capnp::capability::Request<crate::foxtailgauge_capnp::control::submit_params::Owned,crate::foxtailgauge_capnp::control::submit_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
         pub fn tell_request(&self) -> ::capnp::capability::Request<crate::foxtailgauge_capnp::control::tell_params::Owned,crate::foxtailgauge_capnp::control::tell_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
     }
     pub trait Server<> : 'static  {
-        fn consensus(self: ::capnp::capability::Rc<Self>, _: ConsensusParams<>, _: ConsensusResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::consensus not implemented".to_string()))) }
         fn poll(self: ::capnp::capability::Rc<Self>, _: PollParams<>, _: PollResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::poll not implemented".to_string()))) }
         fn report(self: ::capnp::capability::Rc<Self>, _: ReportParams<>, _: ReportResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::report not implemented".to_string()))) }
         fn probe(self: ::capnp::capability::Rc<Self>, _: ProbeParams<>, _: ProbeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::probe not implemented".to_string()))) }
@@ -2043,12 +2037,11 @@
     impl <_T :Server> ServerDispatch<_T> {
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::consensus(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::poll(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::report(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::probe(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::submit(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::tell(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::poll(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::report(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::probe(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::submit(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::tell(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2057,451 +2050,6 @@
         pub(crate) const TYPE_ID: u64 = 0xfd0c_1f08_1348_b425;
     }
 
-    pub mod consensus_params {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_group(self) -> u8 {
-                self.reader.get_data_field::<u8>(0)
-            }
-            #[inline]
-            pub fn get_envelope(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_envelope(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_sender_addr(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_sender_addr(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_group(self) -> u8 {
-                self.builder.get_data_field::<u8>(0)
-            }
-            #[inline]
-            pub fn set_group(&mut self, value: u8)  {
-                self.builder.set_data_field::<u8>(0, value);
-            }
-            #[inline]
-            pub fn get_envelope(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_envelope(&mut self, value: ::capnp::data::Reader<'_>)  {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
-            }
-            #[inline]
-            pub fn init_envelope(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
-            }
-            #[inline]
-            pub fn has_envelope(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_sender_addr(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_sender_addr(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_sender_addr(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(1).init_text(size)
-            }
-            #[inline]
-            pub fn has_sender_addr(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(126, 133, 17, 72, 67, 169, 27, 234),
-                ::capnp::word(27, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 98, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(102, 111, 120, 116, 97, 105, 108, 103),
-                ::capnp::word(97, 117, 103, 101, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
-                ::capnp::word(111, 108, 46, 99, 111, 110, 115, 101),
-                ::capnp::word(110, 115, 117, 115, 36, 80, 97, 114),
-                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
-                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 110, 118, 101, 108, 111, 112, 101),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 101, 110, 100, 101, 114, 65, 100),
-                ::capnp::word(100, 114, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u8 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
-            pub(crate) const TYPE_ID: u64 = 0xea1b_a943_4811_857e;
-        }
-    }
-
-    pub mod consensus_results {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <> Reader<'_,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(114, 254, 167, 27, 110, 68, 14, 215),
-                ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 106, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(102, 111, 120, 116, 97, 105, 108, 103),
-                ::capnp::word(97, 117, 103, 101, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
-                ::capnp::word(111, 108, 46, 99, 111, 110, 115, 101),
-                ::capnp::word(110, 115, 117, 115, 36, 82, 101, 115),
-                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xd70e_446e_1ba7_fe72;
-        }
-    }
-
     pub mod poll_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
@@ -2654,7 +2202,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(216, 194, 103, 169, 162, 113, 180, 218),
+                ::capnp::word(126, 133, 17, 72, 67, 169, 27, 234),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -2706,7 +2254,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xdab4_71a2_a967_c2d8;
+            pub(crate) const TYPE_ID: u64 = 0xea1b_a943_4811_857e;
         }
     }
 
@@ -2862,7 +2410,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(192, 232, 254, 178, 174, 181, 75, 129),
+                ::capnp::word(114, 254, 167, 27, 110, 68, 14, 215),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -2914,7 +2462,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x814b_b5ae_b2fe_e8c0;
+            pub(crate) const TYPE_ID: u64 = 0xd70e_446e_1ba7_fe72;
         }
     }
 
@@ -3070,7 +2618,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(56, 183, 37, 196, 2, 210, 88, 148),
+                ::capnp::word(216, 194, 103, 169, 162, 113, 180, 218),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -3123,7 +2671,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x9458_d202_c425_b738;
+            pub(crate) const TYPE_ID: u64 = 0xdab4_71a2_a967_c2d8;
         }
     }
 
@@ -3279,7 +2827,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(3, 23, 20, 215, 144, 166, 3, 199),
+                ::capnp::word(192, 232, 254, 178, 174, 181, 75, 129),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -3332,7 +2880,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xc703_a690_d714_1703;
+            pub(crate) const TYPE_ID: u64 = 0x814b_b5ae_b2fe_e8c0;
         }
     }
 
@@ -3464,7 +3012,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(238, 147, 56, 11, 140, 253, 104, 142),
+                ::capnp::word(56, 183, 37, 196, 2, 210, 88, 148),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
@@ -3497,7 +3045,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x8e68_fd8c_0b38_93ee;
+            pub(crate) const TYPE_ID: u64 = 0x9458_d202_c425_b738;
         }
     }
 
@@ -3653,7 +3201,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(218, 234, 201, 123, 230, 50, 64, 249),
+                ::capnp::word(3, 23, 20, 215, 144, 166, 3, 199),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -3706,7 +3254,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xf940_32e6_7bc9_eada;
+            pub(crate) const TYPE_ID: u64 = 0xc703_a690_d714_1703;
         }
     }
 
@@ -3862,7 +3410,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(59, 175, 249, 93, 223, 122, 27, 245),
+                ::capnp::word(238, 147, 56, 11, 140, 253, 104, 142),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -3915,7 +3463,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xf51b_7adf_5df9_af3b;
+            pub(crate) const TYPE_ID: u64 = 0x8e68_fd8c_0b38_93ee;
         }
     }
 
@@ -4071,7 +3619,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(152, 119, 28, 179, 67, 32, 23, 136),
+                ::capnp::word(218, 234, 201, 123, 230, 50, 64, 249),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -4124,7 +3672,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x8817_2043_b31c_7798;
+            pub(crate) const TYPE_ID: u64 = 0xf940_32e6_7bc9_eada;
         }
     }
 
@@ -4190,11 +3738,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_instances(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_instance(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_instances(&self) -> bool {
+            pub fn has_instance(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -4252,19 +3800,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_instances(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_instance(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_instances(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_instance(&mut self, value: ::capnp::data::Reader<'_>)  {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_instances(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_instance(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_instances(&self) -> bool {
+            pub fn has_instance(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -4280,7 +3828,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(206, 97, 252, 98, 250, 36, 224, 171),
+                ::capnp::word(59, 175, 249, 93, 223, 122, 27, 245),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -4300,12 +3848,12 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4333,7 +3881,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xabe0_24fa_62fc_61ce;
+            pub(crate) const TYPE_ID: u64 = 0xf51b_7adf_5df9_af3b;
         }
     }
 
@@ -4465,7 +4013,7 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(255, 96, 195, 4, 166, 4, 26, 186),
+                ::capnp::word(152, 119, 28, 179, 67, 32, 23, 136),
                 ::capnp::word(27, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
@@ -4498,7 +4046,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xba1a_04a6_04c3_60ff;
+            pub(crate) const TYPE_ID: u64 = 0x8817_2043_b31c_7798;
         }
     }
 }
--- a/crates/foxtailgauge-wire/src/handshake.rs
+++ b/crates/foxtailgauge-wire/src/handshake.rs
@@ -50,10 +50,12 @@
 /// What a connection carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ConnectionKind {
-    /// Consensus, configuration, directory.
+    /// Configuration, directory, submissions.
     Control,
     /// Calls.
     Calls,
+    /// Messages between replicas, one way.
+    Consensus,
 }
 
 /// How the connector introduces itself.
@@ -158,6 +160,7 @@
     let kind = match frame[MAGIC.len()] {
         0 => ConnectionKind::Control,
         1 => ConnectionKind::Calls,
+        2 => ConnectionKind::Consensus,
         _ => return Err(HandshakeError::Protocol),
     };
     let failure_domain = read_name(stream, &mut frame).await?;
@@ -178,6 +181,7 @@
     frame.push(match hello.kind {
         ConnectionKind::Control => 0,
         ConnectionKind::Calls => 1,
+        ConnectionKind::Consensus => 2,
     });
     for name in [&hello.failure_domain, &hello.name] {
         if name.len() > MAX_NAME_BYTES {
