--- a/crates/foxtailgauge-bench/src/main.rs
+++ b/crates/foxtailgauge-bench/src/main.rs
@@ -30,6 +30,8 @@
     Load(load::LoadArguments),
     /// Measure convergence, control bytes, processor time and memory of a started fleet.
     Measure(measure::MeasureArguments),
+    /// Restart all daemons but the replicas at once, and measure until all hold the version.
+    Herd(measure::HerdArguments),
     /// Print a new idempotency key.
     Key,
 }
@@ -46,6 +48,7 @@
             Command::Call(arguments) => call::run(&arguments).await,
             Command::Load(arguments) => load::run(&arguments).await,
             Command::Measure(arguments) => measure::run(&arguments).await,
+            Command::Herd(arguments) => measure::herd(&arguments).await,
             Command::Key => {
                 println!("{}", uuid::Uuid::now_v7());
                 Ok(())
--- a/crates/foxtailgauge-bench/src/measure.rs
+++ b/crates/foxtailgauge-bench/src/measure.rs
@@ -9,6 +9,7 @@
 use foxtailgauge_core::{ChangeAnswer, ConfigVersion};
 use foxtailgauge_wire::api::{ChangeBody, ChangeReply};
 use foxtailgauge_wire::http::{fetch, HttpAnswer, HttpRequest};
+use foxtailgauge_wire::FleetStatus;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,6 +27,10 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time for the last version to reach all daemons' logs.
 const SETTLE: Duration = Duration::from_secs(3);
+/// Interval at which the status is asked for an announcement.
+const CHURN_POLL: Duration = Duration::from_millis(2);
+/// Time between announcements.
+const CHURN_GAP: Duration = Duration::from_millis(250);
 /// Largest answer.
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 
@@ -44,6 +49,12 @@
     /// Time between changes, in milliseconds.
     #[arg(long, default_value_t = 300)]
     gap_ms: u64,
+    /// Time before the idle window, in seconds.
+    #[arg(long, default_value_t = 3)]
+    settle_s: u64,
+    /// Backend servers that are announced and removed one after the other, 4 a second.
+    #[arg(long, default_value_t = 0)]
+    churn: u64,
     /// Services that the changes configure besides the deployment's own.
     #[arg(long, default_value_t = 0)]
     services: u64,
@@ -88,6 +99,11 @@
     fleet_bytes_per_change: f64,
     /// Control payload bytes sent by all daemons over the run, by kind.
     payload_bytes: BTreeMap<String, f64>,
+    /// Bytes sent and received by a daemon while backend servers come and go.
+    churn_bytes_per_second: Spread,
+    /// Time from an announcement until the root of the tree knows it.
+    takeover_p50_ms: f64,
+    takeover_max_ms: f64,
 }
 
 /// Runs the measurement and prints one JSON line.
@@ -95,7 +111,7 @@
     let fleet = read_fleet(&arguments.dir)?;
     let client = Client::new(&fleet)?;
     let mut revision = client.prepare(arguments.services).await?;
-    async_std::task::sleep(SETTLE).await;
+    async_std::task::sleep(Duration::from_secs(arguments.settle_s)).await;
     let before = client.usages().await?;
     let started = Instant::now();
     async_std::task::sleep(Duration::from_secs(arguments.idle_s)).await;
@@ -115,6 +131,11 @@
     let burst_seconds = burst.elapsed().as_secs_f64();
     let payloads = difference(&client.payloads().await?, &payloads);
     let convergence = convergence_ms(&arguments.dir, &fleet, &versions)?;
+    let churn_start = client.usages().await?;
+    let churn_started = Instant::now();
+    let takeover = client.churn(arguments.churn).await?;
+    let churn_end = client.usages().await?;
+    let churn_seconds = churn_started.elapsed().as_secs_f64();
     let result = MeasureResult {
         label: arguments.label.clone(),
         daemons: fleet.daemons.len(),
@@ -140,6 +161,89 @@
             .sum::<f64>()
             / arguments.changes.max(1) as f64,
         payload_bytes: payloads,
+        churn_bytes_per_second: spread(&churn_start, &churn_end, |a, b| {
+            (b.sent_bytes + b.received_bytes - a.sent_bytes - a.received_bytes) / churn_seconds
+        }),
+        takeover_p50_ms: quantile(&takeover, 0.5),
+        takeover_max_ms: quantile(&takeover, 1.0),
+    };
+    println!(
+        "{}",
+        serde_json::to_string(&result).change_context(BenchError::Plan)?
+    );
+    Ok(())
+}
+
+/// Arguments of `herd`.
+#[derive(Clone, Debug, Args)]
+pub struct HerdArguments {
+    /// Folder of the fleet.
+    #[arg(long)]
+    dir: PathBuf,
+    /// Script that starts a process of the fleet again by `SCRIPT start NAME`.
+    #[arg(long)]
+    script: PathBuf,
+}
+
+/// What a herd of restarts measured.
+#[derive(Debug, Serialize)]
+struct HerdResult {
+    label: &'static str,
+    restarted: usize,
+    /// From the first restart until the last daemon was started.
+    starting_ms: f64,
+    /// From the last start until the last daemon held the version.
+    held_after_ms: f64,
+    /// Most new holders within one second.
+    max_holders_per_second: usize,
+}
+
+/// Kills all daemons but the replicas, starts them again and measures until all hold the version.
+pub async fn herd(arguments: &HerdArguments) -> BenchResult<()> {
+    let fleet = read_fleet(&arguments.dir)?;
+    let client = Client::new(&fleet)?;
+    client.prepare(0).await?;
+    async_std::task::sleep(SETTLE).await;
+    let herd: Vec<&DaemonPlan> = fleet
+        .daemons
+        .iter()
+        .filter(|daemon| !daemon.replica)
+        .collect();
+    let mut sizes = Vec::new();
+    for daemon in &herd {
+        let log = arguments.dir.join(format!("{}.log", daemon.name));
+        sizes.push(
+            std::fs::metadata(&log)
+                .change_context(BenchError::File(log))?
+                .len(),
+        );
+        run_command("kill", &["-KILL", &daemon.pid.to_string()])?;
+    }
+    let started = Instant::now();
+    for daemon in &herd {
+        run_command(
+            &arguments.script.to_string_lossy(),
+            &["start", &daemon.name],
+        )?;
+    }
+    let starting_ms = started.elapsed().as_secs_f64() * 1000.0;
+    let end_of_start = time_now_ms();
+    let mut held = Vec::new();
+    for (daemon, size) in herd.iter().zip(sizes) {
+        held.push(wait_held(&arguments.dir.join(format!("{}.log", daemon.name)), size).await?);
+    }
+    held.sort_by(f64::total_cmp);
+    let within = |from: &f64| {
+        held.iter()
+            .filter(|at| (*from..*from + 1000.0).contains(*at))
+            .count()
+    };
+    let result = HerdResult {
+        label: "herd",
+        restarted: herd.len(),
+        starting_ms,
+        held_after_ms: held.last().copied().unwrap_or(f64::NAN) - end_of_start,
+        max_holders_per_second: held.iter().map(within).max().unwrap_or(0),
     };
     println!(
         "{}",
@@ -148,6 +252,43 @@
     Ok(())
 }
 
+fn run_command(program: &str, arguments: &[&str]) -> BenchResult<()> {
+    let status = std::process::Command::new(program)
+        .args(arguments)
+        .status()
+        .change_context(BenchError::Plan)?;
+    status
+        .success()
+        .then_some(())
+        .ok_or_else(|| Report::new(BenchError::Plan))
+}
+
+/// Milliseconds since midnight, as in the logs.
+fn time_now_ms() -> f64 {
+    let since = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    (since.as_millis() % 86_400_000) as f64
+}
+
+/// Waits until a log tells, behind its first `size` bytes, of a version in force; returns when.
+async fn wait_held(log: &Path, size: u64) -> BenchResult<f64> {
+    let end = Instant::now() + Duration::from_secs(60);
+    while Instant::now() < end {
+        let text = std::fs::read_to_string(log).change_context(BenchError::File(log.to_owned()))?;
+        let lines = text.get(size as usize..).unwrap_or("").lines();
+        let held = lines
+            .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+            .filter(|line| line["event"].as_u64() == Some(EVENT_HELD))
+            .find_map(|line| line["ts"].as_str().and_then(time_of_day_ms));
+        if let Some(at_ms) = held {
+            return Ok(at_ms);
+        }
+        async_std::task::sleep(Duration::from_millis(20)).await;
+    }
+    Err(Report::new(BenchError::TimedOut))
+}
+
 fn domains(fleet: &Fleet) -> usize {
     let names: std::collections::BTreeSet<&String> = fleet
         .daemons
@@ -304,6 +445,53 @@
         }
     }
 
+    /// Announces and removes backend servers at the daemons in turn; returns, sorted, the times
+    /// until the status told of each.
+    async fn churn(&self, count: u64) -> BenchResult<Vec<f64>> {
+        let mut times = Vec::new();
+        let announcement = format!(
+            r#"{{"service":"{}/churn","addr":"127.0.0.1:9","slots":1,"state":"ready","lease_ms":60000}}"#,
+            self.fleet.team
+        );
+        for number in 0..count {
+            let daemon = &self.fleet.daemons[number as usize % self.fleet.daemons.len()];
+            let target = format!("/v1/servers/churn-{number}");
+            let before = self.ready_servers().await?;
+            let started = Instant::now();
+            self.request(
+                daemon.announce_addr,
+                "PUT",
+                &target,
+                announcement.as_bytes(),
+            )
+            .await?;
+            while self.ready_servers().await? <= before {
+                async_std::task::sleep(CHURN_POLL).await;
+            }
+            times.push(started.elapsed().as_secs_f64() * 1000.0);
+            self.request(daemon.announce_addr, "DELETE", &target, &[])
+                .await?;
+            while self.ready_servers().await? > before {
+                async_std::task::sleep(CHURN_POLL).await;
+            }
+            async_std::task::sleep(CHURN_GAP.saturating_sub(started.elapsed())).await;
+        }
+        times.sort_by(f64::total_cmp);
+        Ok(times)
+    }
+
+    async fn ready_servers(&self) -> BenchResult<u32> {
+        let admin = self.fleet.daemons[0].admin_addr;
+        let answer = self.request(admin, "GET", "/v1/status", &[]).await?;
+        let status: FleetStatus =
+            serde_json::from_slice(&answer.body).change_context(BenchError::Plan)?;
+        Ok(status
+            .domains
+            .iter()
+            .map(|domain| domain.ready_servers)
+            .sum())
+    }
+
     async fn metrics(&self, daemon: &DaemonPlan) -> BenchResult<String> {
         let answer = self
             .request(daemon.admin_addr, "GET", "/metrics", &[])
