A restarted daemon asks for the version floor before its first version

Cause: a daemon that holds nothing took the first version that its source offered. A source that lags at that moment could bring it below what it held before its restart.

Change: before the first version the replicas and three neighbours are asked which versions they have heard of (500 ms at most); an older one is refused. After a refusal the source is left, as it would offer the same again at once.

--- a/crates/foxtailgauge-daemon/src/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/subscriber.rs
@@ -25,6 +25,9 @@
 const AVOID_FAILED: Duration = Duration::from_secs(5);
 /// Interval at which a neighbour is asked for the version it holds.
 const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+/// Neighbours asked before the first version is taken, and the time that they have to answer.
+const FLOOR_NEIGHBOURS: usize = 3;
+const FLOOR_TIMEOUT: Duration = Duration::from_millis(500);
 /// Shortest and longest wait between attempts to reach a source.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 const RETRY_MAX: Duration = Duration::from_secs(2);
@@ -243,12 +246,17 @@
         }) => {
             take_instances(shared, source, instances);
             shared.hear_source(&freshness);
+            if update.is_some() && held_version == 0 {
+                learn_floor(subscriber).await;
+            }
             // The own replica may have been faster than the source.
             let update = update.filter(|update| update.version() > shared.held().0);
             if let Some(update) = update {
                 if let Err(error) = shared.take_update(&update) {
                     emit!(shared.log, events::UPDATE_REFUSED, "source" => &source.control_addr,
                         "version" => update.version(), "error" => error.to_string());
+                    // The same source would offer the same again at once.
+                    return Polled::Failed;
                 }
             }
             leave_if_stale(subscriber, source, &freshness);
@@ -266,6 +274,38 @@
     }
 }
 
+/// Asks replicas and neighbours which versions they have heard of, before the first version is taken:
+/// this daemon may have held a newer one before its restart than its source offers now.
+async fn learn_floor(subscriber: &Subscriber) {
+    let shared = &subscriber.shared;
+    let settings = &shared.settings;
+    let neighbours: Vec<String> = shared.with_directory(|directory| {
+        let near = directory
+            .live()
+            .filter(|i| i.failure_domain == settings.failure_domain && i.name != settings.name);
+        near.map(|i| i.control_addr.clone())
+            .take(FLOOR_NEIGHBOURS)
+            .collect()
+    });
+    let addrs = settings.replicas.iter().cloned().chain(neighbours);
+    let asking = addrs.map(|control_addr| async move {
+        let source = Source {
+            name: None,
+            control_addr,
+        };
+        subscriber
+            .ask::<ReportReply>(&source, PeerRequest::Probe, FLOOR_TIMEOUT)
+            .await
+    });
+    for answer in futures::future::join_all(asking)
+        .await
+        .into_iter()
+        .flatten()
+    {
+        shared.hear_version(answer.freshness.highest_version);
+    }
+}
+
 fn take_instances(shared: &Shared, source: &Source, instances: Vec<InstanceState>) {
     if instances.is_empty() {
         return;
