--- a/crates/foxtailgauge-daemon/tests/operators.rs
+++ b/crates/foxtailgauge-daemon/tests/operators.rs
@@ -146,6 +146,61 @@
     });
 }
 
+#[test]
+fn daemons_that_missed_hundreds_of_changes_take_the_newest() {
+    let mut fleet = start(Deployment::Trio, 2, true);
+    fleet.apply_all();
+    let leader = fleet.leader();
+    let cut = (0..3).find(|n| *n != leader).unwrap();
+    let domain = fleet.plan.daemons[cut].failure_domain.clone();
+    let outside = (3..6)
+        .find(|n| fleet.plan.daemons[*n].failure_domain != domain)
+        .unwrap();
+    fleet.cut(&[&domain]);
+    fleet.kill(outside);
+    let mut version = 0;
+    for revision in 1..=300 {
+        let text = fleet.config_with_deadline(4_000 + revision);
+        let answer = fleet.change(leader, &format!("change-{revision}"), revision, &text);
+        match answer {
+            Some(ChangeAnswer::Accepted {
+                version: accepted, ..
+            }) => version = accepted,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(
+        fleet.local(cut).unwrap().version < version - 256,
+        "further back than any delta"
+    );
+    fleet.start_daemon(outside);
+    fleet.cut(&[]);
+    let healed = Instant::now();
+    fleet.wait_version(version);
+    assert!(healed.elapsed() < IN_FORCE_LIMIT, "{:?}", healed.elapsed());
+}
+
+#[test]
+fn restart_of_all_replicas_at_once_loses_no_change_and_no_action() {
+    let mut fleet = trio();
+    let version = fleet.apply("second", 1, &fleet.config_with_deadline(4_000));
+    let action = Call::billable("/layouts/1");
+    let first = fleet.call(0, &action).unwrap();
+    assert_eq!(outcome(&first), "ran");
+    for n in 0..3 {
+        fleet.kill(n);
+    }
+    for n in 0..3 {
+        fleet.start_daemon(n);
+    }
+    fleet.wait_ready();
+    fleet.wait_version(version);
+    let again = support::call_until_ran(&fleet, 2, &action);
+    assert_eq!(again.header("foxtailgauge-replayed"), Some("true"));
+    assert_eq!(again.body, first.body);
+    assert_eq!(fleet.runs_of(&action.key.unwrap()), 1);
+}
+
 #[test]
 fn held_versions_are_the_same_content_everywhere() {
     let fleet = start(Deployment::Trio, 2, false);
