--- a/crates/foxtailgauge-daemon/src/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/subscriber.rs
@@ -53,7 +53,10 @@
     shared: Arc<Shared>,
     current: Mutex<Current>,
     avoided: Mutex<HashMap<String, Instant>>,
+    /// Notified when the daemon has a new source.
     moved: event_listener::Event,
+    /// Notified when the source does not answer a report.
+    unanswered: event_listener::Event,
 }
 
 /// Starts the tasks of the subscriber.
@@ -69,6 +72,7 @@
         }),
         avoided: Mutex::new(HashMap::new()),
         moved: event_listener::Event::new(),
+        unanswered: event_listener::Event::new(),
     });
     async_std::task::spawn(poll_loop(Arc::clone(&subscriber)));
     async_std::task::spawn(report_loop(Arc::clone(&subscriber)));
@@ -195,7 +199,14 @@
         let cursor = read
             .filter(|(at, _)| *at == serial)
             .map(|(_, cursor)| cursor);
-        match poll_once(&subscriber, &source, cursor).await {
+        // A frozen source keeps a poll waiting; a report tells it apart from one without news.
+        let unanswered = subscriber.unanswered.listen();
+        let poll = Box::pin(poll_once(&subscriber, &source, cursor));
+        let polled = match select(poll, unanswered).await {
+            Either::Left((polled, _)) => polled,
+            Either::Right(_) => Polled::Failed,
+        };
+        match polled {
             Polled::News(cursor) => {
                 backoff.reset();
                 read = Some((serial, cursor));
@@ -371,7 +382,9 @@
         .ask(&source, PeerRequest::Report(bytes), REPORT_TIMEOUT)
         .await;
     let Some(answer) = answer else {
+        emit!(shared.log, events::SOURCE_FAILED, "source" => &source.control_addr);
         subscriber.avoid(&source);
+        subscriber.unanswered.notify(usize::MAX);
         return;
     };
     shared.hear_source(&answer.freshness);
--- a/crates/foxtailgauge-daemon/tests/operators.rs
+++ b/crates/foxtailgauge-daemon/tests/operators.rs
@@ -13,6 +13,10 @@
 /// Stated time in which an accepted change is in force on every daemon.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(13);
 
+/// Time in which subscribers of a frozen source have to find another one, so that half of the stated
+/// time is left for what else goes wrong.
+const FROZEN_SOURCE_LIMIT: Duration = Duration::from_millis(6_500);
+
 #[test]
 fn operators_racing_with_equal_revisions_get_one_winner() {
     let fleet = trio();
@@ -180,6 +184,34 @@
     assert!(healed.elapsed() < IN_FORCE_LIMIT, "{:?}", healed.elapsed());
 }
 
+#[test]
+fn frozen_source_holds_nobody_up() {
+    let fleet = start(Deployment::Trio, 4, false);
+    fleet.apply_all();
+    let leader = fleet.leader();
+    let subscribers = |n: usize| {
+        let metrics = fleet.metrics(n)?;
+        let line = metrics
+            .lines()
+            .find(|line| line.starts_with("foxtailgauge_subscribers "))?;
+        line.rsplit(' ').next()?.parse::<u32>().ok()
+    };
+    let frozen = wait_for("a source besides the leader", || {
+        (0..12).find(|n| *n != leader && subscribers(*n).is_some_and(|count| count > 0))
+    });
+    fleet.freeze(frozen);
+    let started = Instant::now();
+    let version = fleet.apply("second", 1, &fleet.config_with_deadline(4_000));
+    for n in (0..12).filter(|n| *n != frozen) {
+        wait_for("version held", || {
+            (fleet.local(n)?.version >= version).then_some(())
+        });
+    }
+    let elapsed = started.elapsed();
+    fleet.thaw(frozen);
+    assert!(elapsed < FROZEN_SOURCE_LIMIT, "{elapsed:?}");
+}
+
 #[test]
 fn restart_of_all_replicas_at_once_loses_no_change_and_no_action() {
     let mut fleet = trio();
--- a/crates/foxtailgauge-daemon/tests/support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/support/mod.rs
@@ -238,6 +238,18 @@
             .map(|(_, local)| local)
     }
 
+    /// Metrics of one daemon.
+    pub fn metrics(&self, n: usize) -> Option<String> {
+        let request = HttpRequest {
+            method: "GET",
+            target: "/metrics",
+            headers: &[],
+            body: &[],
+        };
+        let answer = send(self.plan.daemons[n].admin_addr, request, LIMIT)?;
+        String::from_utf8(answer.body).ok()
+    }
+
     /// Fleet status from the first daemon that gives one.
     pub fn status(&self) -> Option<FleetStatus> {
         let mut running = self.running().into_iter();
