The frozen-source test sends its change through the leader

The test offered its change to all daemons in turn, and when the frozen one came first it waited 12 s there.

Change: the change goes to the leader; the bound is as strict as before.

--- a/crates/foxtailgauge-daemon/tests/operators.rs
+++ b/crates/foxtailgauge-daemon/tests/operators.rs
@@ -201,7 +201,12 @@
     });
     fleet.freeze(frozen);
     let started = Instant::now();
-    let version = fleet.apply("second", 1, &fleet.config_with_deadline(4_000));
+    // Through the leader: a request to the frozen daemon would wait on its own account.
+    let text = fleet.config_with_deadline(4_000);
+    let Some(ChangeAnswer::Accepted { version, .. }) = fleet.change(leader, "second", 1, &text)
+    else {
+        panic!("the leader takes no change");
+    };
     for n in (0..12).filter(|n| *n != frozen) {
         wait_for("version held", || {
             (fleet.local(n)?.version >= version).then_some(())
