--- a/crates/foxtailgauge-core/src/config.rs
+++ b/crates/foxtailgauge-core/src/config.rs
@@ -1,9 +1,10 @@
 //! A team's configuration subtree: its INI form, its checks and its typed form.
 
+use crate::host_route::{CallerLimits, HostRoute, SplitPart};
 use crate::ids::{RouteName, ServiceName, TeamName};
 use ini::Ini;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
 /// Shortest deadline a route may set, in milliseconds.
@@ -18,6 +19,14 @@
 pub const MAX_QUEUE: u64 = 10_000;
 /// Queue in front of one backend server of a service that sets none.
 pub const DEFAULT_QUEUE: u64 = 64;
+/// Connections that a backend server accepts if its service sets none.
+pub const DEFAULT_CONNECTIONS: u64 = 100;
+/// Most connections a service may set.
+pub const MAX_CONNECTIONS: u64 = 1_000_000;
+/// Most attempts a host route may set.
+pub const MAX_ATTEMPTS: u64 = 100;
+/// Longest host or prefix of a host route, in bytes.
+const MAX_HOST_ROUTE_BYTES: usize = 2_048;
 /// Largest configuration text of one team, in bytes.
 pub const MAX_TEXT_BYTES: usize = 1 << 20;
 
@@ -28,6 +37,10 @@
     pub retry_percent: u64,
     /// Requests that may wait for a slot of one backend server.
     pub queue_requests: u64,
+    /// Path at which a backend server tells whether it is healthy; empty if it has none.
+    pub health_path: String,
+    /// Connections that a backend server accepts from all callers together.
+    pub connections: u64,
 }
 
 /// A rule that leads callers' requests to a service.
@@ -54,6 +67,10 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Routes by qualified name.
     pub routes: BTreeMap<RouteName, Route>,
+    /// Host routes by qualified name.
+    pub host_routes: BTreeMap<RouteName, HostRoute>,
+    /// Bounds on what callers of the host routes may send.
+    pub caller_limits: Option<CallerLimits>,
 }
 
 /// What is wrong with one place of a configuration text.
@@ -67,7 +84,7 @@
     },
     /// The text exceeds [`MAX_TEXT_BYTES`].
     TooLarge,
-    /// The section is neither `services/NAME` nor `routes/NAME`.
+    /// The section is none of `services/NAME`, `routes/NAME`, `host-routes/NAME`, `caller-limits`.
     UnknownSection,
     /// The section stands twice.
     DuplicateSection,
@@ -101,6 +118,11 @@
         /// The owner.
         team: TeamName,
     },
+    /// The document's number is not above that of the team's current document.
+    NumberNotAbove {
+        /// Number of the current document.
+        current: u64,
+    },
     /// Another team's route still leads to the service that would be removed.
     ServiceInUse {
         /// The other team's route.
@@ -136,7 +158,11 @@
             ConfigProblemKind::Syntax { line } => write!(f, "not INI at line {line}"),
             ConfigProblemKind::TooLarge => write!(f, "text exceeds {MAX_TEXT_BYTES} bytes"),
             ConfigProblemKind::UnknownSection => {
-                write!(f, "unknown section; allowed: services/NAME, routes/NAME")
+                write!(
+                    f,
+                    "unknown section; allowed: services/NAME, routes/NAME, host-routes/NAME, \
+                     caller-limits"
+                )
             }
             ConfigProblemKind::DuplicateSection => write!(f, "section stands twice"),
             ConfigProblemKind::BadName => write!(f, "name may hold only a-z, 0-9 and -"),
@@ -153,6 +179,9 @@
             ConfigProblemKind::ForeignPath { team } => {
                 write!(f, "path belongs to team `{team}`")
             }
+            ConfigProblemKind::NumberNotAbove { current } => {
+                write!(f, "document number is not above the current one, {current}")
+            }
             ConfigProblemKind::ServiceInUse { by } => {
                 write!(f, "service is still the target of route `{by}`")
             }
@@ -215,6 +244,9 @@
     }
 
     fn section(&mut self, section: &str, pairs: &[(&str, &str)]) {
+        if section == "caller-limits" {
+            return self.caller_limits(section, pairs);
+        }
         let Some((kind, name)) = section.split_once('/') else {
             return self.problem(section, "", ConfigProblemKind::UnknownSection);
         };
@@ -225,12 +257,19 @@
         match kind {
             "services" => self.service(section, qualified, pairs),
             "routes" => self.route(section, qualified, pairs),
+            "host-routes" => self.host_route(section, qualified, pairs),
             _ => self.problem(section, "", ConfigProblemKind::UnknownSection),
         }
     }
 
     fn service(&mut self, section: &str, name: ServiceName, pairs: &[(&str, &str)]) {
-        let mut fields = Fields::new(section, pairs, &["retry_percent", "queue_requests"]);
+        let known = [
+            "retry_percent",
+            "queue_requests",
+            "health_path",
+            "connections",
+        ];
+        let mut fields = Fields::new(section, pairs, &known);
         let service = Service {
             retry_percent: fields.number(
                 "retry_percent",
@@ -238,6 +277,12 @@
                 Some(DEFAULT_RETRY_PERCENT),
             ),
             queue_requests: fields.number("queue_requests", 0..=MAX_QUEUE, Some(DEFAULT_QUEUE)),
+            health_path: fields.health_path(),
+            connections: fields.number(
+                "connections",
+                1..=MAX_CONNECTIONS,
+                Some(DEFAULT_CONNECTIONS),
+            ),
         };
         self.problems.append(&mut fields.problems);
         if self.config.services.insert(name, service).is_some() {
@@ -276,6 +321,49 @@
         }
     }
 
+    fn host_route(&mut self, section: &str, name: RouteName, pairs: &[(&str, &str)]) {
+        let known = [
+            "host",
+            "prefix",
+            "split",
+            "timeout_ms",
+            "attempts",
+            "rank",
+            "latency_ms",
+            "idempotent",
+        ];
+        let mut fields = Fields::new(section, pairs, &known);
+        let route = HostRoute {
+            host: fields.host(),
+            prefix: fields.literal_prefix(),
+            split: fields.split(self.team),
+            timeout_ms: fields.number("timeout_ms", 1..=MAX_DEADLINE_MS, None),
+            attempts: fields.number("attempts", 1..=MAX_ATTEMPTS, Some(1)),
+            rank: fields.number("rank", 0..=u64::from(u32::MAX), Some(0)),
+            latency_ms: fields.number("latency_ms", 0..=MAX_DEADLINE_MS, Some(0)),
+            idempotent: fields.flag("idempotent", false),
+        };
+        self.problems.append(&mut fields.problems);
+        if self.config.host_routes.insert(name, route).is_some() {
+            self.problem(section, "", ConfigProblemKind::DuplicateSection);
+        }
+    }
+
+    fn caller_limits(&mut self, section: &str, pairs: &[(&str, &str)]) {
+        let known = ["header_bytes", "body_bytes", "header_ms", "idle_ms"];
+        let mut fields = Fields::new(section, pairs, &known);
+        let limits = CallerLimits {
+            header_bytes: fields.number("header_bytes", 0..=u64::MAX, Some(0)),
+            body_bytes: fields.number("body_bytes", 0..=u64::MAX, Some(0)),
+            header_ms: fields.number("header_ms", 0..=u64::MAX, Some(0)),
+            idle_ms: fields.number("idle_ms", 0..=u64::MAX, Some(0)),
+        };
+        self.problems.append(&mut fields.problems);
+        if self.config.caller_limits.replace(limits).is_some() {
+            self.problem(section, "", ConfigProblemKind::DuplicateSection);
+        }
+    }
+
     fn finish(self) -> Result<TeamConfig, Vec<ConfigProblem>> {
         if self.problems.is_empty() {
             Ok(self.config)
@@ -409,12 +497,75 @@
         let Some(service) = self.required("service") else {
             return String::new();
         };
+        self.qualified("service", service, team)
+    }
+
+    fn qualified(&mut self, key: &str, service: &str, team: &str) -> ServiceName {
         let (owner, name) = service.split_once('/').unwrap_or((team, service));
         if !is_valid_name(owner) || !is_valid_name(name) {
-            self.bad("service", service, "NAME or TEAM/NAME");
+            self.bad(key, service, "NAME or TEAM/NAME");
         }
         format!("{owner}/{name}")
     }
+
+    fn health_path(&mut self) -> String {
+        let path = self.values.get("health_path").copied().unwrap_or("");
+        if !path.is_empty() && !path.starts_with('/') {
+            self.bad("health_path", path, "a path such as /health");
+        }
+        path.to_owned()
+    }
+
+    fn host(&mut self) -> String {
+        let Some(host) = self.required("host") else {
+            return String::new();
+        };
+        let is_plain = |c: char| c.is_ascii_graphic() && !"/:?#@".contains(c);
+        let is_valid =
+            !host.is_empty() && host.len() <= MAX_HOST_ROUTE_BYTES && host.chars().all(is_plain);
+        if !is_valid {
+            self.bad("host", host, "a host name, without a port");
+        }
+        host.to_ascii_lowercase()
+    }
+
+    fn literal_prefix(&mut self) -> String {
+        let Some(prefix) = self.required("prefix") else {
+            return String::new();
+        };
+        let is_plain = |c: char| c.is_ascii_graphic() && !"?#".contains(c);
+        let is_valid = prefix.starts_with('/')
+            && prefix.len() <= MAX_HOST_ROUTE_BYTES
+            && prefix.chars().all(is_plain);
+        if !is_valid {
+            self.bad("prefix", prefix, "a path prefix such as /plans/");
+        }
+        prefix.to_owned()
+    }
+
+    /// Reads `NAME:WEIGHT, NAME:WEIGHT`; a name alone has weight 1.
+    fn split(&mut self, team: &str) -> Vec<SplitPart> {
+        const ALLOWED: &str = "NAME:WEIGHT, NAME:WEIGHT, with a sum above 0";
+        let Some(list) = self.required("split") else {
+            return Vec::new();
+        };
+        let mut parts = Vec::new();
+        for item in list.split(',').map(str::trim) {
+            let (name, weight) = item.split_once(':').unwrap_or((item, "1"));
+            let Ok(weight) = weight.trim().parse::<u32>() else {
+                self.bad("split", list, ALLOWED);
+                return parts;
+            };
+            parts.push(SplitPart {
+                service: self.qualified("split", name.trim(), team),
+                weight: u64::from(weight),
+            });
+        }
+        if parts.iter().all(|part| part.weight == 0) {
+            self.bad("split", list, ALLOWED);
+        }
+        parts
+    }
 }
 
 /// Checks all teams together: references, clashes of routes and foreign paths.
@@ -431,9 +582,25 @@
             if is_defined(&route.service) {
                 continue;
             }
-            problems.push(missing_service(changed, team, name, &route.service));
+            problems.push(missing_service(
+                changed,
+                team,
+                ("routes", name),
+                &route.service,
+            ));
+        }
+        for (name, route) in &config.host_routes {
+            for part in route.split.iter().filter(|p| !is_defined(&p.service)) {
+                problems.push(missing_service(
+                    changed,
+                    team,
+                    ("host-routes", name),
+                    &part.service,
+                ));
+            }
         }
     }
+    problems.extend(host_route_clashes(changed, teams));
     let own = teams.get(changed).cloned().unwrap_or_default();
     for (name, route) in &own.routes {
         problems.extend(route_problems(changed, name, route, teams));
@@ -445,12 +612,36 @@
     }
 }
 
-fn missing_service(changed: &str, team: &str, route: &str, service: &str) -> ConfigProblem {
+/// Host routes of the changed team that share host and prefix with another one.
+fn host_route_clashes(changed: &str, teams: &BTreeMap<TeamName, TeamConfig>) -> Vec<ConfigProblem> {
+    let mut owners: HashMap<(&str, &str), &RouteName> = HashMap::new();
+    let others = teams.iter().filter(|(team, _)| *team != changed);
+    for (name, route) in others.flat_map(|(_, config)| &config.host_routes) {
+        owners.insert((&route.host, &route.prefix), name);
+    }
+    let own = teams.get(changed).map(|config| &config.host_routes);
+    let mut problems = Vec::new();
+    for (name, route) in own.into_iter().flatten() {
+        if let Some(with) = owners.insert((&route.host, &route.prefix), name) {
+            let kind = ConfigProblemKind::RouteClash { with: with.clone() };
+            let section = section_of("host-routes", name);
+            problems.push(ConfigProblem::new(&section, "prefix", kind));
+        }
+    }
+    problems
+}
+
+fn missing_service(
+    changed: &str,
+    team: &str,
+    (section, route): (&str, &str),
+    service: &str,
+) -> ConfigProblem {
     if team == changed {
         let kind = ConfigProblemKind::UnknownService {
             service: service.to_owned(),
         };
-        return ConfigProblem::new(&section_of("routes", route), "service", kind);
+        return ConfigProblem::new(&section_of(section, route), "service", kind);
     }
     let kind = ConfigProblemKind::ServiceInUse {
         by: route.to_owned(),
--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -14,6 +14,7 @@
 //!     author: "operator".to_owned(),
 //!     at_ms: 0,
 //!     rollback_of: None,
+//!     document: None,
 //! };
 //! let accepted = ChangeAnswer::Accepted { version: 1, revision: 1 };
 //! assert_eq!(registry.apply(&change), accepted);
@@ -23,6 +24,7 @@
 //! ```
 
 mod admission;
+mod attempts;
 mod backoff;
 mod balance;
 mod children;
@@ -30,11 +32,13 @@
 mod consensus;
 mod directory;
 mod election;
+mod host_route;
 mod ids;
 mod ledger;
 mod log;
 mod membership;
 mod message;
+mod placement;
 mod quarantine;
 mod registry;
 mod replication;
@@ -42,8 +46,10 @@
 mod snapshot;
 mod sync;
 mod tree;
+mod work_queue;
 
 pub use admission::{Admission, AdmissionGate, AdmissionRefusal};
+pub use attempts::{AttemptEnd, Attempts, Next, MAX_PLACEMENTS};
 pub use backoff::{Backoff, SessionLimit};
 pub use balance::{Balancer, CallHealth, Candidate, ServerKey};
 pub use children::Children;
@@ -56,6 +62,7 @@
     ELECTION_MIN_MS, HEARTBEAT_MS,
 };
 pub use directory::{Cursor, Directory, InstanceState, Presence, ServerEntry, ServerState};
+pub use host_route::{CallerLimits, HostRoute, HostTable, SplitPart};
 pub use ids::{
     ActionKey, AttemptId, ChangeId, ConfigVersion, DaemonName, Digest, FailureDomain, Incarnation,
     LogIndex, ReplicaId, Revision, RouteName, ServiceName, TeamName, Term, UnixMs,
@@ -70,11 +77,12 @@
     AppendReply, AppendRequest, Entry, Envelope, Message, Payload, StateSnapshot, VoteReply,
     VoteRequest,
 };
+pub use placement::{AttemptHealth, Placement};
 pub use quarantine::{
     fingerprint, request_digest, Fingerprint, Sightings, Suspect, SuspectIndex, SuspectVerdict,
     QUARANTINE_CRASHES, SUSPECT_TTL_MS,
 };
-pub use registry::{AuditEntry, Change, ChangeAnswer, Registry, RevisionRecord};
+pub use registry::{AuditEntry, Change, ChangeAnswer, Document, Registry, RevisionRecord};
 pub use retry::RetryBudget;
 pub use snapshot::{Delta, Snapshot, SnapshotError, SnapshotHistory, Update};
 pub use sync::{
@@ -82,3 +90,4 @@
     VersionCount, CHILD_LEASE_MS, REPORT_INTERVAL_MS, STALE_SOURCE_MS,
 };
 pub use tree::{relays, sources, Source};
+pub use work_queue::{Arrival, Refused, Step, Ticket, WorkItem, WorkLoad, WorkQueue};
--- a/crates/foxtailgauge-core/src/registry.rs
+++ b/crates/foxtailgauge-core/src/registry.rs
@@ -1,18 +1,37 @@
 //! Replicated state of the configuration: teams, revisions, answers to changes, audit trail.
 
-use crate::config::{check_fleet, is_valid_name, parse_team, ConfigProblem, TeamConfig};
+use crate::config::{
+    check_fleet, is_valid_name, parse_team, ConfigProblem, ConfigProblemKind, TeamConfig,
+};
 use crate::ids::{ChangeId, ConfigVersion, Revision, TeamName, UnixMs};
 use crate::snapshot::Snapshot;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 /// Past revisions kept for each team.
 pub const HISTORY_LIMIT: usize = 200;
+/// Texts of past revisions kept for each team, in bytes: the state must fit a small instance.
+pub const HISTORY_BYTES: usize = 4 << 20;
 /// Audit entries kept in all.
 pub const AUDIT_LIMIT: usize = 10_000;
 /// Answers kept for resent changes.
 pub const ANSWER_LIMIT: usize = 10_000;
 
+/// An operator's own document that a change was translated from.
+///
+/// Its numbers take the place of revisions: a team that is driven by documents is changed only on
+/// top of the document that the operator names.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Operator's number for it; must lie above the number of the current document.
+    pub number: u64,
+    /// Number of the document it was made against; 0 for none.
+    pub base_number: u64,
+    /// The document as it was sent.
+    pub bytes: Arc<Vec<u8>>,
+}
+
 /// An operator's change to one team's subtree.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -30,6 +49,8 @@
     pub at_ms: UnixMs,
     /// Revision that a rollback restores.
     pub rollback_of: Option<Revision>,
+    /// Document the text was translated from; then `base_revision` does not count.
+    pub document: Option<Document>,
 }
 
 /// The answer to a change. A resend of the same change gets the same answer.
@@ -99,12 +120,24 @@
 struct TeamState {
     /// Newest last; never empty once the team exists.
     history: VecDeque<RevisionRecord>,
+    /// Document of the newest revision, if it was made by one.
+    document: Option<Document>,
+    /// Highest number a document had.
+    number: u64,
 }
 
 impl TeamState {
     fn revision(&self) -> Revision {
         self.history.back().map_or(0, |r| r.revision)
     }
+
+    /// Keeps the texts of all revisions within [`HISTORY_BYTES`], without losing the newest.
+    fn drop_old_texts(&mut self) {
+        let mut bytes: usize = self.history.iter().map(|r| r.text.len()).sum();
+        while bytes > HISTORY_BYTES && self.history.len() > 1 {
+            bytes -= self.history.pop_front().map_or(0, |r| r.text.len());
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -157,6 +190,11 @@
         }
     }
 
+    /// The document of a team's newest revision.
+    pub fn document(&self, team: &str) -> Option<&Document> {
+        self.teams.get(team)?.document.as_ref()
+    }
+
     /// All revisions kept of a team, oldest first.
     pub fn history(&self, team: &str) -> impl Iterator<Item = &RevisionRecord> {
         self.teams.get(team).into_iter().flat_map(|t| &t.history)
@@ -175,7 +213,7 @@
             return Err(vec![ConfigProblem {
                 section: String::new(),
                 key: String::new(),
-                kind: crate::config::ConfigProblemKind::BadName,
+                kind: ConfigProblemKind::BadName,
             }]);
         }
         let config = parse_team(team, text)?;
@@ -201,21 +239,48 @@
             return answer;
         }
         let answer = self.decide(change);
-        self.remember(change, &answer);
+        // A document refused for its base stays open: the order may reach another leader first.
+        let is_open = change.document.is_some() && matches!(answer, ChangeAnswer::Conflict { .. });
+        if !is_open {
+            self.remember(change, &answer);
+        }
         answer
     }
 
     fn decide(&mut self, change: &Change) -> ChangeAnswer {
         let current_revision = self.revision(&change.team);
-        if change.base_revision != current_revision {
+        let is_on_top = match &change.document {
+            Some(document) => document.base_number == self.number(&change.team),
+            None => change.base_revision == current_revision,
+        };
+        if !is_on_top {
             return ChangeAnswer::Conflict { current_revision };
         }
+        if let Some(problem) = self.number_problem(change) {
+            return ChangeAnswer::Invalid {
+                problems: vec![problem],
+            };
+        }
         match self.check(&change.team, &change.text) {
             Err(problems) => ChangeAnswer::Invalid { problems },
             Ok(config) => self.accept(change, config),
         }
     }
 
+    fn number(&self, team: &str) -> u64 {
+        self.teams.get(team).map_or(0, |team| team.number)
+    }
+
+    fn number_problem(&self, change: &Change) -> Option<ConfigProblem> {
+        let current = self.number(&change.team);
+        let document = change.document.as_ref()?;
+        (document.number <= current).then(|| ConfigProblem {
+            section: String::new(),
+            key: String::new(),
+            kind: ConfigProblemKind::NumberNotAbove { current },
+        })
+    }
+
     fn accept(&mut self, change: &Change, config: TeamConfig) -> ChangeAnswer {
         self.version += 1;
         let team = self.teams.entry(change.team.clone()).or_default();
@@ -230,6 +295,9 @@
             text: change.text.clone(),
         });
         truncate_front(&mut team.history, HISTORY_LIMIT);
+        team.drop_old_texts();
+        team.number = change.document.as_ref().map_or(team.number, |d| d.number);
+        team.document.clone_from(&change.document);
         self.parsed.insert(change.team.clone(), config);
         ChangeAnswer::Accepted {
             version: self.version,
--- a/crates/foxtailgauge-core/src/retry.rs
+++ b/crates/foxtailgauge-core/src/retry.rs
@@ -9,20 +9,32 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     tokens: f64,
+    max_saved: f64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
         RetryBudget {
             tokens: MAX_SAVED_RETRIES,
+            max_saved: MAX_SAVED_RETRIES,
         }
     }
 }
 
 impl RetryBudget {
+    /// A budget that saves up `max_saved` retries at most, and starts with them.
+    ///
+    /// Daemons share a fleet's budget by saving up little each.
+    pub fn with_saved(max_saved: f64) -> Self {
+        RetryBudget {
+            tokens: max_saved,
+            max_saved,
+        }
+    }
+
     /// Counts a call, which earns a part of a retry.
     pub fn earn(&mut self, retry_percent: u64) {
-        self.tokens = (self.tokens + retry_percent as f64 / 100.0).min(MAX_SAVED_RETRIES);
+        self.tokens = (self.tokens + retry_percent as f64 / 100.0).min(self.max_saved);
     }
 
     /// Takes one retry if the budget holds it.
--- a/crates/foxtailgauge-core/src/snapshot.rs
+++ b/crates/foxtailgauge-core/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! One immutable version of the whole configuration, and the deltas between versions.
 
 use crate::config::{prefix_matches, Route, Service, TeamConfig};
+use crate::host_route::{is_closed, CallerLimits, HostRoute};
 use crate::ids::{ConfigVersion, Digest, RouteName, ServiceName, TeamName};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -21,6 +22,10 @@
     pub services: BTreeMap<ServiceName, Arc<Service>>,
     /// Routes by qualified name.
     pub routes: BTreeMap<RouteName, Arc<Route>>,
+    /// Host routes by qualified name.
+    pub host_routes: BTreeMap<RouteName, Arc<HostRoute>>,
+    /// Bounds on what callers of the host routes may send.
+    pub caller_limits: CallerLimits,
 }
 
 /// Why a snapshot or delta was not taken over.
@@ -64,6 +69,10 @@
     pub services: BTreeMap<ServiceName, Option<Arc<Service>>>,
     /// Routes added or changed; `None` removes.
     pub routes: BTreeMap<RouteName, Option<Arc<Route>>>,
+    /// Host routes added or changed; `None` removes.
+    pub host_routes: BTreeMap<RouteName, Option<Arc<HostRoute>>>,
+    /// Bounds on what callers may send, if they changed.
+    pub caller_limits: Option<CallerLimits>,
 }
 
 /// What a source sends to a subscriber to bring it to a newer version.
@@ -88,41 +97,43 @@
 impl Snapshot {
     /// The empty configuration, version 0.
     pub fn empty() -> Self {
-        Snapshot::seal(0, BTreeMap::new(), BTreeMap::new())
+        Snapshot::from_teams(0, &BTreeMap::new())
     }
 
     /// Joins all teams' configurations into one version.
+    ///
+    /// Where several teams bound what callers may send, the last team by name counts.
     pub fn from_teams(version: ConfigVersion, teams: &BTreeMap<TeamName, TeamConfig>) -> Self {
-        let mut services = BTreeMap::new();
-        let mut routes = BTreeMap::new();
-        for config in teams.values() {
-            services.extend(arcs(&config.services));
-            routes.extend(arcs(&config.routes));
-        }
-        Snapshot::seal(version, services, routes)
-    }
-
-    fn seal(
-        version: ConfigVersion,
-        services: BTreeMap<ServiceName, Arc<Service>>,
-        routes: BTreeMap<RouteName, Arc<Route>>,
-    ) -> Self {
-        let digest = digest(version, &services, &routes);
-        Snapshot {
+        let mut snapshot = Snapshot {
             version,
-            digest,
-            services,
-            routes,
+            digest: Digest::default(),
+            services: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            host_routes: BTreeMap::new(),
+            caller_limits: CallerLimits::default(),
+        };
+        for config in teams.values() {
+            snapshot.services.extend(arcs(&config.services));
+            snapshot.routes.extend(arcs(&config.routes));
+            snapshot.host_routes.extend(arcs(&config.host_routes));
+            snapshot.caller_limits = config.caller_limits.unwrap_or(snapshot.caller_limits);
         }
+        snapshot.digest = snapshot.content_digest();
+        snapshot
     }
 
     /// Checks digest and references.
     pub fn verify(&self) -> Result<(), SnapshotError> {
-        if digest(self.version, &self.services, &self.routes) != self.digest {
+        if self.content_digest() != self.digest {
             return Err(SnapshotError::DigestMismatch);
         }
-        let is_closed = |route: &Arc<Route>| self.services.contains_key(&route.service);
-        if !self.routes.values().all(is_closed) {
+        let has_service = |route: &Arc<Route>| self.services.contains_key(&route.service);
+        let is_whole = self.routes.values().all(has_service)
+            && self
+                .host_routes
+                .values()
+                .all(|route| is_closed(route, &self.services));
+        if !is_whole {
             return Err(SnapshotError::OpenReference);
         }
         Ok(())
@@ -146,6 +157,8 @@
             digest: self.digest,
             services: map_delta(&base.services, &self.services),
             routes: map_delta(&base.routes, &self.routes),
+            host_routes: map_delta(&base.host_routes, &self.host_routes),
+            caller_limits: (base.caller_limits != self.caller_limits).then_some(self.caller_limits),
         }
     }
 
@@ -171,8 +184,40 @@
         next.digest = delta.digest;
         apply_map(&mut next.services, &delta.services);
         apply_map(&mut next.routes, &delta.routes);
+        apply_map(&mut next.host_routes, &delta.host_routes);
+        next.caller_limits = delta.caller_limits.unwrap_or(next.caller_limits);
         Ok(next)
     }
+
+    fn content_digest(&self) -> Digest {
+        let mut hasher = Sha256::new();
+        hasher.update(self.version.to_be_bytes());
+        for (name, service) in &self.services {
+            hash_text(&mut hasher, "service");
+            hash_text(&mut hasher, name);
+            hasher.update(service.retry_percent.to_be_bytes());
+            hasher.update(service.queue_requests.to_be_bytes());
+            hash_text(&mut hasher, &service.health_path);
+            hasher.update(service.connections.to_be_bytes());
+        }
+        for (name, route) in &self.routes {
+            hash_route(&mut hasher, name, route);
+        }
+        for (name, route) in &self.host_routes {
+            hash_host_route(&mut hasher, name, route);
+        }
+        let limits = &self.caller_limits;
+        let bounds = [
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_ms,
+            limits.idle_ms,
+        ];
+        for bound in bounds {
+            hasher.update(bound.to_be_bytes());
+        }
+        hasher.finalize().into()
+    }
 }
 
 fn arcs<T: Clone>(map: &BTreeMap<String, T>) -> impl Iterator<Item = (String, Arc<T>)> + '_ {
@@ -203,32 +248,38 @@
     }
 }
 
-fn digest(
-    version: ConfigVersion,
-    services: &BTreeMap<ServiceName, Arc<Service>>,
-    routes: &BTreeMap<RouteName, Arc<Route>>,
-) -> Digest {
-    let mut hasher = Sha256::new();
-    hasher.update(version.to_be_bytes());
-    for (name, service) in services {
-        hash_text(&mut hasher, "service");
-        hash_text(&mut hasher, name);
-        hasher.update(service.retry_percent.to_be_bytes());
-        hasher.update(service.queue_requests.to_be_bytes());
+fn hash_route(hasher: &mut Sha256, name: &str, route: &Route) {
+    hash_text(hasher, "route");
+    hash_text(hasher, name);
+    hash_text(hasher, &route.prefix);
+    hasher.update((route.methods.len() as u64).to_be_bytes());
+    for method in &route.methods {
+        hash_text(hasher, method);
     }
-    for (name, route) in routes {
-        hash_text(&mut hasher, "route");
-        hash_text(&mut hasher, name);
-        hash_text(&mut hasher, &route.prefix);
-        hasher.update((route.methods.len() as u64).to_be_bytes());
-        for method in &route.methods {
-            hash_text(&mut hasher, method);
-        }
-        hash_text(&mut hasher, &route.service);
-        hasher.update(route.deadline_ms.to_be_bytes());
-        hasher.update([u8::from(route.billable), u8::from(route.idempotent)]);
+    hash_text(hasher, &route.service);
+    hasher.update(route.deadline_ms.to_be_bytes());
+    hasher.update([u8::from(route.billable), u8::from(route.idempotent)]);
+}
+
+fn hash_host_route(hasher: &mut Sha256, name: &str, route: &HostRoute) {
+    hash_text(hasher, "host-route");
+    hash_text(hasher, name);
+    hash_text(hasher, &route.host);
+    hash_text(hasher, &route.prefix);
+    hasher.update((route.split.len() as u64).to_be_bytes());
+    for part in &route.split {
+        hash_text(hasher, &part.service);
+        hasher.update(part.weight.to_be_bytes());
+    }
+    for number in [
+        route.timeout_ms,
+        route.attempts,
+        route.rank,
+        route.latency_ms,
+        u64::from(route.idempotent),
+    ] {
+        hasher.update(number.to_be_bytes());
     }
-    hasher.finalize().into()
 }
 
 fn hash_text(hasher: &mut Sha256, text: &str) {
--- /dev/null
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -0,0 +1,240 @@
+//! Requests that wait for a slot of one backend server: who waits, who goes next, who is refused.
+//!
+//! Load it answers: more work than the slots can carry, of several ranks, some of it called by
+//! requests that already hold a slot elsewhere. A request is taken in only if it can end in time
+//! behind what goes before it, so a burst shortens the list of those served and not their service.
+
+use crate::ids::RouteName;
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+/// Weight of the newest sample in a mean run time.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+/// Run time assumed before the first sample.
+const INITIAL_RUN_TIME: Duration = Duration::from_millis(50);
+/// Shortest time after which a refused request may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+
+/// Number of a request in one queue.
+pub type Ticket = u64;
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkItem {
+    /// Its route: run times are learned route by route.
+    pub route: RouteName,
+    /// Rank; 0 is the highest.
+    pub rank: u64,
+    /// Whether a request that already holds a slot elsewhere waits for it.
+    pub is_nested: bool,
+    /// When its answer is no longer of use.
+    pub deadline: Instant,
+    /// When its answer is no longer of full use; requests past it wait for the deadline instead.
+    pub target: Instant,
+}
+
+/// What an arriving request does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// Runs now; a slot is taken.
+    Run,
+    /// Waits under this ticket.
+    Wait(Ticket),
+    /// Goes back at once; nothing of it has run.
+    Refused(Refused),
+}
+
+/// Why and until when a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The backend server takes no new work.
+    Closed,
+    /// It would not end in time.
+    TooLate {
+        /// When there is likely to be room.
+        retry_after: Duration,
+    },
+}
+
+/// What happens to waiting requests after the queue has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Runs now; a slot is taken.
+    Start(Ticket, RouteName),
+    /// Goes back; nothing of it has run.
+    Refuse(Ticket, Refused),
+}
+
+/// How full a backend server is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that run at a time.
+    pub slots: u32,
+    /// Mean run time over all routes.
+    pub mean_run: Duration,
+}
+
+/// Order of service: nested requests first, then by rank, then those whose time ends first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    group: u64,
+    deadline: Instant,
+    ticket: Ticket,
+}
+
+/// The queue in front of one backend server.
+///
+/// Invariants: `running <= slots` but for slots withdrawn while requests run; nothing waits while a
+/// slot is free.
+#[derive(Debug)]
+pub struct WorkQueue {
+    slots: u32,
+    running: u32,
+    is_open: bool,
+    next_ticket: Ticket,
+    waiting: BTreeMap<Place, WorkItem>,
+    places: HashMap<Ticket, Place>,
+    run_times: HashMap<RouteName, f64>,
+    mean_run_s: f64,
+}
+
+impl WorkQueue {
+    /// An open queue in front of a backend server with a number of slots.
+    pub fn new(slots: u32) -> Self {
+        WorkQueue {
+            slots: slots.max(1),
+            running: 0,
+            is_open: true,
+            next_ticket: 0,
+            waiting: BTreeMap::new(),
+            places: HashMap::new(),
+            run_times: HashMap::new(),
+            mean_run_s: INITIAL_RUN_TIME.as_secs_f64(),
+        }
+    }
+
+    /// How full the backend server is.
+    pub fn load(&self) -> WorkLoad {
+        WorkLoad {
+            running: self.running,
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            slots: self.slots,
+            mean_run: Duration::from_secs_f64(self.mean_run_s),
+        }
+    }
+
+    /// Sets the number of slots; fewer take effect as requests end.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Opens or closes the queue for new requests; those that wait are refused when it closes.
+    pub fn set_open(&mut self, is_open: bool) -> Vec<Step> {
+        self.is_open = is_open;
+        if is_open {
+            return Vec::new();
+        }
+        self.waiting.clear();
+        let tickets = std::mem::take(&mut self.places).into_keys();
+        tickets
+            .map(|ticket| Step::Refuse(ticket, Refused::Closed))
+            .collect()
+    }
+
+    /// Decides on an arriving request.
+    pub fn arrive(&mut self, item: WorkItem, now: Instant) -> Arrival {
+        if !self.is_open {
+            return Arrival::Refused(Refused::Closed);
+        }
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.running += 1;
+            return Arrival::Run;
+        }
+        let place = self.place(&item);
+        let wait = self.wait_before(&place);
+        let run = self.run_time(&item.route);
+        let is_fresh = now + run < item.target;
+        let limit = if is_fresh && !item.is_nested {
+            item.target
+        } else {
+            item.deadline
+        };
+        if now + wait + run > limit {
+            let retry_after = (now + wait + run).duration_since(limit);
+            return Arrival::Refused(Refused::TooLate {
+                retry_after: retry_after.max(MIN_RETRY_AFTER),
+            });
+        }
+        self.next_ticket += 1;
+        self.places.insert(place.ticket, place);
+        self.waiting.insert(place, item);
+        Arrival::Wait(place.ticket)
+    }
+
+    /// Ends a run. Its time counts as a sample if the request ran to its end.
+    pub fn finish(&mut self, route: &str, run_time: Option<Duration>) {
+        self.running = self.running.saturating_sub(1);
+        let Some(sample_s) = run_time.map(|time| time.as_secs_f64()) else {
+            return;
+        };
+        self.mean_run_s += RUN_TIME_WEIGHT * (sample_s - self.mean_run_s);
+        match self.run_times.get_mut(route) {
+            Some(mean_s) => *mean_s += RUN_TIME_WEIGHT * (sample_s - *mean_s),
+            None => {
+                self.run_times.insert(route.to_owned(), sample_s);
+            }
+        }
+    }
+
+    /// A waiting request has gone away; returns it if it was still waiting.
+    pub fn leave(&mut self, ticket: Ticket) -> Option<WorkItem> {
+        let place = self.places.remove(&ticket)?;
+        self.waiting.remove(&place)
+    }
+
+    /// The next waiting request to start or to refuse, if there is one. To be called until there is
+    /// none, after every change.
+    pub fn next_step(&mut self, now: Instant) -> Option<Step> {
+        if self.running >= self.slots {
+            return None;
+        }
+        let (place, item) = self.waiting.pop_first()?;
+        self.places.remove(&place.ticket);
+        if now + self.run_time(&item.route) / 2 > item.deadline {
+            let retry_after = MIN_RETRY_AFTER;
+            return Some(Step::Refuse(place.ticket, Refused::TooLate { retry_after }));
+        }
+        self.running += 1;
+        Some(Step::Start(place.ticket, item.route))
+    }
+
+    /// Mean run time of a route's requests.
+    pub fn run_time(&self, route: &str) -> Duration {
+        let mean_s = self.run_times.get(route).copied();
+        Duration::from_secs_f64(mean_s.unwrap_or(self.mean_run_s))
+    }
+
+    fn place(&self, item: &WorkItem) -> Place {
+        Place {
+            group: if item.is_nested { 0 } else { item.rank + 1 },
+            deadline: item.deadline,
+            ticket: self.next_ticket,
+        }
+    }
+
+    /// Time until a slot is free for a request at this place: the work that goes before it, and
+    /// half a mean run for the first slot to become free.
+    fn wait_before(&self, place: &Place) -> Duration {
+        let ahead_s: f64 = self
+            .waiting
+            .range(..place)
+            .map(|(_, item)| self.run_time(&item.route).as_secs_f64())
+            .sum();
+        let first_free_s = self.mean_run_s / 2.0;
+        Duration::from_secs_f64((ahead_s + first_free_s) / f64::from(self.slots))
+    }
+}
--- a/crates/foxtailgauge-core/tests/registry.rs
+++ b/crates/foxtailgauge-core/tests/registry.rs
@@ -14,6 +14,7 @@
         author: "eva".to_owned(),
         at_ms: 1,
         rollback_of: None,
+        document: None,
     }
 }
 
--- a/crates/foxtailgauge-daemon/src/admin_http.rs
+++ b/crates/foxtailgauge-daemon/src/admin_http.rs
@@ -145,6 +145,7 @@
         author: body.author,
         at_ms: unix_ms(),
         rollback_of: body.rollback_of,
+        document: None,
     };
     let reply = admin
         .submit(SubmitRequest::Change(change), CHANGE_TIMEOUT)
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::gateway::Gateway;
 use crate::ledger_client::LedgerClient;
 use crate::logger;
+use crate::mesh;
 use crate::meter::ByteCounters;
 use crate::metrics::Metrics;
 use crate::peer_client::{Identity, PeerClient};
@@ -23,7 +24,7 @@
 use async_std::task;
 use error_stack::{Report, ResultExt};
 use foxtailgauge_wire::handshake::{ConnectionKind, Hello};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::Logger;
 use std::fmt;
@@ -78,7 +79,8 @@
         let store_dir = settings.store_dir.clone();
         let (services, replicas) = build(settings, log);
         let shared = Arc::clone(&services.shared);
-        start(&services, replicas, listeners);
+        start(&services, replicas.clone(), listeners);
+        mesh::start(&services, &replicas, &shared.log).await?;
         emit!(shared.log, events::STARTED, "pid" => std::process::id());
         if let Some(dir) = store_dir {
             formation::start(&services, &dir)
@@ -89,6 +91,8 @@
         // The channel closes with the signal thread, which is also a reason to stop.
         let _ = stop.recv().await;
         emit!(shared.log, events::STOPPING);
+        shared.begin_stop();
+        mesh::drain(&services).await;
         services.executor.drain(DRAIN_TIMEOUT).await;
         shared.announce_stop();
         task::sleep(LEAVE_TIME).await;
@@ -105,14 +109,20 @@
     let ledger = LedgerClient::new(&shared, replicas.clone());
     let services = Services {
         executor: Arc::new(Executor::new(&shared, ledger)),
+        forward: mesh::executor(&shared),
         formation: Arc::default(),
         shared,
     };
     (services, replicas)
 }
 
-fn clients(settings: &Settings, metrics: &Metrics) -> Clients {
-    let identity = |kind, counters: &ByteCounters| Identity {
+/// How this daemon introduces itself on a kind of connection.
+pub(crate) fn identity(
+    settings: &Settings,
+    kind: ConnectionKind,
+    counters: &ByteCounters,
+) -> Identity {
+    Identity {
         hello: Hello {
             kind,
             failure_domain: settings.failure_domain.clone(),
@@ -120,7 +130,11 @@
         },
         key: settings.cluster_key.clone(),
         counters: counters.clone(),
-    };
+    }
+}
+
+fn clients(settings: &Settings, metrics: &Metrics) -> Clients {
+    let identity = |kind, counters| identity(settings, kind, counters);
     let control = identity(ConnectionKind::Control, &metrics.control);
     let calls = identity(ConnectionKind::Calls, &metrics.call_bytes);
     let consensus = identity(ConnectionKind::Consensus, &metrics.consensus);
@@ -176,7 +190,10 @@
     })
 }
 
-async fn bind(address: SocketAddr, log: &Logger) -> Result<TcpListener, Report<DaemonError>> {
+pub(crate) async fn bind(
+    address: SocketAddr,
+    log: &Logger,
+) -> Result<TcpListener, Report<DaemonError>> {
     let listener = TcpListener::bind(address).await;
     if let Err(error) = &listener {
         emit!(log, events::LISTEN_FAILED,
@@ -187,10 +204,11 @@
 
 /// A channel that brings the request to stop.
 fn stop_signal() -> Result<async_std::channel::Receiver<()>, Report<DaemonError>> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).change_context(DaemonError::Signals)?;
+    let handled = [SIGTERM, SIGINT, SIGHUP];
+    let mut signals = Signals::new(handled).change_context(DaemonError::Signals)?;
     let (sender, receiver) = async_std::channel::bounded(1);
     std::thread::spawn(move || {
-        if signals.forever().next().is_some() {
+        if signals.forever().any(|signal| signal != SIGHUP) {
             // The receiver is gone only if the daemon is ending anyway.
             let _ = sender.try_send(());
         }
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -62,6 +62,17 @@
     ACTION_UNKNOWN = 4101, Warning, "outcome of a billable action is unknown";
     LEDGER_RETRY = 4102, Warning, "ledger does not take a record: trying again";
     REQUEST_QUARANTINED = 4103, Warning, "request refused: it was in flight when backend servers died";
+    SERVER_REPORTED = 4201, Info, "report of a backend server changed what is known of it";
+    SERVER_UNREACHABLE = 4202, Warning, "backend server does not accept connections: nothing goes there until it reports";
+    REPORT_REFUSED = 4203, Warning, "report of a backend server refused";
+    WORK_REFUSED = 4301, Info, "queue of a backend server refused a request";
+    ANSWER_STRAY = 4302, Warning, "backend server answered another request";
+    ANSWER_BROKEN = 4303, Info, "no whole answer of a backend server";
+    FORWARD_AGAIN = 4401, Info, "request goes to another backend server";
+    FORWARD_REFUSED = 4402, Info, "gateway answered in place of a backend server";
+    PEER_UNREACHABLE = 4403, Info, "no connection to another daemon for requests";
+    DOCUMENT_REFUSED = 3301, Warning, "operator's document cannot be translated";
+    DOCUMENT_UNANSWERED = 3302, Warning, "no clear answer to an operator's document";
     PEER_REFUSED = 5001, Warning, "peer refused: handshake failed";
     ADMIN_DENIED = 5002, Warning, "admin request without a fitting token";
 }
--- a/crates/foxtailgauge-daemon/src/formation.rs
+++ b/crates/foxtailgauge-daemon/src/formation.rs
@@ -9,6 +9,7 @@
 use crate::peer_server::Services;
 use crate::replica::{start_group, ReplicaHandles};
 use crate::replica_client::ReplicaClient;
+use crate::settings::Formation;
 use crate::shared::lock;
 use crate::store::{read_frame, write_frame, StoreError};
 use error_stack::Report;
@@ -116,16 +117,20 @@
 /// Returns the first members, or none if the group exists without this replica.
 async fn find_group(services: &Services, replica: ReplicaId, own_addr: &str) -> Membership {
     let shared = &services.shared;
+    let listed = &shared.settings.replicas;
+    let may_form = match shared.settings.formation {
+        Formation::Listed => true,
+        Formation::Seeds => listed.iter().any(|addr| addr == own_addr),
+        Formation::JoinOnly => false,
+    };
+    let decides = may_form && listed.iter().all(|addr| own_addr <= addr.as_str());
     let client = ReplicaClient::new(shared);
     loop {
         let mut forming = vec![(replica, own_addr.to_owned())];
-        for addr in shared
-            .settings
-            .replicas
-            .iter()
-            .filter(|addr| *addr != own_addr)
-        {
-            match client.formation(addr, ASK_TIMEOUT).await {
+        let others = listed.iter().filter(|addr| *addr != own_addr);
+        let asking = others.map(|addr| client.formation(addr, ASK_TIMEOUT));
+        for answer in futures::future::join_all(asking).await {
+            match answer {
                 Some(SubmitReply::Formation(FormationState::Formed { initial })) => {
                     return adopt(services, replica, initial);
                 }
@@ -136,13 +141,7 @@
                 _ => {}
             }
         }
-        let is_complete = forming.len() == shared.settings.replicas.len();
-        let decides = shared
-            .settings
-            .replicas
-            .iter()
-            .all(|addr| own_addr <= addr.as_str());
-        if is_complete && decides {
+        if decides && forming.len() == listed.len() {
             emit!(shared.log, events::GROUP_FORMED, "members" => forming.len());
             return Membership::of_voters(forming);
         }
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/forward_body.rs
@@ -0,0 +1,175 @@
+//! Bodies on their way through a daemon: read whole while they are small, streamed beyond.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::any::Any;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// Bytes of a body that are read before it is passed on. A body within them can be sent again.
+pub(crate) const WHOLE_BYTES: usize = 64 << 10;
+
+/// A body: bytes read already, and what is still to come.
+#[derive(Default)]
+pub(crate) struct ForwardBody {
+    head: Bytes,
+    rest: Option<Incoming>,
+    /// Dropped at the end of the body.
+    guard: Option<Box<dyn Any + Send>>,
+    /// Bytes that may still pass; the body breaks off beyond.
+    limit: Option<u64>,
+}
+
+impl fmt::Debug for ForwardBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rest = self.rest.is_some();
+        write!(f, "ForwardBody({} bytes, more: {rest})", self.head.len())
+    }
+}
+
+/// Why a body broke off.
+#[derive(Debug)]
+pub(crate) enum BodyError {
+    /// The sender broke off.
+    Broken(hyper::Error),
+    /// The body exceeds its limit.
+    TooLarge,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyError::Broken(error) => write!(f, "body broke off: {error}"),
+            BodyError::TooLarge => write!(f, "body exceeds its limit"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+impl ForwardBody {
+    /// A body of these bytes.
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
+        ForwardBody {
+            head: bytes.into(),
+            ..Default::default()
+        }
+    }
+
+    /// Reads a body to its end, or until [`WHOLE_BYTES`] are there.
+    pub(crate) async fn gather(mut incoming: Incoming) -> Result<Self, BodyError> {
+        if incoming.is_end_stream() {
+            return Ok(ForwardBody::default());
+        }
+        let mut first: Option<Bytes> = None;
+        let mut more = BytesMut::new();
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(BodyError::Broken)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if first.is_none() {
+                first = Some(data);
+            } else {
+                if more.is_empty() {
+                    more.extend_from_slice(first.as_deref().unwrap_or_default());
+                }
+                more.extend_from_slice(&data);
+            }
+            let length = more.len().max(first.as_ref().map_or(0, Bytes::len));
+            if length >= WHOLE_BYTES && !incoming.is_end_stream() {
+                let head = assemble(first, more);
+                return Ok(ForwardBody {
+                    head,
+                    rest: Some(incoming),
+                    ..Default::default()
+                });
+            }
+        }
+        Ok(ForwardBody::whole(assemble(first, more)))
+    }
+
+    /// The whole body, if nothing is still to come.
+    pub(crate) fn bytes(&self) -> Option<&Bytes> {
+        self.rest.is_none().then_some(&self.head)
+    }
+
+    /// Holds on to something until the end of the body.
+    pub(crate) fn hold(&mut self, guard: impl Any + Send) {
+        self.guard = Some(Box::new(guard));
+    }
+
+    /// Breaks the body off beyond this many bytes.
+    pub(crate) fn set_limit(&mut self, limit: u64) {
+        self.limit = Some(limit);
+    }
+}
+
+fn assemble(first: Option<Bytes>, more: BytesMut) -> Bytes {
+    if more.is_empty() {
+        first.unwrap_or_default()
+    } else {
+        more.freeze()
+    }
+}
+
+impl Body for ForwardBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let data = if self.head.is_empty() {
+            let Some(rest) = self.rest.as_mut() else {
+                self.guard = None;
+                return Poll::Ready(None);
+            };
+            match Pin::new(rest).poll_frame(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => {
+                    self.rest = None;
+                    self.guard = None;
+                    return Poll::Ready(None);
+                }
+                Poll::Ready(Some(Err(error))) => {
+                    return Poll::Ready(Some(Err(BodyError::Broken(error))))
+                }
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
+                },
+            }
+        } else {
+            std::mem::take(&mut self.head)
+        };
+        if let Some(limit) = self.limit {
+            let Some(left) = limit.checked_sub(data.len() as u64) else {
+                return Poll::Ready(Some(Err(BodyError::TooLarge)));
+            };
+            self.limit = Some(left);
+        }
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.head.is_empty() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let head = self.head.len() as u64;
+        let rest = match &self.rest {
+            Some(rest) => rest.size_hint(),
+            None => SizeHint::with_exact(0),
+        };
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + head);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + head);
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -0,0 +1,413 @@
+//! Runs forwarded requests on the backend server beside this daemon; the only way to it.
+
+use crate::emit;
+use crate::events;
+use crate::forward_body::{BodyError, ForwardBody};
+use crate::forward_server::{ForwardServer, Running};
+use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
+use crate::http_pool::{connect, ExchangeError, HttpPool, Lease, SendError};
+use crate::mesh_settings::MeshSettings;
+use crate::shared::{lock, Shared};
+use foxtailgauge_core::{ServerEntry, WorkItem, WorkLoad};
+use foxtailgauge_platform::{headers, ServerReport};
+use futures::io::{AsyncRead, AsyncWrite};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use smol_hyper::rt::FuturesIo;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time to open a connection to the backend server, which is on the same instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Idle time after which a connection is not used again: backend servers close idle connections,
+/// and a request that crosses the close is lost.
+const MAX_IDLE: Duration = Duration::from_millis(800);
+/// Idle time after which a connection is not used again for a request that may run only once.
+const MAX_IDLE_ONCE: Duration = Duration::from_millis(250);
+/// Time beyond the deadline in which the backend server's own answer to it may arrive.
+const DEADLINE_SLACK: Duration = Duration::from_millis(40);
+/// Reports that may be missed before a backend server counts as gone.
+const LEASE_REPORTS: u32 = 8;
+/// Interval at which leases of backend servers are checked.
+const LEASE_CHECK: Duration = Duration::from_millis(500);
+
+/// A request on its way to a backend server.
+pub(crate) struct ForwardRequest {
+    pub(crate) hop: HopRequest,
+    /// Head and body as they are to arrive.
+    pub(crate) request: Request<ForwardBody>,
+    /// When the caller gives up.
+    pub(crate) deadline: Instant,
+}
+
+/// The end of an attempt.
+pub(crate) struct ForwardReply {
+    pub(crate) reply: HopReply,
+    /// The backend server's answer, if it gave one.
+    pub(crate) response: Option<Response<ForwardBody>>,
+}
+
+/// What became of a backend server's report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReportOutcome {
+    /// It holds from now on.
+    Taken,
+    /// A newer one holds.
+    Stale,
+    /// It is of a service that does not run here.
+    OtherService,
+}
+
+/// The backend servers beside this daemon that take forwarded requests.
+pub(crate) struct ForwardExecutor {
+    shared: Arc<Shared>,
+    settings: MeshSettings,
+    pool: HttpPool,
+    servers: Mutex<BTreeMap<String, Arc<ForwardServer>>>,
+}
+
+impl ForwardExecutor {
+    /// An executor without backend servers.
+    pub(crate) fn new(shared: &Arc<Shared>, settings: MeshSettings) -> Self {
+        ForwardExecutor {
+            shared: Arc::clone(shared),
+            settings,
+            pool: HttpPool::default(),
+            servers: Mutex::default(),
+        }
+    }
+
+    /// Takes over a report.
+    pub(crate) fn report(&self, report: ServerReport) -> ReportOutcome {
+        let is_other = |service: &String| *service != report.service;
+        if self.settings.service.as_ref().is_some_and(is_other) {
+            return ReportOutcome::OtherService;
+        }
+        let service = format!("{}/{}", self.settings.workspace, report.service);
+        let lease = self.settings.report_interval * LEASE_REPORTS;
+        let has_changed = {
+            let mut servers = lock(&self.servers);
+            let is_older = |s: &Arc<ForwardServer>| s.is_newer_than(&report);
+            if servers.values().any(is_older) {
+                return ReportOutcome::Stale;
+            }
+            // Another process at the same address has taken the place of an earlier one.
+            servers.retain(|name, s| *name == report.server || s.addr() != report.addr);
+            match servers.get(&report.server) {
+                Some(server) => server.report(&report, &service, lease),
+                None => {
+                    let server = ForwardServer::new(&report, &service, lease);
+                    servers.insert(report.server.clone(), Arc::new(server));
+                    true
+                }
+            }
+        };
+        if has_changed {
+            self.pool.forget(&report.addr.to_string());
+            emit!(self.shared.log, events::SERVER_REPORTED, "server" => &report.server,
+                "service" => &service, "state" => format!("{:?}", report.state),
+                "born_ms" => report.order.0, "report" => report.order.1);
+            self.publish();
+        }
+        ReportOutcome::Taken
+    }
+
+    /// Closes the gate of a backend server that leaves. Nothing new reaches it from now on.
+    pub(crate) fn leave(&self, server: &str) -> bool {
+        let found = lock(&self.servers).get(server).cloned();
+        let Some(found) = found else {
+            return false;
+        };
+        found.leave();
+        emit!(self.shared.log, events::SERVER_LEAVING, "server" => server);
+        self.publish();
+        true
+    }
+
+    /// Closes all gates, as this daemon stops.
+    pub(crate) fn close(&self) {
+        let servers: Vec<Arc<ForwardServer>> = lock(&self.servers).values().cloned().collect();
+        for server in servers {
+            server.leave();
+        }
+        self.publish();
+    }
+
+    /// Requests running and waiting.
+    pub(crate) fn in_flight(&self) -> u32 {
+        let in_flight = |s: &Arc<ForwardServer>| s.load().running + s.load().waiting;
+        lock(&self.servers).values().map(in_flight).sum()
+    }
+
+    /// Removes backend servers that were not heard of for long, again and again.
+    pub(crate) async fn expire_leases(self: Arc<Self>) {
+        loop {
+            async_std::task::sleep(LEASE_CHECK).await;
+            let now = Instant::now();
+            let count = lock(&self.servers).len();
+            lock(&self.servers).retain(|_, server| !server.is_expired(now));
+            if lock(&self.servers).len() < count {
+                emit!(self.shared.log, events::SERVER_GONE, "reason" => "no report");
+                self.publish();
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let entries: Vec<ServerEntry> = lock(&self.servers).values().map(|s| s.entry()).collect();
+        self.shared.announce_forwarded(entries);
+    }
+
+    /// Runs a request. Dropping the future withdraws it from the queue or cancels its run.
+    pub(crate) async fn run(&self, request: ForwardRequest) -> ForwardReply {
+        let server = lock(&self.servers).get(&request.hop.server).cloned();
+        let Some(server) = server else {
+            return without_answer(HopEnd::Closed, WorkLoad::default());
+        };
+        let now = Instant::now();
+        let item = WorkItem {
+            route: request.hop.route.clone(),
+            rank: request.hop.rank,
+            is_nested: request.hop.is_nested,
+            deadline: request.deadline,
+            target: now + request.hop.target,
+        };
+        let running = match server.enter(item).await {
+            Ok(running) => running,
+            Err(refused) => {
+                emit!(self.shared.log, events::WORK_REFUSED,
+                    "request" => attempt_id(request.request.headers()),
+                    "server" => &request.hop.server, "route" => &request.hop.route,
+                    "reason" => format!("{refused:?}"), "load" => format!("{:?}", server.load()),
+                    "left_ms" => millis(request.deadline));
+                return without_answer(refused.into(), server.load());
+            }
+        };
+        let limit = request.deadline.saturating_duration_since(now) + DEADLINE_SLACK;
+        let exchange = self.exchange(&server, request, running);
+        match async_std::future::timeout(limit, exchange).await {
+            Ok((end, response)) => ForwardReply {
+                reply: HopReply {
+                    end,
+                    load: server.load(),
+                },
+                response,
+            },
+            Err(_) => without_answer(HopEnd::Broken, server.load()),
+        }
+    }
+
+    /// Sends a request to its backend server and judges the answer.
+    async fn exchange(
+        &self,
+        server: &Arc<ForwardServer>,
+        request: ForwardRequest,
+        mut running: Running,
+    ) -> (HopEnd, Option<Response<ForwardBody>>) {
+        let id = request.request.headers().get(headers::ATTEMPT).cloned();
+        let name = request.hop.server.clone();
+        let (mut lease, response) = match self.send(server, request).await {
+            Ok(sent) => sent,
+            Err(error) => return (self.failed(server, &id, &error), None),
+        };
+        let is_declined = response.headers().contains_key(headers::NOT_RUN)
+            || response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if response.headers().get(headers::ATTEMPT) != id.as_ref() && !is_declined {
+            // An answer to another request: this one's may still follow, or be lost.
+            emit!(self.shared.log, events::ANSWER_STRAY, "request" => text(id.as_ref()),
+                "server" => name);
+            return (HopEnd::Broken, None);
+        }
+        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            // Another process has the address: nothing goes there until the next report.
+            self.lost(server);
+        }
+        let (parts, body) = response.into_parts();
+        match ForwardBody::gather(body).await {
+            Ok(mut body) => {
+                if is_declined {
+                    running.set_declined();
+                } else {
+                    running.set_complete();
+                }
+                if body.bytes().is_some() {
+                    drop(running);
+                    lease.is_reused = true;
+                    self.pool.give_back(lease);
+                } else {
+                    body.hold((running, lease));
+                }
+                let end = if is_declined {
+                    HopEnd::Declined
+                } else {
+                    HopEnd::Answered
+                };
+                (end, Some(Response::from_parts(parts, body)))
+            }
+            Err(error) => {
+                emit!(self.shared.log, events::ANSWER_BROKEN, "request" => text(id.as_ref()),
+                    "server" => name, "error" => body_error(&error));
+                (HopEnd::Broken, None)
+            }
+        }
+    }
+
+    fn failed(
+        &self,
+        server: &Arc<ForwardServer>,
+        id: &Option<HeaderValue>,
+        error: &ExchangeError,
+    ) -> HopEnd {
+        emit!(self.shared.log, events::ANSWER_BROKEN, "request" => text(id.as_ref()),
+            "server" => server.name(), "error" => error.to_string());
+        match error {
+            ExchangeError::NotSent(_) => {
+                self.lost(server);
+                HopEnd::NotReached
+            }
+            ExchangeError::Broken(_) => HopEnd::Broken,
+        }
+    }
+
+    /// Closes the gate of a backend server that cannot be reached, until its next report.
+    fn lost(&self, server: &Arc<ForwardServer>) {
+        if server.set_unreachable() {
+            emit!(self.shared.log, events::SERVER_UNREACHABLE, "server" => server.name());
+            self.publish();
+        }
+    }
+
+    async fn send(
+        &self,
+        server: &ForwardServer,
+        forward: ForwardRequest,
+    ) -> Result<(Lease, Response<Incoming>), ExchangeError> {
+        let addr = server.addr().to_string();
+        let deadline = forward.deadline;
+        let max_idle = if forward.hop.is_idempotent {
+            MAX_IDLE
+        } else {
+            MAX_IDLE_ONCE
+        };
+        let mut request = forward.request;
+        let reused = self.pool.take(&addr, max_idle);
+        let mut is_first = reused.is_some();
+        let mut lease = match reused {
+            Some(lease) => lease,
+            None => self.open(&addr).await?,
+        };
+        loop {
+            set_time_left(request.headers_mut(), deadline);
+            match lease.send(request).await {
+                Ok(response) => return Ok((lease, response)),
+                Err(SendError::Unsent(unsent)) if is_first => {
+                    is_first = false;
+                    request = *unsent;
+                    lease = self.open(&addr).await?;
+                }
+                Err(SendError::Unsent(_)) => {
+                    let closed = std::io::ErrorKind::ConnectionReset;
+                    return Err(ExchangeError::NotSent(closed.into()));
+                }
+                Err(SendError::Broken(error)) => return Err(ExchangeError::Broken(error)),
+            }
+        }
+    }
+
+    async fn open(&self, addr: &str) -> Result<Lease, ExchangeError> {
+        self.pool.open(addr, connect(addr), CONNECT_TIMEOUT).await
+    }
+
+    /// Serves a connection of another daemon.
+    pub(crate) async fn serve<S>(self: Arc<Self>, stream: S)
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        let service = service_fn(|request| {
+            let executor = Arc::clone(&self);
+            async move { Ok::<_, Infallible>(executor.serve_hop(request).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .keep_alive(true)
+            .serve_connection(FuturesIo::new(stream), service);
+        // The gateway at the other end learns of a broken connection itself.
+        let _ = connection.await;
+    }
+
+    async fn serve_hop(&self, request: Request<Incoming>) -> Response<ForwardBody> {
+        let now = Instant::now();
+        let hop = header(request.headers(), HOP_HEADER).and_then(HopRequest::parse);
+        let left_ms = header(request.headers(), headers::TIME_LEFT_MS);
+        let left_ms = left_ms.and_then(|text| text.parse::<u64>().ok());
+        let (Some(hop), Some(left_ms)) = (hop, left_ms) else {
+            return encode(without_answer(HopEnd::Closed, WorkLoad::default()));
+        };
+        let (mut parts, body) = request.into_parts();
+        parts.headers.remove(HOP_HEADER);
+        // Nothing of it has run: the gateway broke off its body.
+        let Ok(body) = ForwardBody::gather(body).await else {
+            return encode(without_answer(HopEnd::Closed, WorkLoad::default()));
+        };
+        let reply = self
+            .run(ForwardRequest {
+                hop,
+                request: Request::from_parts(parts, body),
+                deadline: now + Duration::from_millis(left_ms),
+            })
+            .await;
+        encode(reply)
+    }
+}
+
+fn without_answer(end: HopEnd, load: WorkLoad) -> ForwardReply {
+    ForwardReply {
+        reply: HopReply { end, load },
+        response: None,
+    }
+}
+
+fn encode(reply: ForwardReply) -> Response<ForwardBody> {
+    let mut response = reply.response.unwrap_or_else(|| {
+        let mut empty = Response::new(ForwardBody::default());
+        *empty.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        empty
+    });
+    crate::forward_headers::strip_hop_by_hop(response.headers_mut());
+    if let Ok(value) = HeaderValue::from_str(&reply.reply.encode()) {
+        response.headers_mut().insert(HOP_HEADER, value);
+    }
+    response
+}
+
+/// Tells how much time is left now.
+pub(crate) fn set_time_left(headers: &mut HeaderMap, deadline: Instant) {
+    headers.insert(headers::TIME_LEFT_MS, HeaderValue::from(millis(deadline)));
+}
+
+fn millis(deadline: Instant) -> u64 {
+    let left = deadline.saturating_duration_since(Instant::now());
+    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// A header's value as text.
+pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A request's id for the log.
+pub(crate) fn attempt_id(headers: &HeaderMap) -> String {
+    text(headers.get(headers::ATTEMPT))
+}
+
+fn text(value: Option<&HeaderValue>) -> String {
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
+
+fn body_error(error: &BodyError) -> String {
+    error.to_string()
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -0,0 +1,545 @@
+//! Takes requests of callers on this instance, and of the backend server beside it, and finds them
+//! a backend server by host routes.
+
+use crate::emit;
+use crate::events;
+use crate::forward_body::{BodyError, ForwardBody};
+use crate::forward_executor::{
+    attempt_id, header, set_time_left, ForwardExecutor, ForwardReply, ForwardRequest,
+};
+use crate::forward_headers::strip_hop_by_hop;
+use crate::forward_refusal::{refusal, Refusal};
+use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
+use crate::http_pool::{connect, HttpPool, Lease, SendError};
+use crate::mesh_settings::MeshSettings;
+use crate::metrics::ForwardLabels;
+use crate::peer_client::Identity;
+use crate::shared::{lock, RouteView, Shared};
+use async_std::net::{TcpListener, TcpStream};
+use foxtailgauge_core::{
+    AttemptEnd, AttemptHealth, Attempts, Candidate, HostRoute, Next, RetryBudget, RouteName,
+    ServerKey, ServiceName,
+};
+use foxtailgauge_platform::headers;
+use foxtailgauge_wire::handshake;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, HOST};
+use hyper::http::request::Parts;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use smol_hyper::rt::FuturesIo;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::IpAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time to open a connection to another daemon, the handshake included.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Idle time after which a connection to another daemon is not used again.
+const PEER_MAX_IDLE: Duration = Duration::from_secs(20);
+/// Time beyond a deadline in which the executor's own answer to it may arrive.
+const REPLY_SLACK: Duration = Duration::from_millis(80);
+/// Largest head of a request, if the configuration sets none.
+const DEFAULT_HEADER_BYTES: u64 = 64 << 10;
+/// Time a caller waits if neither it nor its route says so.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// Retries that one daemon saves up for a service: all daemons share one budget.
+const SAVED_RETRIES: f64 = 1.5;
+/// Time after the request to stop in which requests are still taken.
+const STOP_ACCEPT: Duration = Duration::from_secs(3);
+/// Largest head that is read at all.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
+/// Routes callers' requests.
+pub(crate) struct ForwardGateway {
+    shared: Arc<Shared>,
+    executor: Arc<ForwardExecutor>,
+    settings: MeshSettings,
+    identity: Identity,
+    pool: HttpPool,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    own_ip: Option<IpAddr>,
+}
+
+/// One request on its way.
+struct Call<'a> {
+    id: String,
+    view: &'a RouteView,
+    route_name: &'a RouteName,
+    route: &'a HostRoute,
+    service: ServiceName,
+    is_nested: bool,
+    started: Instant,
+    deadline: Instant,
+    parts: Parts,
+}
+
+impl ForwardGateway {
+    /// A gateway beside an executor.
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        executor: &Arc<ForwardExecutor>,
+        settings: MeshSettings,
+        identity: Identity,
+    ) -> Self {
+        ForwardGateway {
+            shared: Arc::clone(shared),
+            executor: Arc::clone(executor),
+            own_ip: settings.outbound.map(|addr| addr.ip()),
+            settings,
+            identity,
+            pool: HttpPool::default(),
+            budgets: Mutex::default(),
+        }
+    }
+
+    /// Serves callers' connections for as long as the daemon runs.
+    pub(crate) async fn serve(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) => {
+                    let is_nested = Some(peer.ip()) == self.own_ip;
+                    async_std::task::spawn(Arc::clone(&self).serve_connection(stream, is_nested));
+                }
+                Err(_) => async_std::task::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    }
+
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream, is_nested: bool) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let service = service_fn(|request| {
+            let gateway = Arc::clone(&self);
+            async move { Ok::<_, Infallible>(gateway.answer(request, is_nested).await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(FuturesIo::new(stream), service);
+        // A caller that goes away ends its connection; there is nobody left to tell.
+        let _ = connection.await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>, is_nested: bool) -> Response<ForwardBody> {
+        let started = Instant::now();
+        let _guard = self.shared.forwarding();
+        let id = attempt_id(request.headers());
+        let (mut response, outcome) = match self.handle(request, is_nested, started).await {
+            Ok(response) => (response, "answered"),
+            Err(refused) => {
+                emit!(self.shared.log, events::FORWARD_REFUSED, "request" => id,
+                    "reason" => refused.reason(), "status" => refused.status().as_u16(),
+                    "took_ms" => started.elapsed().as_millis() as u64,
+                    "version" => self.shared.held().0);
+                (refusal(&refused), refused.reason())
+            }
+        };
+        let labels = ForwardLabels { outcome };
+        let metrics = &self.shared.metrics;
+        metrics.forwarded.get_or_create(&labels).inc();
+        metrics
+            .forward_seconds
+            .observe(started.elapsed().as_secs_f64());
+        if self.shared.is_stopping() {
+            response
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        is_nested: bool,
+        started: Instant,
+    ) -> Result<Response<ForwardBody>, Refusal> {
+        if self
+            .shared
+            .stopping_for()
+            .is_some_and(|time| time > STOP_ACCEPT)
+        {
+            return Err(Refusal::Stopping);
+        }
+        let view = self.shared.view();
+        let snapshot = view.snapshot.as_ref().filter(|s| s.version > 0);
+        let snapshot = snapshot.ok_or(Refusal::NoConfiguration)?;
+        let (parts, body) = request.into_parts();
+        let host = header(&parts.headers, HOST.as_str()).or(parts.uri.host());
+        let path = parts.uri.path();
+        let (route_name, route) = view
+            .hosts
+            .find(host.unwrap_or_default(), path)
+            .ok_or(Refusal::UnknownRoute)?;
+        let limits = &snapshot.caller_limits;
+        check_head(&parts, limits.header_bytes)?;
+        let patience = header(&parts.headers, headers::TIME_LEFT_MS)
+            .and_then(|text| text.trim().parse().ok())
+            .map_or(DEFAULT_PATIENCE, Duration::from_millis);
+        let service = route.part(rand::random()).ok_or(Refusal::UnknownRoute)?;
+        let call = Call {
+            id: attempt_id(&parts.headers),
+            view: &view,
+            route_name,
+            route,
+            service: service.clone(),
+            is_nested,
+            started,
+            deadline: started + patience.min(Duration::from_millis(route.timeout_ms)),
+            parts: self.outgoing(parts),
+        };
+        let body = read_body(body, limits.body_bytes, &call).await?;
+        self.run(&call, body).await
+    }
+
+    /// The head of a request as backend servers are to see it.
+    fn outgoing(&self, mut parts: Parts) -> Parts {
+        strip_hop_by_hop(&mut parts.headers);
+        parts.headers.remove(HOP_HEADER);
+        parts.headers.remove(headers::WANTED_SERVER);
+        parts.headers.remove(headers::CALLER_SERVICE);
+        let service = self.settings.service.as_deref().unwrap_or_default();
+        if let Ok(service) = HeaderValue::from_str(service) {
+            parts.headers.insert(headers::CALLER_SERVICE, service);
+        }
+        if let Some(target) = parts.uri.path_and_query() {
+            parts.uri = target.clone().into();
+        }
+        parts
+    }
+
+    /// Makes attempts until one of them, or their end, is the answer.
+    async fn run(
+        &self,
+        call: &Call<'_>,
+        body: ForwardBody,
+    ) -> Result<Response<ForwardBody>, Refusal> {
+        self.earn(&call.service);
+        let none = Vec::new();
+        let candidates = call.view.candidates.get(&call.service).unwrap_or(&none);
+        let mut attempts = Attempts::new(call.route.idempotent, call.route.attempts);
+        let mut tried: Vec<ServerKey> = Vec::new();
+        let mut body = Some(body);
+        let mut retry_after = None;
+        loop {
+            let Some(attempt_body) = next_body(&mut body) else {
+                return Err(Refusal::after(&attempts, call.deadline, retry_after));
+            };
+            let now = Instant::now();
+            let chosen =
+                lock(&self.shared.placement).choose(candidates, &tried, now, &mut rand::rng());
+            let Some(candidate) = chosen else {
+                return Err(Refusal::after(&attempts, call.deadline, retry_after));
+            };
+            tried.push(candidate.key.clone());
+            let reply = self.attempt(call, candidate, attempt_body).await;
+            let run_time = reply.reply.load.mean_run;
+            if let HopEnd::Refused { retry_after: wait } = reply.reply.end {
+                retry_after = Some(retry_after.unwrap_or(wait).min(wait));
+            }
+            let end = attempt_end(&reply);
+            let time_left = call.deadline.saturating_duration_since(Instant::now());
+            let mut next = attempts.after(end, time_left, run_time);
+            let is_unpaid =
+                matches!(next, Next::Again { is_repeat: true }) && !self.try_spend(&call.service);
+            if is_unpaid {
+                next = attempts.refusal(end);
+            }
+            match next {
+                Next::Deliver => return self.deliver(call, reply),
+                Next::Again { is_repeat } => self.log_again(call, candidate, &reply, is_repeat),
+                Next::RefuseNotRun | Next::RefuseUnknown => {
+                    return Err(Refusal::after(&attempts, call.deadline, retry_after));
+                }
+            }
+        }
+    }
+
+    fn log_again(&self, call: &Call<'_>, from: &Candidate, reply: &ForwardReply, is_repeat: bool) {
+        emit!(self.shared.log, events::FORWARD_AGAIN, "request" => &call.id,
+            "route" => call.route_name, "server" => &from.key.server, "daemon" => &from.key.daemon,
+            "end" => format!("{:?}", reply.reply.end), "load" => format!("{:?}", reply.reply.load),
+            "is_repeat" => is_repeat);
+    }
+
+    /// Hands on the backend server's answer, unless its status would promise what is not so.
+    fn deliver(
+        &self,
+        call: &Call<'_>,
+        reply: ForwardReply,
+    ) -> Result<Response<ForwardBody>, Refusal> {
+        let Some(mut response) = reply.response else {
+            return Err(Refusal::OutcomeUnknown);
+        };
+        if is_promise(response.status()) && !call.route.idempotent {
+            return Err(Refusal::OutcomeUnknown);
+        }
+        strip_hop_by_hop(response.headers_mut());
+        response.headers_mut().remove(HOP_HEADER);
+        Ok(response)
+    }
+
+    fn earn(&self, service: &ServiceName) {
+        let percent = self.retry_percent(service);
+        let mut budgets = lock(&self.budgets);
+        if !budgets.contains_key(service) {
+            let budget = RetryBudget::with_saved(SAVED_RETRIES);
+            budgets.insert(service.clone(), budget);
+        }
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.earn(percent);
+        }
+    }
+
+    fn retry_percent(&self, service: &ServiceName) -> u64 {
+        let view = self.shared.view();
+        let service = view.snapshot.as_ref().and_then(|s| s.services.get(service));
+        service.map_or(0, |service| service.retry_percent)
+    }
+
+    fn try_spend(&self, service: &ServiceName) -> bool {
+        let mut budgets = lock(&self.budgets);
+        let is_paid = budgets.get_mut(service).is_some_and(RetryBudget::try_spend);
+        if is_paid {
+            self.shared.metrics.retries.inc();
+        }
+        is_paid
+    }
+
+    async fn attempt(
+        &self,
+        call: &Call<'_>,
+        candidate: &Candidate,
+        body: ForwardBody,
+    ) -> ForwardReply {
+        let now = Instant::now();
+        let mut parts = call.parts.clone();
+        if let Ok(server) = HeaderValue::from_str(&candidate.key.server) {
+            parts.headers.insert(headers::WANTED_SERVER, server);
+        }
+        let elapsed = now.saturating_duration_since(call.started);
+        let hop = HopRequest {
+            server: candidate.key.server.clone(),
+            route: call.route_name.clone(),
+            rank: call.route.rank,
+            is_nested: call.is_nested,
+            is_idempotent: call.route.idempotent,
+            target: Duration::from_millis(call.route.latency_ms).saturating_sub(elapsed),
+        };
+        let guard = PlacedGuard {
+            shared: &self.shared,
+            key: &candidate.key,
+            is_done: false,
+        };
+        let request = ForwardRequest {
+            hop,
+            request: Request::from_parts(parts, body),
+            deadline: call.deadline,
+        };
+        let reply = if candidate.key.daemon == self.shared.settings.name {
+            self.executor.run(request).await
+        } else {
+            self.send(&candidate.calls_addr, request).await
+        };
+        guard.finish(&reply);
+        reply
+    }
+
+    /// Sends a request to the executor of another daemon.
+    async fn send(&self, addr: &str, forward: ForwardRequest) -> ForwardReply {
+        let limit = forward.deadline.saturating_duration_since(Instant::now()) + REPLY_SLACK;
+        let sending = self.send_unbounded(addr, forward);
+        match async_std::future::timeout(limit, sending).await {
+            Ok(reply) => reply,
+            Err(_) => end_only(HopEnd::Broken),
+        }
+    }
+
+    async fn send_unbounded(&self, addr: &str, forward: ForwardRequest) -> ForwardReply {
+        let mut request = forward.request;
+        if let Ok(hop) = HeaderValue::from_str(&forward.hop.encode()) {
+            request.headers_mut().insert(HOP_HEADER, hop);
+        }
+        let mut reused = self.pool.take(addr, PEER_MAX_IDLE);
+        loop {
+            let is_reused = reused.is_some();
+            let mut lease = match reused.take() {
+                Some(lease) => lease,
+                None => match self.open(addr).await {
+                    Some(lease) => lease,
+                    None => return end_only(HopEnd::NotReached),
+                },
+            };
+            set_time_left(request.headers_mut(), forward.deadline);
+            match lease.send(request).await {
+                Ok(response) => return self.receive(lease, response).await,
+                Err(SendError::Unsent(unsent)) if is_reused => request = *unsent,
+                Err(SendError::Unsent(_)) => return end_only(HopEnd::NotReached),
+                Err(SendError::Broken(_)) => return end_only(HopEnd::Broken),
+            }
+        }
+    }
+
+    async fn open(&self, addr: &str) -> Option<Lease> {
+        let stream = async {
+            let mut stream = connect(addr).await?;
+            handshake::connect(&mut stream, &self.identity.hello, &self.identity.key)
+                .await
+                .map_err(|error| io::Error::other(error.to_string()))?;
+            Ok(stream)
+        };
+        let opened = self.pool.open(addr, stream, PEER_CONNECT_TIMEOUT).await;
+        if let Err(error) = &opened {
+            emit!(self.shared.log, events::PEER_UNREACHABLE, "addr" => addr,
+                "error" => error.to_string());
+        }
+        opened.ok()
+    }
+
+    async fn receive(&self, lease: Lease, response: Response<Incoming>) -> ForwardReply {
+        let reply = header(response.headers(), HOP_HEADER).and_then(HopReply::parse);
+        let Some(reply) = reply else {
+            return end_only(HopEnd::Broken);
+        };
+        let (parts, body) = response.into_parts();
+        let Ok(mut body) = ForwardBody::gather(body).await else {
+            return end_only(HopEnd::Broken);
+        };
+        if body.bytes().is_some() {
+            self.pool.give_back(lease);
+        } else {
+            body.hold(lease);
+        }
+        ForwardReply {
+            reply,
+            response: Some(Response::from_parts(parts, body)),
+        }
+    }
+}
+
+/// Ends the count of a request under way, also when its caller goes away.
+struct PlacedGuard<'a> {
+    shared: &'a Shared,
+    key: &'a ServerKey,
+    is_done: bool,
+}
+
+impl PlacedGuard<'_> {
+    fn finish(mut self, reply: &ForwardReply) {
+        self.is_done = true;
+        let health = match reply.reply.end {
+            HopEnd::Answered if is_server_failure(reply) => AttemptHealth::Failed,
+            HopEnd::Answered => AttemptHealth::Answered,
+            HopEnd::Declined | HopEnd::Broken => AttemptHealth::Failed,
+            HopEnd::Closed | HopEnd::NotReached => AttemptHealth::Closed,
+            HopEnd::Refused { .. } => AttemptHealth::Neutral,
+        };
+        let load = reply.reply.load;
+        let report = (load.slots > 0).then_some(load);
+        lock(&self.shared.placement).finish(self.key, health, report, Instant::now());
+    }
+}
+
+impl Drop for PlacedGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let now = Instant::now();
+            lock(&self.shared.placement).finish(self.key, AttemptHealth::Neutral, None, now);
+        }
+    }
+}
+
+fn end_only(end: HopEnd) -> ForwardReply {
+    let load = foxtailgauge_core::WorkLoad::default();
+    ForwardReply {
+        reply: HopReply { end, load },
+        response: None,
+    }
+}
+
+fn attempt_end(reply: &ForwardReply) -> AttemptEnd {
+    match reply.reply.end {
+        HopEnd::Answered if is_server_failure(reply) => AttemptEnd::ServerFailed,
+        HopEnd::Answered => AttemptEnd::Answered,
+        HopEnd::Declined => AttemptEnd::Declined,
+        HopEnd::Refused { .. } => AttemptEnd::NoRoom,
+        HopEnd::Closed | HopEnd::NotReached => AttemptEnd::NotReached,
+        HopEnd::Broken => AttemptEnd::Uncertain,
+    }
+}
+
+fn is_server_failure(reply: &ForwardReply) -> bool {
+    let response = reply.response.as_ref();
+    response.is_some_and(|response| response.status().is_server_error())
+}
+
+/// Whether a status tells the caller that the request did not run.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+fn check_head(parts: &Parts, limit_bytes: u64) -> Result<(), Refusal> {
+    let limit_bytes = match limit_bytes {
+        0 => DEFAULT_HEADER_BYTES,
+        limit => limit,
+    };
+    let line = |(name, value): (&hyper::header::HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    let bytes: usize = parts.headers.iter().map(line).sum();
+    if bytes as u64 > limit_bytes {
+        return Err(Refusal::HeadTooLarge);
+    }
+    Ok(())
+}
+
+/// Reads a body up to its whole size if it is small, and bounds the rest.
+async fn read_body(
+    incoming: Incoming,
+    limit_bytes: u64,
+    call: &Call<'_>,
+) -> Result<ForwardBody, Refusal> {
+    let limit_bytes = match limit_bytes {
+        0 => u64::MAX,
+        limit => limit,
+    };
+    if hyper::body::Body::size_hint(&incoming).lower() > limit_bytes {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let gathering = ForwardBody::gather(incoming);
+    let mut body = match async_std::future::timeout(left, gathering).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge)) => return Err(Refusal::BodyTooLarge),
+        Ok(Err(BodyError::Broken(_))) => return Err(Refusal::MalformedBody),
+        Err(_) => return Err(Refusal::SlowBody),
+    };
+    if body
+        .bytes()
+        .is_some_and(|bytes| bytes.len() as u64 > limit_bytes)
+    {
+        return Err(Refusal::BodyTooLarge);
+    }
+    if body.bytes().is_none() && limit_bytes < u64::MAX {
+        body.set_limit(limit_bytes);
+    }
+    Ok(body)
+}
+
+/// The body for the next attempt: a copy while it is whole, the body itself once.
+fn next_body(body: &mut Option<ForwardBody>) -> Option<ForwardBody> {
+    let whole = body.as_ref()?.bytes().cloned();
+    match whole {
+        Some(bytes) => Some(ForwardBody::whole(bytes)),
+        None => body.take(),
+    }
+}
--- a/crates/foxtailgauge-daemon/src/machine.rs
+++ b/crates/foxtailgauge-daemon/src/machine.rs
@@ -100,6 +100,9 @@
             SubmitRequest::Read { team, revision } => {
                 SubmitReply::Revision(registry.revision_record(&team, revision).cloned())
             }
+            SubmitRequest::ReadDocument { team } => {
+                SubmitReply::Document(registry.document(&team).cloned())
+            }
             SubmitRequest::History { team } => {
                 SubmitReply::History(registry.history(&team).cloned().collect())
             }
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/mesh.rs
@@ -0,0 +1,83 @@
+//! The part of a daemon that carries plain HTTP by host routes: started, drained.
+
+use crate::daemon::{bind, identity, DaemonError};
+use crate::forward_executor::ForwardExecutor;
+use crate::forward_gateway::ForwardGateway;
+use crate::peer_server::Services;
+use crate::platform_http::PlatformHttp;
+use crate::replica_client::ReplicaClient;
+use crate::shared::Shared;
+use error_stack::Report;
+use foxtailgauge_wire::handshake::ConnectionKind;
+use slog::Logger;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time after the request to stop until the platform no longer sends callers here: it takes the
+/// instance out after two missed answers, a second apart.
+const CALLERS_LEAVE: Duration = Duration::from_millis(3_500);
+/// Time before the end of the grace period at which the daemon ends in any case.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Interval at which a stopping daemon looks whether it has ended its work.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// The executor of forwarded requests, if the settings have the section `mesh`.
+pub(crate) fn executor(shared: &Arc<Shared>) -> Option<Arc<ForwardExecutor>> {
+    let mesh = shared.settings.mesh.clone()?;
+    Some(Arc::new(ForwardExecutor::new(shared, mesh)))
+}
+
+/// Starts to listen on the addresses of the section `mesh`.
+pub(crate) async fn start(
+    services: &Services,
+    replicas: &ReplicaClient,
+    log: &Logger,
+) -> Result<(), Report<DaemonError>> {
+    let shared = &services.shared;
+    let (Some(mesh), Some(executor)) = (&shared.settings.mesh, &services.forward) else {
+        return Ok(());
+    };
+    async_std::task::spawn(Arc::clone(executor).expire_leases());
+    let platform = Arc::new(PlatformHttp::new(
+        shared,
+        replicas.clone(),
+        executor,
+        mesh.workspace.clone(),
+    ));
+    let addrs: BTreeSet<_> = mesh.ready.into_iter().chain(mesh.platform).collect();
+    for addr in addrs {
+        let listener = bind(addr, log).await?;
+        async_std::task::spawn(Arc::clone(&platform).serve(listener));
+    }
+    if let Some(addr) = mesh.outbound {
+        let listener = bind(addr, log).await?;
+        let counters = &shared.metrics.call_bytes;
+        let identity = identity(&shared.settings, ConnectionKind::Forward, counters);
+        let gateway = ForwardGateway::new(shared, executor, mesh.clone(), identity);
+        async_std::task::spawn(Arc::new(gateway).serve(listener));
+    }
+    Ok(())
+}
+
+/// Serves to the end what callers have sent, within the grace period.
+pub(crate) async fn drain(services: &Services) {
+    let (Some(mesh), Some(executor)) = (&services.shared.settings.mesh, &services.forward) else {
+        return;
+    };
+    if mesh.outbound.is_none() {
+        return;
+    }
+    let started = Instant::now();
+    executor.close();
+    let end = started + mesh.stop_grace.saturating_sub(STOP_MARGIN);
+    let earliest = end.min(started + CALLERS_LEAVE);
+    loop {
+        let now = Instant::now();
+        let is_idle = services.shared.forwarding_count() == 0 && executor.in_flight() == 0;
+        if now >= end || (now >= earliest && is_idle) {
+            return;
+        }
+        async_std::task::sleep(DRAIN_CHECK).await;
+    }
+}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/mesh_settings.rs
@@ -0,0 +1,74 @@
+//! Settings of the part that carries plain HTTP by host routes.
+
+use crate::settings::Reader;
+use foxtailgauge_core::{is_valid_name, TeamName};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Sections and keys of this part.
+pub(crate) const KNOWN: &[(&str, &[&str])] = &[(
+    "mesh",
+    &[
+        "workspace",
+        "outbound",
+        "ready",
+        "platform",
+        "metrics",
+        "service",
+        "server",
+        "report_interval_ms",
+        "stop_grace_ms",
+        "drain_ms",
+    ],
+)];
+
+/// Settings of the part that carries plain HTTP by host routes.
+#[derive(Clone, Debug)]
+pub struct MeshSettings {
+    /// Workspace whose documents the platform's operators send.
+    pub workspace: TeamName,
+    /// Where callers on this instance and the backend server beside it send their requests.
+    pub outbound: Option<SocketAddr>,
+    /// Where the platform asks whether callers may be sent here.
+    pub ready: Option<SocketAddr>,
+    /// Where operators send documents and backend servers report.
+    pub platform: Option<SocketAddr>,
+    /// Where metrics are read besides the admin address.
+    pub metrics: Option<SocketAddr>,
+    /// Service of the backend server beside this daemon, without workspace.
+    pub service: Option<String>,
+    /// Address of the backend server beside this daemon.
+    pub server: Option<SocketAddr>,
+    /// Interval at which a backend server reports.
+    pub report_interval: Duration,
+    /// Time between the request to stop and the end of the process.
+    pub stop_grace: Duration,
+    /// Time after the acknowledgement of its leave in which a backend server still takes requests.
+    pub drain: Duration,
+}
+
+/// Reads the section `mesh`; `None` if the file has none.
+pub(crate) fn read(reader: &mut Reader) -> Option<MeshSettings> {
+    let workspace = reader.value("mesh", "workspace")?;
+    if !is_valid_name(&workspace) {
+        let allowed = "1 to 64 characters a-z, 0-9 and -";
+        reader.problem("mesh", "workspace", format!("`{workspace}`"), allowed);
+    }
+    let service = reader.filled("mesh", "service");
+    if let Some(service) = service.as_ref().filter(|name| !is_valid_name(name)) {
+        let allowed = "1 to 64 characters a-z, 0-9 and -";
+        reader.problem("mesh", "service", format!("`{service}`"), allowed);
+    }
+    Some(MeshSettings {
+        workspace,
+        outbound: reader.optional_address("outbound"),
+        ready: reader.optional_address("ready"),
+        platform: reader.optional_address("platform"),
+        metrics: reader.optional_address("metrics"),
+        service,
+        server: reader.optional_address("server"),
+        report_interval: reader.millis("mesh", "report_interval_ms", 50..=60_000, 1_500),
+        stop_grace: reader.millis("mesh", "stop_grace_ms", 500..=600_000, 6_000),
+        drain: reader.millis("mesh", "drain_ms", 0..=600_000, 2_000),
+    })
+}
--- a/crates/foxtailgauge-daemon/src/metrics.rs
+++ b/crates/foxtailgauge-daemon/src/metrics.rs
@@ -15,6 +15,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label of forwarded requests by how they ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ForwardLabels {
+    /// `answered`, or the reason of the refusal.
+    pub(crate) outcome: &'static str,
+}
+
 /// Label of control payloads.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct PayloadLabels {
@@ -37,6 +44,8 @@
     registry: Registry,
     pub(crate) calls: Family<CallLabels, Counter>,
     pub(crate) call_seconds: Histogram,
+    pub(crate) forwarded: Family<ForwardLabels, Counter>,
+    pub(crate) forward_seconds: Histogram,
     pub(crate) retries: Counter,
     pub(crate) version: Gauge,
     pub(crate) daemons: Gauge,
@@ -56,6 +65,8 @@
             registry: Registry::with_prefix("foxtailgauge"),
             calls: Family::default(),
             call_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
+            forwarded: Family::default(),
+            forward_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
             retries: Counter::default(),
             version: Gauge::default(),
             daemons: Gauge::default(),
@@ -80,6 +91,17 @@
             Unit::Seconds,
             self.call_seconds.clone(),
         );
+        registry.register(
+            "forwarded",
+            "Forwarded requests by outcome",
+            self.forwarded.clone(),
+        );
+        registry.register_with_unit(
+            "forward",
+            "Time from the head of a forwarded request to the head of its answer",
+            Unit::Seconds,
+            self.forward_seconds.clone(),
+        );
         registry.register(
             "retries",
             "Attempts after the first one",
--- a/crates/foxtailgauge-daemon/src/peer_client.rs
+++ b/crates/foxtailgauge-daemon/src/peer_client.rs
@@ -255,7 +255,7 @@
     let mut system = RpcSystem::new(network, None);
     let remote = match identity.hello.kind {
         ConnectionKind::Calls => Remote::Calls(system.bootstrap(Side::Server)),
-        ConnectionKind::Control | ConnectionKind::Consensus => {
+        ConnectionKind::Control | ConnectionKind::Consensus | ConnectionKind::Forward => {
             Remote::Control(system.bootstrap(Side::Server))
         }
     };
--- a/crates/foxtailgauge-daemon/src/peer_server.rs
+++ b/crates/foxtailgauge-daemon/src/peer_server.rs
@@ -4,6 +4,7 @@
 use crate::emit;
 use crate::events;
 use crate::executor::Executor;
+use crate::forward_executor::ForwardExecutor;
 use crate::meter::{ByteCounters, MeteredStream};
 use crate::replica::group_of;
 use crate::shared::Shared;
@@ -38,6 +39,8 @@
 pub(crate) struct Services {
     pub(crate) shared: Arc<Shared>,
     pub(crate) executor: Arc<Executor>,
+    /// Runs forwarded requests, where the instance carries plain HTTP.
+    pub(crate) forward: Option<Arc<ForwardExecutor>>,
     /// Formation state until the groups are started.
     pub(crate) formation: Arc<Mutex<Option<FormationState>>>,
 }
@@ -117,13 +120,19 @@
     }
     let handshake = handshake::accept(&mut stream, &shared.settings.cluster_key);
     let refused = match async_std::future::timeout(HANDSHAKE_TIMEOUT, handshake).await {
-        Ok(Ok(hello)) => match threads.get(&hello.kind) {
-            Some(serving) => {
+        Ok(Ok(hello)) => match (threads.get(&hello.kind), &services.forward) {
+            (None, Some(forward)) if hello.kind == ConnectionKind::Forward => {
+                let counters = shared.metrics.call_bytes.clone();
+                return Arc::clone(forward)
+                    .serve(MeteredStream::new(stream, counters))
+                    .await;
+            }
+            (Some(serving), _) => {
                 // The threads end only with the process.
                 let _ = serving[turn % serving.len()].send(stream).await;
                 return;
             }
-            None => "connection of another kind".to_owned(),
+            (None, _) => "connection of another kind".to_owned(),
         },
         Ok(Err(error)) => error.to_string(),
         Err(_) => "no handshake in time".to_owned(),
--- a/crates/foxtailgauge-daemon/src/settings.rs
+++ b/crates/foxtailgauge-daemon/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one daemon: an INI file, checked as a whole before anything starts.
 
+use crate::mesh_settings::{self, MeshSettings};
 use foxtailgauge_core::is_valid_name;
 use foxtailgauge_wire::handshake::{ClusterKey, MIN_KEY_BYTES};
 use ini::Ini;
@@ -64,6 +65,8 @@
     pub advertise_calls: String,
     /// Control addresses of the replicas.
     pub replicas: Vec<String>,
+    /// How the first group of replicas comes about.
+    pub formation: Formation,
     /// Data folder; present on replicas only.
     pub store_dir: Option<PathBuf>,
     /// Secret shared by all daemons.
@@ -78,6 +81,19 @@
     pub ledger_retention: Duration,
     /// Lowest level logged.
     pub log_level: slog::Level,
+    /// Plain HTTP by host routes, where the instance carries it.
+    pub mesh: Option<MeshSettings>,
+}
+
+/// How the first group of replicas comes about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Formation {
+    /// All replicas listed form it.
+    Listed,
+    /// The replicas among the seeds form it, and others join it.
+    Seeds,
+    /// It exists: a replica with an empty disk joins it.
+    JoinOnly,
 }
 
 /// One problem of a settings file.
@@ -135,10 +151,12 @@
     ("instance", &["name", "failure_domain"]),
     (
         "listen",
-        &["callers", "admin", "announce", "control", "calls"],
+        &[
+            "callers", "admin", "announce", "control", "calls", "address", "ports",
+        ],
     ),
     ("advertise", &["control", "calls"]),
-    ("replicas", &["control"]),
+    ("replicas", &["control", "seeds", "may_form"]),
     ("store", &["dir"]),
     ("cluster", &["key_file"]),
     ("admin", &["token_file"]),
@@ -166,7 +184,7 @@
     }
 }
 
-struct Reader<'a> {
+pub(crate) struct Reader<'a> {
     file: &'a Path,
     ini: Ini,
     problems: Vec<SettingsProblem>,
@@ -196,7 +214,13 @@
         Ok(reader)
     }
 
-    fn problem(&mut self, section: &str, key: &str, found: impl Into<String>, allowed: &str) {
+    pub(crate) fn problem(
+        &mut self,
+        section: &str,
+        key: &str,
+        found: impl Into<String>,
+        allowed: &str,
+    ) {
         self.problems.push(SettingsProblem {
             file: self.file.to_owned(),
             section: section.to_owned(),
@@ -215,9 +239,10 @@
             found.push((section, keys));
         }
         for (section, keys) in found {
-            let Some((_, known)) = KNOWN.iter().find(|(name, _)| *name == section) else {
+            let all = || KNOWN.iter().chain(mesh_settings::KNOWN);
+            let Some((_, known)) = all().find(|(name, _)| *name == section) else {
                 if !(section.is_empty() && keys.is_empty()) {
-                    let names: Vec<&str> = KNOWN.iter().map(|(name, _)| *name).collect();
+                    let names: Vec<&str> = all().map(|(name, _)| *name).collect();
                     self.problem(&section, "", "unknown section", &names.join(", "));
                 }
                 continue;
@@ -237,7 +262,7 @@
         let name = self.name("instance", "name");
         let failure_domain = self.name("instance", "failure_domain");
         let listen = self.listen();
-        let replicas = self.replicas();
+        let (replicas, formation) = self.replicas(listen.as_ref());
         let store_dir = self.store_dir();
         let cluster_key = self.cluster_key();
         let admin_tokens = self.admin_tokens(listen.as_ref());
@@ -263,7 +288,9 @@
         let listen = listen?;
         let advertise_control = self.advertised("control", listen.control);
         let advertise_calls = self.advertised("calls", listen.calls);
-        if store_dir.is_some() && !replicas.contains(&advertise_control) {
+        let mesh = mesh_settings::read(self);
+        let is_listed = replicas.contains(&advertise_control);
+        if store_dir.is_some() && formation == Formation::Listed && !is_listed {
             let found = format!("no `{advertise_control}`");
             let allowed = "a list with the control address of every daemon that has [store] dir";
             self.problem("replicas", "control", found, allowed);
@@ -275,6 +302,7 @@
             advertise_calls,
             listen,
             replicas,
+            formation,
             store_dir,
             cluster_key: cluster_key?,
             admin_tokens,
@@ -282,10 +310,11 @@
             limits,
             ledger_retention: Duration::from_secs(hours * 3600),
             log_level,
+            mesh,
         })
     }
 
-    fn value(&self, section: &str, key: &str) -> Option<String> {
+    pub(crate) fn value(&self, section: &str, key: &str) -> Option<String> {
         let value = self.ini.get_from(Some(section), key)?;
         Some(value.trim().to_owned())
     }
@@ -329,7 +358,7 @@
         }
     }
 
-    fn millis(
+    pub(crate) fn millis(
         &mut self,
         section: &str,
         key: &str,
@@ -339,7 +368,56 @@
         Duration::from_millis(self.number(section, key, range, default))
     }
 
+    /// A value that is there and not empty.
+    pub(crate) fn filled(&self, section: &str, key: &str) -> Option<String> {
+        self.value(section, key).filter(|value| !value.is_empty())
+    }
+
+    /// An address of the section `mesh`.
+    pub(crate) fn optional_address(&mut self, key: &str) -> Option<SocketAddr> {
+        let text = self.filled("mesh", key)?;
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.problem("mesh", key, format!("`{text}`"), "IP:PORT");
+        }
+        address
+    }
+
+    /// Addresses from one IP and the first of a range of ports, in a fixed order.
+    fn listen_in_range(&mut self, ip: &str) -> Option<Listen> {
+        const ALLOWED: &str = "FIRST,LAST with at least 5 ports";
+        let text = self.required("listen", "ports", ALLOWED)?;
+        let ip: Option<std::net::IpAddr> = ip.parse().ok();
+        if ip.is_none() {
+            self.problem("listen", "address", "no IP", "an IP");
+        }
+        let ports = text.split_once(',');
+        let ports = ports.and_then(|(first, last)| Some((first.trim(), last.trim())));
+        let ports = ports.and_then(|(first, last)| Some((first.parse().ok()?, last.parse().ok()?)));
+        let first = ports.and_then(|(first, last): (u16, u16)| {
+            let count = last.checked_sub(first)?;
+            (count >= 4).then_some(first)
+        });
+        let Some(first) = first else {
+            self.problem("listen", "ports", format!("`{text}`"), ALLOWED);
+            return None;
+        };
+        let at = |ip, offset| SocketAddr::new(ip, first + offset);
+        let ip = ip?;
+        let loopback = std::net::Ipv4Addr::LOCALHOST.into();
+        Some(Listen {
+            control: at(ip, 0),
+            calls: at(ip, 1),
+            callers: at(ip, 2),
+            admin: at(loopback, 3),
+            announce: at(loopback, 4),
+        })
+    }
+
     fn listen(&mut self) -> Option<Listen> {
+        if let Some(ip) = self.filled("listen", "address") {
+            return self.listen_in_range(&ip);
+        }
         let callers = self.address("callers");
         let admin = self.address("admin");
         let announce = self.address("announce");
@@ -393,10 +471,14 @@
         text
     }
 
-    fn replicas(&mut self) -> Vec<String> {
+    fn replicas(&mut self, listen: Option<&Listen>) -> (Vec<String>, Formation) {
         const ALLOWED: &str = "1 to 9 addresses IP:PORT, separated by commas";
+        if let Some(seeds) = self.value("replicas", "seeds") {
+            let port = listen.map_or(0, |listen| listen.control.port());
+            return (self.seeds(&seeds, port), self.formation());
+        }
         let Some(text) = self.required("replicas", "control", ALLOWED) else {
-            return Vec::new();
+            return (Vec::new(), Formation::Listed);
         };
         let list: Vec<String> = text.split(',').map(|a| a.trim().to_owned()).collect();
         let is_valid = list.iter().all(|a| a.parse::<SocketAddr>().is_ok());
@@ -404,11 +486,40 @@
         if !is_valid || distinct.len() != list.len() || list.len() > 9 {
             self.problem("replicas", "control", format!("`{text}`"), ALLOWED);
         }
-        list
+        (list, Formation::Listed)
+    }
+
+    /// Control addresses at the seeds' IPs: all daemons use the same control port.
+    fn seeds(&mut self, text: &str, control_port: u16) -> Vec<String> {
+        let items = text
+            .split(',')
+            .map(str::trim)
+            .filter(|item| !item.is_empty());
+        let seeds: Option<Vec<SocketAddr>> = items.map(|item| item.parse().ok()).collect();
+        let Some(seeds) = seeds.filter(|seeds| !seeds.is_empty()) else {
+            let allowed = "addresses IP:PORT, separated by commas";
+            self.problem("replicas", "seeds", format!("`{text}`"), allowed);
+            return Vec::new();
+        };
+        let control = |seed: SocketAddr| SocketAddr::new(seed.ip(), control_port).to_string();
+        let distinct: BTreeSet<String> = seeds.into_iter().map(control).collect();
+        distinct.into_iter().collect()
+    }
+
+    fn formation(&mut self) -> Formation {
+        match self.value("replicas", "may_form").as_deref() {
+            None | Some("true") => Formation::Seeds,
+            Some("false") => Formation::JoinOnly,
+            Some(found) => {
+                let found = format!("`{found}`");
+                self.problem("replicas", "may_form", found, "true or false");
+                Formation::JoinOnly
+            }
+        }
     }
 
     fn store_dir(&mut self) -> Option<PathBuf> {
-        let dir = PathBuf::from(self.value("store", "dir")?);
+        let dir = PathBuf::from(self.filled("store", "dir")?);
         if let Err(error) = check_folder(&dir) {
             let found = format!("`{}`: {error}", dir.display());
             self.problem(
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -10,13 +10,14 @@
 use event_listener::Event;
 use foxtailgauge_core::{
     Balancer, Candidate, Children, ConfigVersion, Cursor, Digest, Directory, Fingerprint,
-    Freshness, Incarnation, InstanceState, MemberSet, PollReply, Presence, ReportRequest, Role,
-    ServerEntry, ServerKey, ServerState, ServiceName, SessionLimit, Sightings, Snapshot,
-    SnapshotError, SnapshotHistory, SuspectIndex, UnixMs, Update, VersionCount,
+    Freshness, HostTable, Incarnation, InstanceState, MemberSet, Placement, PollReply, Presence,
+    ReportRequest, Role, ServerEntry, ServerKey, ServerState, ServiceName, SessionLimit, Sightings,
+    Snapshot, SnapshotError, SnapshotHistory, SuspectIndex, UnixMs, Update, VersionCount,
 };
 use foxtailgauge_wire::{encode, DomainStatus, FleetStatus};
 use slog::Logger;
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -62,6 +63,8 @@
     pub(crate) candidates: HashMap<ServiceName, Vec<Candidate>>,
     /// Requests that were in flight when backend servers died.
     pub(crate) suspects: SuspectIndex,
+    /// Host routes of the snapshot, arranged for look-up.
+    pub(crate) hosts: Arc<HostTable>,
 }
 
 struct ConfigCell {
@@ -75,6 +78,8 @@
     presence: Presence,
     sequence: u64,
     servers: Vec<ServerEntry>,
+    /// Backend servers that take forwarded requests.
+    forwarded: Vec<ServerEntry>,
     sightings: Sightings,
 }
 
@@ -85,6 +90,17 @@
     heard: Option<(Duration, Instant)>,
 }
 
+/// Counts a forwarded request until it is dropped.
+pub(crate) struct ForwardingGuard<'a> {
+    shared: &'a Shared,
+}
+
+impl Drop for ForwardingGuard<'_> {
+    fn drop(&mut self) {
+        self.shared.forwarding.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// State shared by the tasks of one daemon.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -93,6 +109,11 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) clients: Clients,
     pub(crate) balancer: Mutex<Balancer>,
+    pub(crate) placement: Mutex<Placement>,
+    /// Forwarded requests under way at the gateway.
+    forwarding: AtomicU32,
+    /// Set once the daemon was told to stop.
+    stopping: OnceLock<Instant>,
     /// Notified when configuration or directory changed.
     pub(crate) news: Event,
     /// Notified when there is something to report upwards.
@@ -122,6 +143,9 @@
             directory: Mutex::new(Directory::new(settings.name.clone(), incarnation)),
             sessions: Mutex::new(SessionLimit::new(settings.distribution.sessions_per_second)),
             balancer: Mutex::new(Balancer::new(settings.failure_domain.clone())),
+            placement: Mutex::new(Placement::new(settings.failure_domain.clone())),
+            forwarding: AtomicU32::new(0),
+            stopping: OnceLock::new(),
             settings,
             log,
             metrics,
@@ -140,6 +164,7 @@
                 presence: Presence::Live,
                 sequence: 0,
                 servers: Vec::new(),
+                forwarded: Vec::new(),
                 sightings: Sightings::default(),
             }),
             told_sequence: async_std::sync::Mutex::new(0),
@@ -223,8 +248,18 @@
             }
         }
         let suspects = directory.live().flat_map(|i| &i.suspects);
+        let held = self.view();
+        let is_same = held
+            .snapshot
+            .as_ref()
+            .is_some_and(|held| Arc::ptr_eq(held, snapshot));
+        let hosts = match is_same {
+            true => Arc::clone(&held.hosts),
+            false => Arc::new(HostTable::new(&snapshot.host_routes)),
+        };
         let view = RouteView {
             snapshot: Some(Arc::clone(snapshot)),
+            hosts,
             suspects: SuspectIndex::collect(suspects),
             candidates,
         };
@@ -246,6 +281,7 @@
         let known: std::collections::HashSet<&ServerKey> =
             view.candidates.values().flatten().map(|c| &c.key).collect();
         lock(&self.balancer).retain(|key| known.contains(key));
+        lock(&self.placement).retain(|key| known.contains(key));
     }
 
     /// Announces the daemon's own backend servers.
@@ -253,6 +289,43 @@
         self.republish(|own| own.servers = servers);
     }
 
+    /// Announces the daemon's own backend servers that take forwarded requests.
+    pub(crate) fn announce_forwarded(&self, servers: Vec<ServerEntry>) {
+        self.republish(|own| own.forwarded = servers);
+    }
+
+    /// Notes that the daemon was told to stop.
+    pub(crate) fn begin_stop(&self) {
+        // The first request to stop counts.
+        let _ = self.stopping.set(Instant::now());
+    }
+
+    /// Whether the daemon was told to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Time since the daemon was told to stop.
+    pub(crate) fn stopping_for(&self) -> Option<Duration> {
+        self.stopping.get().map(Instant::elapsed)
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.held().0 > 0 && !self.is_stopping()
+    }
+
+    /// Counts a forwarded request for as long as the guard lives.
+    pub(crate) fn forwarding(&self) -> ForwardingGuard<'_> {
+        self.forwarding.fetch_add(1, Ordering::Relaxed);
+        ForwardingGuard { shared: self }
+    }
+
+    /// Forwarded requests under way at the gateway.
+    pub(crate) fn forwarding_count(&self) -> u32 {
+        self.forwarding.load(Ordering::Relaxed)
+    }
+
     /// Announces that a request was in flight when a backend server died. Returns once every
     /// daemon that can be reached soon knows, so that the caller's next try finds it known.
     pub(crate) async fn record_crash(&self, fingerprint: Fingerprint) {
@@ -314,7 +387,7 @@
             calls_addr: self.settings.advertise_calls.clone(),
             is_replica: self.settings.store_dir.is_some(),
             presence: own.presence,
-            servers: own.servers.clone(),
+            servers: own.servers.iter().chain(&own.forwarded).cloned().collect(),
             suspects: own.sightings.announced(unix_ms()),
         }
     }
@@ -337,6 +410,7 @@
         self.republish(|own| {
             own.presence = Presence::Stopped;
             own.servers.clear();
+            own.forwarded.clear();
         });
     }
 
--- a/crates/foxtailgauge-wire/src/handshake.rs
+++ b/crates/foxtailgauge-wire/src/handshake.rs
@@ -56,6 +56,8 @@
     Calls,
     /// Messages between replicas, one way.
     Consensus,
+    /// Forwarded HTTP requests.
+    Forward,
 }
 
 /// How the connector introduces itself.
@@ -161,6 +163,7 @@
         0 => ConnectionKind::Control,
         1 => ConnectionKind::Calls,
         2 => ConnectionKind::Consensus,
+        3 => ConnectionKind::Forward,
         _ => return Err(HandshakeError::Protocol),
     };
     let failure_domain = read_name(stream, &mut frame).await?;
@@ -182,6 +185,7 @@
         ConnectionKind::Control => 0,
         ConnectionKind::Calls => 1,
         ConnectionKind::Consensus => 2,
+        ConnectionKind::Forward => 3,
     });
     for name in [&hello.failure_domain, &hello.name] {
         if name.len() > MAX_NAME_BYTES {
--- a/crates/foxtailgauge-wire/src/submit.rs
+++ b/crates/foxtailgauge-wire/src/submit.rs
@@ -1,9 +1,9 @@
 //! Requests to the replicas: changes, reads, ledger commands, formation of a group.
 
 use foxtailgauge_core::{
-    AuditEntry, Change, ChangeAnswer, ConfigProblem, ConfigVersion, DaemonName, FailureDomain,
-    LedgerAnswer, LedgerCommand, MemberSet, Membership, ReplicaId, Revision, RevisionRecord, Role,
-    TeamName, Term, VersionCount,
+    AuditEntry, Change, ChangeAnswer, ConfigProblem, ConfigVersion, DaemonName, Document,
+    FailureDomain, LedgerAnswer, LedgerCommand, MemberSet, Membership, ReplicaId, Revision,
+    RevisionRecord, Role, TeamName, Term, VersionCount,
 };
 use serde::{Deserialize, Serialize};
 
@@ -64,6 +64,11 @@
         /// Revision.
         revision: Option<Revision>,
     },
+    /// Reads the document of a team's newest revision.
+    ReadDocument {
+        /// Team.
+        team: TeamName,
+    },
     /// Reads all revisions kept of a team.
     History {
         /// Team.
@@ -105,6 +110,8 @@
     Checked(Vec<ConfigProblem>),
     /// The revision, if there is one.
     Revision(Option<RevisionRecord>),
+    /// The document of the newest revision, if it was made by one.
+    Document(Option<Document>),
     /// Revisions, oldest first.
     History(Vec<RevisionRecord>),
     /// Audit entries, oldest first.
