--- a/crates/foxtailgauge-core/src/attempts.rs
+++ b/crates/foxtailgauge-core/src/attempts.rs
@@ -66,8 +66,15 @@
     }
 
     /// Decides after an attempt. `time_left` is what remains until the caller gives up,
-    /// `run_time` what another attempt is expected to take.
-    pub fn after(&mut self, end: AttemptEnd, time_left: Duration, run_time: Duration) -> Next {
+    /// `run_time` what another attempt is expected to take. `is_busy` tells that the backend
+    /// servers are full: repeating a failed run then takes the place of a request that may succeed.
+    pub fn after(
+        &mut self,
+        end: AttemptEnd,
+        time_left: Duration,
+        run_time: Duration,
+        is_busy: bool,
+    ) -> Next {
         self.placements += 1;
         let was_seen = match end {
             AttemptEnd::Answered | AttemptEnd::ServerFailed | AttemptEnd::Uncertain => {
@@ -83,7 +90,8 @@
         let may_repeat = self.runs_left > 0
             && self.placements < MAX_PLACEMENTS
             && time_left > run_time / 2
-            && (self.is_idempotent || !self.has_run);
+            && (self.is_idempotent || !self.has_run)
+            && !(is_busy && end == AttemptEnd::ServerFailed);
         match end {
             AttemptEnd::Answered => Next::Deliver,
             _ if may_repeat => Next::Again {
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -86,6 +86,13 @@
     ticket: Ticket,
 }
 
+#[derive(Clone, Debug)]
+struct Waiting {
+    item: WorkItem,
+    /// When it must have ended to be of the use that it was taken in for.
+    limit: Instant,
+}
+
 /// The queue in front of one backend server.
 ///
 /// Invariants: `running <= slots` but for slots withdrawn while requests run; nothing waits while a
@@ -96,7 +103,9 @@
     running: u32,
     is_open: bool,
     next_ticket: Ticket,
-    waiting: BTreeMap<Place, WorkItem>,
+    waiting: BTreeMap<Place, Waiting>,
+    /// Whether a request was put before others since they were last reviewed.
+    has_overtaking: bool,
     places: HashMap<Ticket, Place>,
     run_times: HashMap<RouteName, f64>,
     mean_run_s: f64,
@@ -111,6 +120,7 @@
             is_open: true,
             next_ticket: 0,
             waiting: BTreeMap::new(),
+            has_overtaking: false,
             places: HashMap::new(),
             run_times: HashMap::new(),
             mean_run_s: INITIAL_RUN_TIME.as_secs_f64(),
@@ -170,8 +180,12 @@
             });
         }
         self.next_ticket += 1;
+        self.has_overtaking |= self
+            .waiting
+            .last_key_value()
+            .is_some_and(|(last, _)| place < *last);
         self.places.insert(place.ticket, place);
-        self.waiting.insert(place, item);
+        self.waiting.insert(place, Waiting { item, limit });
         Arrival::Wait(place.ticket)
     }
 
@@ -193,23 +207,53 @@
     /// A waiting request has gone away; returns it if it was still waiting.
     pub fn leave(&mut self, ticket: Ticket) -> Option<WorkItem> {
         let place = self.places.remove(&ticket)?;
-        self.waiting.remove(&place)
+        Some(self.waiting.remove(&place)?.item)
     }
 
     /// The next waiting request to start or to refuse, if there is one. To be called until there is
     /// none, after every change.
     pub fn next_step(&mut self, now: Instant) -> Option<Step> {
+        if let Some(place) = self.overtaken(now) {
+            return Some(self.refuse(&place));
+        }
         if self.running >= self.slots {
             return None;
         }
-        let (place, item) = self.waiting.pop_first()?;
-        self.places.remove(&place.ticket);
-        if now + self.run_time(&item.route) / 2 > item.deadline {
-            let retry_after = MIN_RETRY_AFTER;
-            return Some(Step::Refuse(place.ticket, Refused::TooLate { retry_after }));
+        let (place, waiting) = self.waiting.first_key_value()?;
+        let (place, run) = (*place, self.run_time(&waiting.item.route));
+        if now + run > waiting.item.deadline {
+            return Some(self.refuse(&place));
         }
+        let (_, waiting) = self.waiting.pop_first()?;
+        self.places.remove(&place.ticket);
         self.running += 1;
-        Some(Step::Start(place.ticket, item.route))
+        Some(Step::Start(place.ticket, waiting.item.route))
+    }
+
+    fn refuse(&mut self, place: &Place) -> Step {
+        self.waiting.remove(place);
+        self.places.remove(&place.ticket);
+        let retry_after = MIN_RETRY_AFTER;
+        Step::Refuse(place.ticket, Refused::TooLate { retry_after })
+    }
+
+    /// The first request that can no longer end in time behind those put before it. It is told at
+    /// once, while it still has time to be of use elsewhere.
+    fn overtaken(&mut self, now: Instant) -> Option<Place> {
+        if !self.has_overtaking {
+            return None;
+        }
+        let mut ahead_s = self.mean_run_s / 2.0;
+        for (place, waiting) in &self.waiting {
+            let run_s = self.run_time(&waiting.item.route).as_secs_f64();
+            let end_s = ahead_s / f64::from(self.slots) + run_s;
+            if now + Duration::from_secs_f64(end_s) > waiting.limit {
+                return Some(*place);
+            }
+            ahead_s += run_s;
+        }
+        self.has_overtaking = false;
+        None
     }
 
     /// Mean run time of a route's requests.
@@ -232,7 +276,7 @@
         let ahead_s: f64 = self
             .waiting
             .range(..place)
-            .map(|(_, item)| self.run_time(&item.route).as_secs_f64())
+            .map(|(_, waiting)| self.run_time(&waiting.item.route).as_secs_f64())
             .sum();
         let first_free_s = self.mean_run_s / 2.0;
         Duration::from_secs_f64((ahead_s + first_free_s) / f64::from(self.slots))
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -16,7 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -28,8 +28,8 @@
 const MAX_IDLE: Duration = Duration::from_millis(800);
 /// Idle time after which a connection is not used again for a request that may run only once.
 const MAX_IDLE_ONCE: Duration = Duration::from_millis(250);
-/// Time beyond the deadline in which the backend server's own answer to it may arrive.
-const DEADLINE_SLACK: Duration = Duration::from_millis(40);
+/// Stands between the id of a request and what a backend server adds to it for its own calls.
+const ID_SEPARATOR: char = '.';
 /// Reports that may be missed before a backend server counts as gone.
 const LEASE_REPORTS: u32 = 8;
 /// Interval at which leases of backend servers are checked.
@@ -68,6 +68,20 @@
     settings: MeshSettings,
     pool: HttpPool,
     servers: Mutex<BTreeMap<String, Arc<ForwardServer>>>,
+    /// Ids of the requests that run here.
+    running_ids: Mutex<HashSet<String>>,
+}
+
+/// Takes an id off the list of those that run when it is dropped.
+struct RunningId<'a> {
+    executor: &'a ForwardExecutor,
+    id: String,
+}
+
+impl Drop for RunningId<'_> {
+    fn drop(&mut self) {
+        lock(&self.executor.running_ids).remove(&self.id);
+    }
 }
 
 impl ForwardExecutor {
@@ -78,9 +92,22 @@
             settings,
             pool: HttpPool::default(),
             servers: Mutex::default(),
+            running_ids: Mutex::default(),
         }
     }
 
+    /// Whether a request was made by one that runs on a backend server here: its id extends the
+    /// other's.
+    pub(crate) fn runs_parent_of(&self, id: &str) -> bool {
+        let parent = id.rsplit_once(ID_SEPARATOR);
+        parent.is_some_and(|(parent, _)| lock(&self.running_ids).contains(parent))
+    }
+
+    fn running_id(&self, id: String) -> RunningId<'_> {
+        lock(&self.running_ids).insert(id.clone());
+        RunningId { executor: self, id }
+    }
+
     /// Takes over a report.
     pub(crate) fn report(&self, report: ServerReport) -> ReportOutcome {
         let is_other = |service: &String| *service != report.service;
@@ -182,12 +209,15 @@
                 emit!(self.shared.log, events::WORK_REFUSED,
                     "request" => attempt_id(request.request.headers()),
                     "server" => &request.hop.server, "route" => &request.hop.route,
+                    "rank" => request.hop.rank, "is_nested" => request.hop.is_nested,
+                    "target_ms" => request.hop.target.as_millis() as u64,
                     "reason" => format!("{refused:?}"), "load" => format!("{:?}", server.load()),
                     "left_ms" => millis(request.deadline));
                 return without_answer(refused.into(), server.load());
             }
         };
-        let limit = request.deadline.saturating_duration_since(now) + DEADLINE_SLACK;
+        let limit = request.deadline.saturating_duration_since(Instant::now());
+        let _running_id = self.running_id(attempt_id(request.request.headers()));
         let exchange = self.exchange(&server, request, running);
         match async_std::future::timeout(limit, exchange).await {
             Ok((end, response)) => ForwardReply {
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -31,7 +31,6 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
-use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -39,8 +38,11 @@
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle time after which a connection to another daemon is not used again.
 const PEER_MAX_IDLE: Duration = Duration::from_secs(20);
-/// Time beyond a deadline in which the executor's own answer to it may arrive.
-const REPLY_SLACK: Duration = Duration::from_millis(80);
+/// Part of the time a caller waits that is kept for the answer's way back to it.
+const RETURN_SHARE: u32 = 50;
+/// Bounds of the time kept for the way back.
+const RETURN_MIN: Duration = Duration::from_millis(3);
+const RETURN_MAX: Duration = Duration::from_millis(40);
 /// Largest head of a request, if the configuration sets none.
 const DEFAULT_HEADER_BYTES: u64 = 64 << 10;
 /// Time a caller waits if neither it nor its route says so.
@@ -60,7 +62,6 @@
     identity: Identity,
     pool: HttpPool,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
-    own_ip: Option<IpAddr>,
 }
 
 /// One request on its way.
@@ -87,7 +88,6 @@
         ForwardGateway {
             shared: Arc::clone(shared),
             executor: Arc::clone(executor),
-            own_ip: settings.outbound.map(|addr| addr.ip()),
             settings,
             identity,
             pool: HttpPool::default(),
@@ -99,22 +99,21 @@
     pub(crate) async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, peer)) => {
-                    let is_nested = Some(peer.ip()) == self.own_ip;
-                    async_std::task::spawn(Arc::clone(&self).serve_connection(stream, is_nested));
+                Ok((stream, _)) => {
+                    async_std::task::spawn(Arc::clone(&self).serve_connection(stream));
                 }
                 Err(_) => async_std::task::sleep(Duration::from_millis(10)).await,
             }
         }
     }
 
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream, is_nested: bool) {
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
         let service = service_fn(|request| {
             let gateway = Arc::clone(&self);
-            async move { Ok::<_, Infallible>(gateway.answer(request, is_nested).await) }
+            async move { Ok::<_, Infallible>(gateway.answer(request).await) }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -123,11 +122,11 @@
         let _ = connection.await;
     }
 
-    async fn answer(&self, request: Request<Incoming>, is_nested: bool) -> Response<ForwardBody> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<ForwardBody> {
         let started = Instant::now();
         let _guard = self.shared.forwarding();
         let id = attempt_id(request.headers());
-        let (mut response, outcome) = match self.handle(request, is_nested, started).await {
+        let (mut response, outcome) = match self.handle(request, started).await {
             Ok(response) => (response, "answered"),
             Err(refused) => {
                 emit!(self.shared.log, events::FORWARD_REFUSED, "request" => id,
@@ -154,7 +153,6 @@
     async fn handle(
         &self,
         request: Request<Incoming>,
-        is_nested: bool,
         started: Instant,
     ) -> Result<Response<ForwardBody>, Refusal> {
         if self
@@ -180,15 +178,16 @@
             .and_then(|text| text.trim().parse().ok())
             .map_or(DEFAULT_PATIENCE, Duration::from_millis);
         let service = route.part(rand::random()).ok_or(Refusal::UnknownRoute)?;
+        let id = attempt_id(&parts.headers);
         let call = Call {
-            id: attempt_id(&parts.headers),
+            is_nested: self.executor.runs_parent_of(&id),
+            id,
             view: &view,
             route_name,
             route,
             service: service.clone(),
-            is_nested,
             started,
-            deadline: started + patience.min(Duration::from_millis(route.timeout_ms)),
+            deadline: started + time_to_answer(patience, route),
             parts: self.outgoing(parts),
         };
         let body = read_body(body, limits.body_bytes, &call).await?;
@@ -242,7 +241,9 @@
             }
             let end = attempt_end(&reply);
             let time_left = call.deadline.saturating_duration_since(Instant::now());
-            let mut next = attempts.after(end, time_left, run_time);
+            let load = reply.reply.load;
+            let is_busy = load.waiting > 0 || load.running >= load.slots;
+            let mut next = attempts.after(end, time_left, run_time, is_busy);
             let is_unpaid =
                 matches!(next, Next::Again { is_repeat: true }) && !self.try_spend(&call.service);
             if is_unpaid {
@@ -350,7 +351,7 @@
 
     /// Sends a request to the executor of another daemon.
     async fn send(&self, addr: &str, forward: ForwardRequest) -> ForwardReply {
-        let limit = forward.deadline.saturating_duration_since(Instant::now()) + REPLY_SLACK;
+        let limit = forward.deadline.saturating_duration_since(Instant::now());
         let sending = self.send_unbounded(addr, forward);
         match async_std::future::timeout(limit, sending).await {
             Ok(reply) => reply,
@@ -535,6 +536,13 @@
     Ok(body)
 }
 
+/// Time until the answer must be on its way to a caller.
+fn time_to_answer(patience: Duration, route: &HostRoute) -> Duration {
+    let patience = patience.min(Duration::from_millis(route.timeout_ms));
+    let way_back = (patience / RETURN_SHARE).clamp(RETURN_MIN, RETURN_MAX);
+    patience.saturating_sub(way_back)
+}
+
 /// The body for the next attempt: a copy while it is whole, the body itself once.
 fn next_body(body: &mut Option<ForwardBody>) -> Option<ForwardBody> {
     let whole = body.as_ref()?.bytes().cloned();
