Shorter queues, returners first, own failure domain first, silence seen sooner; calls' pressure holds their routes back

Cause: queues were long enough for nearly all served requests to be late; half of the refused ones came back and lost again; requests hung at daemons that were cut off.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -45,6 +45,7 @@
 mod retry;
 mod snapshot;
 mod sync;
+mod throttle;
 mod tree;
 mod work_queue;
 
@@ -89,5 +90,6 @@
     identity_hash, Freshness, MemberSet, PollReply, PollRequest, ReportReply, ReportRequest,
     VersionCount, CHILD_LEASE_MS, REPORT_INTERVAL_MS, STALE_SOURCE_MS,
 };
+pub use throttle::{Throttle, THROTTLE_RETRY_AFTER};
 pub use tree::{relays, sources, Source};
-pub use work_queue::{Arrival, Refused, Step, Ticket, WorkItem, WorkLoad, WorkQueue};
+pub use work_queue::{Arrival, Pressure, Refused, Step, Ticket, WorkItem, WorkLoad, WorkQueue};
--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -17,20 +17,26 @@
 const REPORT_TTL: Duration = Duration::from_secs(1);
 /// Run time assumed of a backend server without a report.
 const INITIAL_RUN: Duration = Duration::from_millis(50);
-/// Cost of leaving the failure domain: the hop both ways and its bytes between domains.
+/// Cost of leaving the failure domain: the hop both ways.
 const REMOTE_COST: Duration = Duration::from_millis(6);
+/// Part of the time to the target within which a backend server of the own failure domain is as
+/// good as any: run times spread to twice the mean, and bytes between domains are saved.
+const NEAR_ENOUGH: f64 = 0.4;
 /// Cost of a certain failure: what a caller loses by trying again elsewhere.
 const FAILURE_COST: Duration = Duration::from_millis(500);
 /// Weight of the newest answer in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Time after which a failure rate has fallen by half without answers.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
-/// Time for which a backend server is passed over after it could not be reached.
-const CLOSED_TIME: Duration = Duration::from_millis(500);
+/// Time for which a backend server is passed over after it could not be reached; doubles each time.
+const CLOSED_TIME: Duration = Duration::from_millis(250);
+/// Longest time for which it is passed over.
+const MAX_CLOSED_TIME: Duration = Duration::from_secs(2);
 /// Shortest silence with requests under way that makes a daemon suspect.
-const MIN_SILENCE: Duration = Duration::from_millis(400);
-/// Silence that makes a daemon suspect, in mean run times.
-const SILENCE_RUNS: u32 = 5;
+const MIN_SILENCE: Duration = Duration::from_millis(120);
+/// Silence that makes a daemon suspect, in mean run times over the requests under way: that no one
+/// of several ends is less likely the more they are.
+const SILENCE_RUNS: f64 = 6.0;
 /// Part of a slot by which a running request slows down the others.
 const CROWDING: f64 = 0.3;
 
@@ -43,6 +49,8 @@
     Failed,
     /// It or its daemon could not be reached, or takes no work.
     Closed,
+    /// Its daemon gave no answer in time, or broke off.
+    Silent,
     /// Nothing can be said, as after a refusal for lack of room.
     Neutral,
 }
@@ -55,6 +63,8 @@
     failure_rate: f64,
     failure_at: Instant,
     closed_until: Option<Instant>,
+    /// Times in a row that it could not be reached.
+    closings: u32,
     /// Since when requests are under way without any word.
     silent_since: Option<Instant>,
 }
@@ -68,6 +78,7 @@
             failure_rate: 0.0,
             failure_at: now,
             closed_until: None,
+            closings: 0,
             silent_since: None,
         }
     }
@@ -89,13 +100,22 @@
 
     fn is_usable(&self, now: Instant) -> bool {
         let is_closed = self.closed_until.is_some_and(|until| until > now);
-        let limit = MIN_SILENCE.max(self.run() * SILENCE_RUNS);
+        let limit = self
+            .run()
+            .mul_f64(SILENCE_RUNS / f64::from(self.own.max(1)).sqrt());
+        let limit = limit.max(MIN_SILENCE);
         let is_silent = self
             .silent_since
             .is_some_and(|since| now.duration_since(since) > limit);
         !is_closed && !is_silent
     }
 
+    fn close(&mut self, now: Instant) {
+        let time = CLOSED_TIME * 2u32.saturating_pow(self.closings.min(8));
+        self.closed_until = Some(now + time.min(MAX_CLOSED_TIME));
+        self.closings += 1;
+    }
+
     /// Time until the answer to a request sent now.
     fn expected(&self, slots: u32, now: Instant) -> Duration {
         let (under_way, slots) = match self.report(now) {
@@ -138,10 +158,13 @@
     }
 
     /// Chooses among the candidates that were not tried yet; counts the request as under way.
+    ///
+    /// `target` is the time within which the answer is of full use.
     pub fn choose<'a>(
         &mut self,
         candidates: &'a [Candidate],
         tried: &[ServerKey],
+        target: Duration,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<&'a Candidate> {
@@ -154,9 +177,14 @@
             .into_iter()
             .partition(|c| c.failure_domain == self.failure_domain);
         let near = sample(near, rng).map(|c| (self.cost(c, now), c));
-        let near: Vec<_> = near.collect();
+        let best_near = near.min_by_key(|(cost, _)| *cost);
+        let is_near_enough = best_near.is_some_and(|(cost, _)| cost < target.mul_f64(NEAR_ENOUGH));
+        let far = if is_near_enough { Vec::new() } else { far };
         let far = sample(far, rng).map(|c| (self.cost(c, now) + REMOTE_COST, c));
-        let (_, chosen) = near.into_iter().chain(far).min_by_key(|(cost, _)| *cost)?;
+        let (_, chosen) = best_near
+            .into_iter()
+            .chain(far)
+            .min_by_key(|(cost, _)| *cost)?;
         let view = self.view(&chosen.key, now);
         view.own += 1;
         view.sent_since_report += 1;
@@ -182,12 +210,16 @@
         if is_heard || view.own == 0 {
             view.silent_since = (view.own > 0).then_some(now);
         }
+        if is_heard {
+            view.closings = 0;
+        }
         let sample = match health {
             AttemptHealth::Answered => 0.0,
             AttemptHealth::Failed => 1.0,
-            AttemptHealth::Closed => {
-                view.closed_until = Some(now + CLOSED_TIME);
-                return;
+            AttemptHealth::Closed => return view.close(now),
+            AttemptHealth::Silent => {
+                view.close(now);
+                1.0
             }
             AttemptHealth::Neutral => return,
         };
--- /dev/null
+++ b/crates/foxtailgauge-core/src/throttle.rs
@@ -0,0 +1,92 @@
+//! Holds requests back whose own calls would take the place of more urgent ones.
+//!
+//! Load it answers: a service short of room is called by running requests of a low rank. Their calls
+//! go first there, as a refusal would waste a run, so the requests themselves must be fewer.
+
+use crate::ids::{RouteName, ServiceName};
+use crate::work_queue::Pressure;
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// Interval at which the share let in is adapted.
+const STEP: Duration = Duration::from_millis(100);
+/// By how much the share changes with each step, up or down.
+const CHANGE: f64 = 0.03;
+/// By how much more often a more urgent rank may be refused before requests are held back.
+const TOLERANCE: f64 = 0.02;
+/// Smallest share let in: it keeps telling whether the pressure is over, and starves nobody.
+const MIN_SHARE: f64 = 0.1;
+/// Time for which a report of pressure counts.
+const PRESSURE_TTL: Duration = Duration::from_millis(300);
+/// Time after which a request that was held back may come back.
+pub const THROTTLE_RETRY_AFTER: Duration = Duration::from_millis(150);
+
+#[derive(Clone, Debug)]
+struct RouteState {
+    calls: HashSet<ServiceName>,
+    share: f64,
+    stepped: Instant,
+}
+
+/// What one daemon lets in of each route that runs beside it.
+#[derive(Debug, Default)]
+pub struct Throttle {
+    routes: HashMap<RouteName, RouteState>,
+    /// What services refuse, and when that was heard.
+    pressure: HashMap<ServiceName, (Pressure, Instant)>,
+}
+
+impl Throttle {
+    /// Notes that a running request of `route` called `service`, and the pressure that the
+    /// service's backend server reported.
+    pub fn note_call(
+        &mut self,
+        route: &str,
+        service: &str,
+        pressure: Option<Pressure>,
+        now: Instant,
+    ) {
+        let state = self
+            .routes
+            .entry(route.to_owned())
+            .or_insert_with(|| RouteState {
+                calls: HashSet::new(),
+                share: 1.0,
+                stepped: now,
+            });
+        if !state.calls.contains(service) {
+            state.calls.insert(service.to_owned());
+        }
+        if let Some(pressure) = pressure {
+            self.pressure.insert(service.to_owned(), (pressure, now));
+        }
+    }
+
+    /// Whether a request of this route and rank is let in; `draw` is a random point in `0.0..1.0`.
+    pub fn admits(&mut self, route: &str, rank: u64, draw: f64, now: Instant) -> bool {
+        let Some(state) = self.routes.get_mut(route) else {
+            return true;
+        };
+        let pressure = &self.pressure;
+        let is_current = |(pressure, at): &&(Pressure, Instant)| {
+            pressure.rank < rank && now.saturating_duration_since(*at) < PRESSURE_TTL
+        };
+        let refused_share = state
+            .calls
+            .iter()
+            .filter_map(|service| pressure.get(service).filter(is_current))
+            .map(|(pressure, _)| f64::from(pressure.refused_permille) / 1_000.0)
+            .fold(0.0, f64::max);
+        if now.saturating_duration_since(state.stepped) >= STEP {
+            state.stepped = now;
+            // Both ranks are refused alike when the shares meet.
+            let is_pressed = refused_share > 1.0 - state.share + TOLERANCE;
+            state.share = if is_pressed {
+                (state.share - CHANGE).max(MIN_SHARE)
+            } else {
+                (state.share + CHANGE).min(1.0)
+            };
+        }
+        draw < state.share
+    }
+}
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -12,6 +12,11 @@
 const RUN_TIME_WEIGHT: f64 = 0.1;
 /// Run time assumed before the first sample.
 const INITIAL_RUN_TIME: Duration = Duration::from_millis(50);
+/// Weight of the newest request in the share refused.
+const REFUSED_WEIGHT: f64 = 0.04;
+/// Run time, in mean run times, that a request is given in the forecast of its end. Run times
+/// spread widely, and one that is late by its own run is of as little use as one that waited.
+const RUN_ALLOWANCE: f64 = 1.6;
 /// Shortest time after which a refused request may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -76,6 +81,17 @@
     pub slots: u32,
     /// Mean run time over all routes.
     pub mean_run: Duration,
+    /// Rank that is refused most for lack of room; nested requests do not count.
+    pub pressure: Option<Pressure>,
+}
+
+/// How often requests of a rank are refused for lack of room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pressure {
+    /// The rank.
+    pub rank: u64,
+    /// Refused requests in a thousand.
+    pub refused_permille: u32,
 }
 
 /// Order of service: nested requests first, then by rank, then those whose time ends first.
@@ -109,6 +125,8 @@
     places: HashMap<Ticket, Place>,
     run_times: HashMap<RouteName, f64>,
     mean_run_s: f64,
+    /// Share of the requests of each rank that were refused, nested ones left out.
+    refused_share: BTreeMap<u64, f64>,
 }
 
 impl WorkQueue {
@@ -124,12 +142,20 @@
             places: HashMap::new(),
             run_times: HashMap::new(),
             mean_run_s: INITIAL_RUN_TIME.as_secs_f64(),
+            refused_share: BTreeMap::new(),
         }
     }
 
     /// How full the backend server is.
     pub fn load(&self) -> WorkLoad {
+        let pressures = self.refused_share.iter().map(|(rank, share)| Pressure {
+            rank: *rank,
+            refused_permille: (share * 1_000.0) as u32,
+        });
         WorkLoad {
+            pressure: pressures
+                .filter(|pressure| pressure.refused_permille > 0)
+                .max_by_key(|pressure| pressure.refused_permille),
             running: self.running,
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             slots: self.slots,
@@ -162,11 +188,12 @@
         }
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
+            self.note_outcome(&item, 0.0);
             return Arrival::Run;
         }
         let place = self.place(&item);
         let wait = self.wait_before(&place);
-        let run = self.run_time(&item.route);
+        let run = self.run_time(&item.route).mul_f64(RUN_ALLOWANCE);
         let is_fresh = now + run < item.target;
         let limit = if is_fresh && !item.is_nested {
             item.target
@@ -174,6 +201,7 @@
             item.deadline
         };
         if now + wait + run > limit {
+            self.note_outcome(&item, 1.0);
             let retry_after = (now + wait + run).duration_since(limit);
             return Arrival::Refused(Refused::TooLate {
                 retry_after: retry_after.max(MIN_RETRY_AFTER),
@@ -225,13 +253,23 @@
             return Some(self.refuse(&place));
         }
         let (_, waiting) = self.waiting.pop_first()?;
+        self.note_outcome(&waiting.item, 0.0);
         self.places.remove(&place.ticket);
         self.running += 1;
         Some(Step::Start(place.ticket, waiting.item.route))
     }
 
+    fn note_outcome(&mut self, item: &WorkItem, refused: f64) {
+        if !item.is_nested {
+            let share = self.refused_share.entry(item.rank).or_default();
+            *share += REFUSED_WEIGHT * (refused - *share);
+        }
+    }
+
     fn refuse(&mut self, place: &Place) -> Step {
-        self.waiting.remove(place);
+        if let Some(waiting) = self.waiting.remove(place) {
+            self.note_outcome(&waiting.item, 1.0);
+        }
         self.places.remove(&place.ticket);
         let retry_after = MIN_RETRY_AFTER;
         Step::Refuse(place.ticket, Refused::TooLate { retry_after })
@@ -246,7 +284,7 @@
         let mut ahead_s = self.mean_run_s / 2.0;
         for (place, waiting) in &self.waiting {
             let run_s = self.run_time(&waiting.item.route).as_secs_f64();
-            let end_s = ahead_s / f64::from(self.slots) + run_s;
+            let end_s = ahead_s / f64::from(self.slots) + run_s * RUN_ALLOWANCE;
             if now + Duration::from_secs_f64(end_s) > waiting.limit {
                 return Some(*place);
             }
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -8,7 +8,9 @@
 use crate::http_pool::{connect, ExchangeError, HttpPool, Lease, SendError};
 use crate::mesh_settings::MeshSettings;
 use crate::shared::{lock, Shared};
-use foxtailgauge_core::{ServerEntry, WorkItem, WorkLoad};
+use foxtailgauge_core::{
+    Pressure, RouteName, ServerEntry, Throttle, WorkItem, WorkLoad, THROTTLE_RETRY_AFTER,
+};
 use foxtailgauge_platform::{headers, ServerReport};
 use futures::io::{AsyncRead, AsyncWrite};
 use hyper::body::Incoming;
@@ -16,7 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -68,8 +70,9 @@
     settings: MeshSettings,
     pool: HttpPool,
     servers: Mutex<BTreeMap<String, Arc<ForwardServer>>>,
-    /// Ids of the requests that run here.
-    running_ids: Mutex<HashSet<String>>,
+    /// Ids of the requests that run here, with their routes.
+    running_ids: Mutex<HashMap<String, RouteName>>,
+    throttle: Mutex<Throttle>,
 }
 
 /// Takes an id off the list of those that run when it is dropped.
@@ -93,18 +96,24 @@
             pool: HttpPool::default(),
             servers: Mutex::default(),
             running_ids: Mutex::default(),
+            throttle: Mutex::default(),
         }
     }
 
-    /// Whether a request was made by one that runs on a backend server here: its id extends the
-    /// other's.
-    pub(crate) fn runs_parent_of(&self, id: &str) -> bool {
-        let parent = id.rsplit_once(ID_SEPARATOR);
-        parent.is_some_and(|(parent, _)| lock(&self.running_ids).contains(parent))
+    /// Route of the request that runs on a backend server here and made this one: the id of a
+    /// call extends that of the request it is made for.
+    pub(crate) fn parent_route(&self, id: &str) -> Option<RouteName> {
+        let (parent, _) = id.rsplit_once(ID_SEPARATOR)?;
+        lock(&self.running_ids).get(parent).cloned()
     }
 
-    fn running_id(&self, id: String) -> RunningId<'_> {
-        lock(&self.running_ids).insert(id.clone());
+    /// Notes how the service that a running request called is pressed.
+    pub(crate) fn note_call(&self, parent_route: &str, service: &str, pressure: Option<Pressure>) {
+        lock(&self.throttle).note_call(parent_route, service, pressure, Instant::now());
+    }
+
+    fn running_id(&self, id: String, route: &RouteName) -> RunningId<'_> {
+        lock(&self.running_ids).insert(id.clone(), route.clone());
         RunningId { executor: self, id }
     }
 
@@ -196,6 +205,18 @@
             return without_answer(HopEnd::Closed, WorkLoad::default());
         };
         let now = Instant::now();
+        let admits = request.hop.is_nested
+            || lock(&self.throttle).admits(
+                &request.hop.route,
+                request.hop.rank,
+                rand::random(),
+                now,
+            );
+        if !admits {
+            self.log_refused(&request, "throttled", &server);
+            let retry_after = THROTTLE_RETRY_AFTER;
+            return without_answer(HopEnd::Refused { retry_after }, server.load());
+        }
         let item = WorkItem {
             route: request.hop.route.clone(),
             rank: request.hop.rank,
@@ -206,18 +227,13 @@
         let running = match server.enter(item).await {
             Ok(running) => running,
             Err(refused) => {
-                emit!(self.shared.log, events::WORK_REFUSED,
-                    "request" => attempt_id(request.request.headers()),
-                    "server" => &request.hop.server, "route" => &request.hop.route,
-                    "rank" => request.hop.rank, "is_nested" => request.hop.is_nested,
-                    "target_ms" => request.hop.target.as_millis() as u64,
-                    "reason" => format!("{refused:?}"), "load" => format!("{:?}", server.load()),
-                    "left_ms" => millis(request.deadline));
+                self.log_refused(&request, &format!("{refused:?}"), &server);
                 return without_answer(refused.into(), server.load());
             }
         };
         let limit = request.deadline.saturating_duration_since(Instant::now());
-        let _running_id = self.running_id(attempt_id(request.request.headers()));
+        let id = attempt_id(request.request.headers());
+        let _running_id = self.running_id(id, &request.hop.route);
         let exchange = self.exchange(&server, request, running);
         match async_std::future::timeout(limit, exchange).await {
             Ok((end, response)) => ForwardReply {
@@ -231,6 +247,15 @@
         }
     }
 
+    fn log_refused(&self, request: &ForwardRequest, reason: &str, server: &ForwardServer) {
+        let hop = &request.hop;
+        emit!(self.shared.log, events::WORK_REFUSED,
+            "request" => attempt_id(request.request.headers()), "server" => &hop.server,
+            "route" => &hop.route, "rank" => hop.rank, "is_nested" => hop.is_nested,
+            "target_ms" => hop.target.as_millis() as u64, "left_ms" => millis(request.deadline),
+            "reason" => reason, "load" => format!("{:?}", server.load()));
+    }
+
     /// Sends a request to its backend server and judges the answer.
     async fn exchange(
         &self,
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -35,7 +35,7 @@
 use std::time::{Duration, Instant};
 
 /// Time to open a connection to another daemon, the handshake included.
-const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Idle time after which a connection to another daemon is not used again.
 const PEER_MAX_IDLE: Duration = Duration::from_secs(20);
 /// Part of the time a caller waits that is kept for the answer's way back to it.
@@ -62,6 +62,8 @@
     identity: Identity,
     pool: HttpPool,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    /// Longest time that callers of each route were seen to wait.
+    patience: Mutex<HashMap<RouteName, Duration>>,
 }
 
 /// One request on its way.
@@ -71,8 +73,11 @@
     route_name: &'a RouteName,
     route: &'a HostRoute,
     service: ServiceName,
-    is_nested: bool,
+    /// Route of the request that made this one from here, if one did.
+    parent_route: Option<RouteName>,
     started: Instant,
+    /// Time from the start within which the answer is of full use.
+    target: Duration,
     deadline: Instant,
     parts: Parts,
 }
@@ -92,6 +97,7 @@
             identity,
             pool: HttpPool::default(),
             budgets: Mutex::default(),
+            patience: Mutex::default(),
         }
     }
 
@@ -180,13 +186,14 @@
         let service = route.part(rand::random()).ok_or(Refusal::UnknownRoute)?;
         let id = attempt_id(&parts.headers);
         let call = Call {
-            is_nested: self.executor.runs_parent_of(&id),
+            parent_route: self.executor.parent_route(&id),
             id,
             view: &view,
             route_name,
             route,
             service: service.clone(),
             started,
+            target: self.target(route_name, route, patience),
             deadline: started + time_to_answer(patience, route),
             parts: self.outgoing(parts),
         };
@@ -194,6 +201,21 @@
         self.run(&call, body).await
     }
 
+    /// Time until an answer is no longer of full use. A caller that waits for less than others of
+    /// its route has been waiting already: it was refused and came back.
+    fn target(&self, name: &RouteName, route: &HostRoute, patience: Duration) -> Duration {
+        let mut longest = lock(&self.patience);
+        let usual = match longest.get_mut(name) {
+            Some(usual) => {
+                *usual = (*usual).max(patience);
+                *usual
+            }
+            None => *longest.entry(name.clone()).or_insert(patience),
+        };
+        let waited = usual.saturating_sub(patience);
+        Duration::from_millis(route.latency_ms).saturating_sub(waited)
+    }
+
     /// The head of a request as backend servers are to see it.
     fn outgoing(&self, mut parts: Parts) -> Parts {
         strip_hop_by_hop(&mut parts.headers);
@@ -228,8 +250,14 @@
                 return Err(Refusal::after(&attempts, call.deadline, retry_after));
             };
             let now = Instant::now();
-            let chosen =
-                lock(&self.shared.placement).choose(candidates, &tried, now, &mut rand::rng());
+            let target = call.target.saturating_sub(now - call.started);
+            let chosen = lock(&self.shared.placement).choose(
+                candidates,
+                &tried,
+                target,
+                now,
+                &mut rand::rng(),
+            );
             let Some(candidate) = chosen else {
                 return Err(Refusal::after(&attempts, call.deadline, retry_after));
             };
@@ -326,9 +354,9 @@
             server: candidate.key.server.clone(),
             route: call.route_name.clone(),
             rank: call.route.rank,
-            is_nested: call.is_nested,
+            is_nested: call.parent_route.is_some(),
             is_idempotent: call.route.idempotent,
-            target: Duration::from_millis(call.route.latency_ms).saturating_sub(elapsed),
+            target: call.target.saturating_sub(elapsed),
         };
         let guard = PlacedGuard {
             shared: &self.shared,
@@ -346,6 +374,10 @@
             self.send(&candidate.calls_addr, request).await
         };
         guard.finish(&reply);
+        if let Some(parent) = &call.parent_route {
+            let pressure = reply.reply.load.pressure;
+            self.executor.note_call(parent, &call.service, pressure);
+        }
         reply
     }
 
@@ -355,7 +387,11 @@
         let sending = self.send_unbounded(addr, forward);
         match async_std::future::timeout(limit, sending).await {
             Ok(reply) => reply,
-            Err(_) => end_only(HopEnd::Broken),
+            Err(_) => {
+                // Whatever else is open to that daemon may hang as well.
+                self.pool.forget(addr);
+                end_only(HopEnd::Broken)
+            }
         }
     }
 
@@ -434,7 +470,9 @@
         let health = match reply.reply.end {
             HopEnd::Answered if is_server_failure(reply) => AttemptHealth::Failed,
             HopEnd::Answered => AttemptHealth::Answered,
-            HopEnd::Declined | HopEnd::Broken => AttemptHealth::Failed,
+            HopEnd::Declined => AttemptHealth::Failed,
+            HopEnd::Broken if reply.reply.load.slots > 0 => AttemptHealth::Failed,
+            HopEnd::Broken => AttemptHealth::Silent,
             HopEnd::Closed | HopEnd::NotReached => AttemptHealth::Closed,
             HopEnd::Refused { .. } => AttemptHealth::Neutral,
         };
--- a/crates/foxtailgauge-daemon/src/hop.rs
+++ b/crates/foxtailgauge-daemon/src/hop.rs
@@ -1,9 +1,10 @@
 //! What two daemons tell each other beside the HTTP message that they pass on.
 //!
 //! Both sides travel in one header. A request says `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS`, an answer
-//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;RETRY_AFTER_MS`.
+//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;RETRY_AFTER_MS;PRESSURE`, where the last is
+//! empty or `RANK:PERMILLE`.
 
-use foxtailgauge_core::{Refused, RouteName, WorkLoad};
+use foxtailgauge_core::{Pressure, Refused, RouteName, WorkLoad};
 use std::time::Duration;
 
 /// Header of both sides; never passed on to callers or backend servers.
@@ -111,22 +112,33 @@
             waiting,
             slots,
             mean_run,
+            pressure,
         } = self.load;
         let mean_us = mean_run.as_micros();
-        format!("{end};{running};{waiting};{slots};{mean_us};{retry_after_ms}")
+        let pressed = pressure
+            .map(|p| format!("{}:{}", p.rank, p.refused_permille))
+            .unwrap_or_default();
+        format!("{end};{running};{waiting};{slots};{mean_us};{retry_after_ms};{pressed}")
     }
 
     /// Reads the header's value.
     pub(crate) fn parse(text: &str) -> Option<Self> {
         let mut parts = text.split(';');
         let end = parts.next()?;
-        let load = WorkLoad {
+        let mut load = WorkLoad {
             running: parts.next()?.parse().ok()?,
             waiting: parts.next()?.parse().ok()?,
             slots: parts.next()?.parse().ok()?,
             mean_run: Duration::from_micros(parts.next()?.parse().ok()?),
+            pressure: None,
         };
         let retry_after = Duration::from_millis(parts.next()?.parse().ok()?);
+        if let Some((rank, permille)) = parts.next()?.split_once(':') {
+            load.pressure = Some(Pressure {
+                rank: rank.parse().ok()?,
+                refused_permille: permille.parse().ok()?,
+            });
+        }
         let end = match end {
             "a" => HopEnd::Answered,
             "d" => HopEnd::Declined,
