--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -21,7 +21,7 @@
 const REMOTE_COST: Duration = Duration::from_millis(6);
 /// Part of the time to the target within which a backend server of the own failure domain is as
 /// good as any: most answers still come in time, and bytes between domains are saved.
-const NEAR_ENOUGH: f64 = 0.75;
+const NEAR_ENOUGH: f64 = 1.2;
 /// Cost of a certain failure: what a caller loses by trying again elsewhere.
 const FAILURE_COST: Duration = Duration::from_millis(500);
 /// Weight of the newest answer in the failure rate.
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -94,11 +94,12 @@
     pub refused_permille: u32,
 }
 
-/// Order of service: nested requests first, then by rank, then those whose time ends first.
+/// Order of service: nested requests first, then by rank, then by arrival. Who was refused and came
+/// back stands neither before nor behind new ones: before them, a service short of room would soon
+/// serve nobody at the first try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     group: u64,
-    deadline: Instant,
     ticket: Ticket,
 }
 
@@ -303,7 +304,6 @@
     fn place(&self, item: &WorkItem) -> Place {
         Place {
             group: if item.is_nested { 0 } else { item.rank + 1 },
-            deadline: item.deadline,
             ticket: self.next_ticket,
         }
     }
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -62,8 +62,6 @@
     identity: Identity,
     pool: HttpPool,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
-    /// Longest time that callers of each route were seen to wait.
-    patience: Mutex<HashMap<RouteName, Duration>>,
 }
 
 /// One request on its way.
@@ -97,7 +95,6 @@
             identity,
             pool: HttpPool::default(),
             budgets: Mutex::default(),
-            patience: Mutex::default(),
         }
     }
 
@@ -194,7 +191,7 @@
             route,
             service: service.clone(),
             started,
-            target: self.target(route_name, route, patience),
+            target: Duration::from_millis(route.latency_ms),
             deadline: started + time_to_answer(patience, route),
             parts: self.outgoing(parts),
         };
@@ -202,21 +199,6 @@
         self.run(&call, body).await
     }
 
-    /// Time until an answer is no longer of full use. A caller that waits for less than others of
-    /// its route has been waiting already: it was refused and came back.
-    fn target(&self, name: &RouteName, route: &HostRoute, patience: Duration) -> Duration {
-        let mut longest = lock(&self.patience);
-        let usual = match longest.get_mut(name) {
-            Some(usual) => {
-                *usual = (*usual).max(patience);
-                *usual
-            }
-            None => *longest.entry(name.clone()).or_insert(patience),
-        };
-        let waited = usual.saturating_sub(patience);
-        Duration::from_millis(route.latency_ms).saturating_sub(waited)
-    }
-
     /// The head of a request as backend servers are to see it.
     fn outgoing(&self, mut parts: Parts) -> Parts {
         strip_hop_by_hop(&mut parts.headers);
