--- a/crates/foxtailgauge-core/src/sync.rs
+++ b/crates/foxtailgauge-core/src/sync.rs
@@ -7,7 +7,10 @@
 use sha2::{Digest as _, Sha256};
 
 /// Quorum contact older than this makes a subscriber look for a better source, in milliseconds.
-pub const STALE_SOURCE_MS: u64 = 3_000;
+///
+/// Longer than an election, and short enough for a change that is accepted elsewhere to be in force
+/// in time by way of another source.
+pub const STALE_SOURCE_MS: u64 = 1_300;
 /// Time without a report after which a child counts as lost, in milliseconds.
 pub const CHILD_LEASE_MS: u64 = 6_000;
 /// Interval of reports without news, in milliseconds.
@@ -33,6 +36,11 @@
         let has_contact = self.quorum_age_ms.is_some_and(|age| age <= STALE_SOURCE_MS);
         self.version < highest_heard.max(self.highest_version) || !has_contact
     }
+
+    /// Whether the source had contact with the majority and has lost it.
+    pub fn has_lost_contact(&self) -> bool {
+        self.quorum_age_ms.is_some_and(|age| age > STALE_SOURCE_MS)
+    }
 }
 
 /// Asks for what is newer than what the subscriber holds; answered at once if there is news, else
--- a/crates/foxtailgauge-daemon/src/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/subscriber.rs
@@ -18,9 +18,9 @@
 use std::time::{Duration, Instant};
 
 /// Time a subscriber waits for an answer beyond the hold it asked for.
-const POLL_SLACK: Duration = Duration::from_secs(2);
+const POLL_SLACK: Duration = Duration::from_millis(700);
 /// Time a subscriber waits for the answer to a report or a probe.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for which a source is avoided after a failure.
 const AVOID_FAILED: Duration = Duration::from_secs(5);
 /// Interval at which a neighbour is asked for the version it holds.
@@ -55,7 +55,7 @@
     avoided: Mutex<HashMap<String, Instant>>,
     /// Notified when the daemon has a new source.
     moved: event_listener::Event,
-    /// Notified when the source does not answer a report.
+    /// Notified when the source does not answer a report, or is found to be stale.
     unanswered: event_listener::Event,
 }
 
@@ -204,7 +204,7 @@
         let poll = Box::pin(poll_once(&subscriber, &source, cursor));
         let polled = match select(poll, unanswered).await {
             Either::Left((polled, _)) => polled,
-            Either::Right(_) => Polled::Failed,
+            Either::Right(_) => Polled::Left,
         };
         match polled {
             Polled::News(cursor) => {
@@ -212,6 +212,7 @@
                 read = Some((serial, cursor));
             }
             Polled::Wait(wait) => async_std::task::sleep(wait).await,
+            Polled::Left => subscriber.avoid(&source),
             Polled::Failed => {
                 subscriber.avoid(&source);
                 let wait = backoff.next_wait(&mut rand::rng());
@@ -226,6 +227,8 @@
     News(Cursor),
     /// The source asks to come back later.
     Wait(Duration),
+    /// The source was found wanting while it was asked.
+    Left,
     /// No answer, or one of no use.
     Failed,
 }
@@ -341,11 +344,14 @@
 fn leave_if_stale(subscriber: &Subscriber, source: &Source, freshness: &Freshness) {
     let shared = &subscriber.shared;
     let is_settled = subscriber.recent_source().is_none();
-    let is_stale = freshness.is_stale(shared.highest_heard());
-    if is_settled && is_stale && subscriber.choices().len() > 1 {
+    let is_stale = is_settled && freshness.is_stale(shared.highest_heard());
+    if (is_stale || freshness.has_lost_contact()) && subscriber.choices().len() > 1 {
         emit!(shared.log, events::SOURCE_STALE, "source" => &source.control_addr,
-            "version" => freshness.version);
+            "version" => freshness.version, "highest_heard" => shared.highest_heard(),
+            "quorum_age_ms" => freshness.quorum_age_ms);
         subscriber.avoid(source);
+        // A poll under way there would hold this daemon up for its whole time.
+        subscriber.unanswered.notify(usize::MAX);
     }
 }
 
