--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -43,8 +43,8 @@
 pub enum Arrival {
     /// Runs now; a slot is taken.
     Run,
-    /// Waits under this ticket.
-    Wait(Ticket),
+    /// Waits under this ticket, and gives up at the instant: it could no longer end in time.
+    Wait(Ticket, Instant),
     /// Goes back at once; nothing of it has run.
     Refused(Refused),
 }
@@ -214,8 +214,9 @@
             .last_key_value()
             .is_some_and(|(last, _)| place < *last);
         self.places.insert(place.ticket, place);
+        let until = item.deadline.checked_sub(run / 4).unwrap_or(now).max(now);
         self.waiting.insert(place, Waiting { item, limit });
-        Arrival::Wait(place.ticket)
+        Arrival::Wait(place.ticket, until)
     }
 
     /// Ends a run. Its time counts as a sample if the request ran to its end.
@@ -233,6 +234,15 @@
         }
     }
 
+    /// A waiting request has given up; returns it if it was still waiting.
+    pub fn give_up(&mut self, ticket: Ticket) -> Option<Refused> {
+        let item = self.leave(ticket)?;
+        self.note_outcome(&item, 1.0);
+        Some(Refused::TooLate {
+            retry_after: MIN_RETRY_AFTER,
+        })
+    }
+
     /// A waiting request has gone away; returns it if it was still waiting.
     pub fn leave(&mut self, ticket: Ticket) -> Option<WorkItem> {
         let place = self.places.remove(&ticket)?;
--- a/crates/foxtailgauge-core/tests/work_queue.rs
+++ b/crates/foxtailgauge-core/tests/work_queue.rs
@@ -35,7 +35,7 @@
 
 fn wait(queue: &mut WorkQueue, item: WorkItem, now: Instant) -> Ticket {
     match queue.arrive(item, now) {
-        Arrival::Wait(ticket) => ticket,
+        Arrival::Wait(ticket, _) => ticket,
         other => panic!("{other:?}"),
     }
 }
@@ -120,6 +120,22 @@
     assert_eq!(queue.next_step(now), None, "no slot is free");
 }
 
+#[test]
+fn waiting_ends_while_there_is_time_to_come_back() {
+    let now = Instant::now();
+    let mut queue = learned(1, 100);
+    assert_eq!(queue.arrive(item(now, 1, 250, 600), now), Arrival::Run);
+    let Arrival::Wait(ticket, until) = queue.arrive(item(now, 1, 250, 600), now) else {
+        panic!("it would end in time");
+    };
+    assert!(until > now && until < now + ms(500), "{:?}", until - now);
+    assert!(matches!(
+        queue.give_up(ticket),
+        Some(Refused::TooLate { .. })
+    ));
+    assert_eq!(queue.give_up(ticket), None);
+}
+
 #[test]
 fn closing_refuses_all_that_wait_and_opens_again() {
     let now = Instant::now();
@@ -199,7 +215,7 @@
             let deadline_ms = if is_fifo { 100_000 } else { 500 };
             match queue.arrive(item(now, 1, target_ms, deadline_ms), now) {
                 Arrival::Run => runs.push((now_s + work_s, now, work_s)),
-                Arrival::Wait(ticket) => {
+                Arrival::Wait(ticket, _) => {
                     waiting.insert(ticket, (now, work_s));
                 }
                 Arrival::Refused(_) => replay.refused += 1,
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -1,6 +1,9 @@
 //! Numbered log events. The catalogue for operators is docs/EVENTS.md.
 
 use slog::Level;
+use std::collections::HashMap;
+use std::sync::{Mutex, OnceLock, PoisonError};
+use std::time::Instant;
 
 /// One kind of log event.
 #[derive(Clone, Copy, Debug)]
@@ -77,11 +80,49 @@
     ADMIN_DENIED = 5002, Warning, "admin request without a fitting token";
 }
 
-/// Logs an event with key-value pairs.
+/// Lines of one event that are written in a second; events at level `Critical` are not bounded.
+const LINES_PER_SECOND: u64 = 4;
+
+/// Lines of one event in one second.
+#[derive(Default)]
+struct Window {
+    second: u64,
+    lines: u64,
+    left_out: u64,
+}
+
+/// Whether an event may be logged now, with the number of its lines left out before.
+pub fn admit(event: &Event) -> Option<u64> {
+    static WINDOWS: OnceLock<Mutex<HashMap<u32, Window>>> = OnceLock::new();
+    static STARTED: OnceLock<Instant> = OnceLock::new();
+    let second = STARTED.get_or_init(Instant::now).elapsed().as_secs();
+    let mut windows = WINDOWS
+        .get_or_init(Mutex::default)
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let window = windows.entry(event.number).or_default();
+    if window.second != second {
+        window.second = second;
+        window.lines = 0;
+    }
+    if window.lines >= LINES_PER_SECOND && event.level != Level::Critical {
+        window.left_out += 1;
+        return None;
+    }
+    window.lines += 1;
+    Some(std::mem::take(&mut window.left_out))
+}
+
+/// Logs an event with key-value pairs, unless too many lines of it were written in this second.
 #[macro_export]
 macro_rules! emit {
-    ($log:expr, $event:expr $(, $key:literal => $value:expr)* $(,)?) => {
-        slog::log!($log, $event.level, "", "{}", $event.text;
-            "event" => $event.number $(, $key => $value)*)
-    };
+    ($log:expr, $event:expr $(, $key:literal => $value:expr)* $(,)?) => {{
+        use slog::Drain as _;
+        if $log.is_enabled($event.level) {
+            if let Some(left_out) = $crate::events::admit(&$event) {
+                slog::log!($log, $event.level, "", "{}", $event.text;
+                    "event" => $event.number, "left_out" => left_out $(, $key => $value)*)
+            }
+        }
+    }};
 }
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -9,7 +9,7 @@
 use crate::mesh_settings::MeshSettings;
 use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
-    Pressure, RouteName, ServerEntry, Throttle, WorkItem, WorkLoad, THROTTLE_RETRY_AFTER,
+    RouteName, ServerEntry, Throttle, WorkItem, WorkLoad, THROTTLE_RETRY_AFTER,
 };
 use foxtailgauge_platform::{headers, ServerReport};
 use futures::io::{AsyncRead, AsyncWrite};
@@ -108,8 +108,10 @@
     }
 
     /// Notes how the service that a running request called is pressed.
-    pub(crate) fn note_call(&self, parent_route: &str, service: &str, pressure: Option<Pressure>) {
-        lock(&self.throttle).note_call(parent_route, service, pressure, Instant::now());
+    pub(crate) fn note_call(&self, parent_route: &str, service: &str, reply: &HopReply) {
+        let pressure = reply.load.pressure;
+        let now = Instant::now();
+        lock(&self.throttle).note_call(parent_route, service, pressure, now);
     }
 
     fn running_id(&self, id: String, route: &RouteName) -> RunningId<'_> {
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -369,8 +369,7 @@
         };
         guard.finish(&reply);
         if let Some(parent) = &call.parent_route {
-            let pressure = reply.reply.load.pressure;
-            self.executor.note_call(parent, &call.service, pressure);
+            self.executor.note_call(parent, &call.service, &reply.reply);
         }
         reply
     }
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -237,22 +237,30 @@
     /// Waits for a slot, unless the queue refuses.
     pub(crate) async fn enter(self: &Arc<Self>, item: WorkItem) -> Result<Running, Refused> {
         let route = item.route.clone();
-        let (turn, waiting) = {
+        let (mut turn, waiting, until) = {
             let mut inner = lock(&self.inner);
             match inner.queue.arrive(item, Instant::now()) {
                 Arrival::Run => return Ok(self.running(route)),
                 Arrival::Refused(refused) => return Err(refused),
-                Arrival::Wait(ticket) => {
+                Arrival::Wait(ticket, until) => {
                     let (sender, turn) = oneshot::channel();
                     inner.turns.insert(ticket, sender);
                     let server = Arc::clone(self);
-                    (turn, Waiting { server, ticket })
+                    (turn, Waiting { server, ticket }, until)
                 }
             }
         };
-        let outcome = turn.await.unwrap_or(Err(Refused::Closed));
-        drop(waiting);
-        outcome
+        let limit = until.saturating_duration_since(Instant::now());
+        let outcome = async_std::future::timeout(limit, &mut turn).await;
+        if let Ok(outcome) = outcome {
+            return outcome.unwrap_or(Err(Refused::Closed));
+        }
+        let given_up = lock(&self.inner).queue.give_up(waiting.ticket);
+        match given_up {
+            Some(refused) => Err(refused),
+            // Its turn came in this moment.
+            None => turn.await.unwrap_or(Err(Refused::Closed)),
+        }
     }
 
     fn running(self: &Arc<Self>, route: RouteName) -> Running {
--- a/crates/foxtailgauge-daemon/src/logger.rs
+++ b/crates/foxtailgauge-daemon/src/logger.rs
@@ -6,18 +6,18 @@
 /// Entries that may wait for a slow output before they are dropped and counted.
 const LOG_QUEUE: usize = 4096;
 
-/// A logger to standard error.
+/// A logger to standard output.
 pub(crate) fn build(level: Level, daemon: &str, failure_domain: &str) -> Logger {
     let values = o!(
         "daemon" => daemon.to_owned(),
         "failure_domain" => failure_domain.to_owned(),
     );
-    if std::io::stderr().is_terminal() {
-        let decorator = slog_term::TermDecorator::new().stderr().build();
+    if std::io::stdout().is_terminal() {
+        let decorator = slog_term::TermDecorator::new().stdout().build();
         let drain = slog_term::FullFormat::new(decorator).build().fuse();
         root(drain, level, values)
     } else {
-        let drain = slog_json::Json::default(std::io::stderr()).fuse();
+        let drain = slog_json::Json::default(std::io::stdout()).fuse();
         root(drain, level, values)
     }
 }
--- a/crates/foxtailgauge-daemon/tests/support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/support/mod.rs
@@ -100,7 +100,7 @@
             .arg("--settings")
             .arg(&self.plan.daemons[n].settings_file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().expect("a log file"))
             .stderr(log)
             .spawn()
             .unwrap();
