--- a/crates/foxtailgauge-core/src/throttle.rs
+++ b/crates/foxtailgauge-core/src/throttle.rs
@@ -80,8 +80,7 @@
         if now.saturating_duration_since(state.stepped) >= STEP {
             state.stepped = now;
             // Both ranks are refused alike when the shares meet.
-            let is_pressed = refused_share > 1.0 - state.share + TOLERANCE
-                || state.refused_calls > REFUSED_TOLERANCE;
+            let is_pressed = refused_share > 1.0 - state.share + TOLERANCE;
             state.share = if is_pressed {
                 (state.share - CHANGE).max(MIN_SHARE)
             } else {
