Voters gone for good give their place up; requests that kill backend servers are refused everywhere; reload is logged

Cause (by reading): a replacement at another address left the dead voter in the group, so each one weakened it; a request that kills backend servers went to one after the other. Change: a learner takes the place of a voter silent for 3 s, an even group drops one silent for 15 s, a replica without a leader for 4 s asks to be taken in again. A death is told from a break by a probe of the port; what ran to its end before is not suspected. SIGHUP no longer ends the daemon unlogged.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -73,7 +73,7 @@
     MAX_KEY_SKEW_MS, MAX_VOIDED_ATTEMPTS,
 };
 pub use log::Log;
-pub use membership::{Member, Membership};
+pub use membership::{Member, Membership, Silence};
 pub use message::{
     AppendReply, AppendRequest, Entry, Envelope, Message, Payload, StateSnapshot, VoteReply,
     VoteRequest,
--- a/crates/foxtailgauge-core/src/membership.rs
+++ b/crates/foxtailgauge-core/src/membership.rs
@@ -87,26 +87,55 @@
 
     /// The next single change towards giving caught-up learners their vote.
     ///
-    /// A voter at the learner's address has lost its disk for good: it is removed first, so that
-    /// no quorum waits for it. Each step changes one voter, so that old and new quorums intersect.
-    pub fn next_step(&self, is_caught_up: impl Fn(ReplicaId) -> bool) -> Option<Self> {
-        let (id, learner) = self
-            .members
-            .iter()
-            .find(|(id, m)| !m.is_voter && is_caught_up(**id))?;
+    /// A voter at the learner's address has lost its disk for good, and one that has been silent for
+    /// long while a learner waits has been replaced by it: such a voter is removed first, so that no
+    /// quorum waits for it. While a voter's silence is short, the learner waits for the answer to
+    /// which it is. Each step changes one voter, so that old and new quorums intersect.
+    pub fn next_step(
+        &self,
+        is_caught_up: impl Fn(ReplicaId) -> bool,
+        silence: impl Fn(ReplicaId) -> Silence,
+    ) -> Option<Self> {
+        let learners = self.members.iter().filter(|(_, m)| !m.is_voter);
+        let Some((id, learner)) = learners.into_iter().find(|(id, _)| is_caught_up(**id)) else {
+            return self.without_lost(silence);
+        };
+        let voters = || self.members.iter().filter(|(_, m)| m.is_voter);
+        let replaced = voters()
+            .find(|(_, m)| m.control_addr == learner.control_addr)
+            .or_else(|| voters().find(|(id, _)| silence(**id) >= Silence::Replaceable));
         let mut next = self.clone();
-        let replaced = self
-            .members
-            .iter()
-            .find(|(_, m)| m.is_voter && m.control_addr == learner.control_addr);
         match replaced {
             Some((old, _)) => {
                 next.members.remove(old);
             }
-            None => {
-                next.members.get_mut(id)?.is_voter = true;
-            }
+            None if voters().any(|(id, _)| silence(*id) > Silence::Heard) => return None,
+            None => next.members.get_mut(id)?.is_voter = true,
+        }
+        Some(next)
+    }
+
+    /// Removes a voter that is lost, where an even number makes it a burden: the quorum gets smaller.
+    fn without_lost(&self, silence: impl Fn(ReplicaId) -> Silence) -> Option<Self> {
+        if self.voters().count() % 2 != 0 {
+            return None;
         }
+        let lost = self.voters().find(|id| silence(*id) == Silence::Lost)?;
+        let mut next = self.clone();
+        next.members.remove(&lost);
         Some(next)
     }
 }
+
+/// For how long a voter has not been heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Silence {
+    /// It answers.
+    Heard,
+    /// It may come back in a moment.
+    Short,
+    /// Long enough for a waiting learner to take its place.
+    Replaceable,
+    /// Long enough to do without it.
+    Lost,
+}
--- a/crates/foxtailgauge-core/src/replication.rs
+++ b/crates/foxtailgauge-core/src/replication.rs
@@ -3,6 +3,7 @@
 use crate::consensus::{Node, Progress, ReadReady, Role, ELECTION_MIN_MS};
 use crate::ids::{LogIndex, ReplicaId};
 use crate::log::Log;
+use crate::membership::Silence;
 use crate::message::{AppendReply, AppendRequest, Entry, Message, Payload, StateSnapshot};
 
 /// Entries sent in one message at most.
@@ -11,6 +12,12 @@
 const MAX_AHEAD_ENTRIES: u64 = 4096;
 /// Time until a snapshot is sent again to a replica that has not answered, in milliseconds.
 const SNAPSHOT_RETRY_MS: u64 = 5_000;
+/// Silence after which a voter gives its place to a learner that waits, in milliseconds: longer than
+/// a restart, shorter than the time until the next loss must be borne.
+const REPLACEABLE_VOTER_MS: u64 = 3_000;
+/// Silence after which an even group goes on without a voter, in milliseconds: longer than cuts that
+/// heal by themselves.
+const LOST_VOTER_MS: u64 = 15_000;
 /// Entries a learner may lag behind and still count as caught up.
 const CAUGHT_UP_ENTRIES: u64 = 64;
 
@@ -285,7 +292,13 @@
                     && progress.matched >= self.log.membership().0
             })
         };
-        if let Some(next) = self.membership().next_step(is_caught_up) {
+        let silence = |id: ReplicaId| match self.now_ms.saturating_sub(self.contact_ms(id)) {
+            silent_ms if silent_ms >= LOST_VOTER_MS => Silence::Lost,
+            silent_ms if silent_ms >= REPLACEABLE_VOTER_MS => Silence::Replaceable,
+            silent_ms if silent_ms >= ELECTION_MIN_MS => Silence::Short,
+            _ => Silence::Heard,
+        };
+        if let Some(next) = self.membership().next_step(is_caught_up, silence) {
             self.change_membership(next);
         }
     }
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -73,7 +73,7 @@
 /// Runs a daemon until it is told to stop.
 pub fn run(settings: Settings) -> Result<(), Report<DaemonError>> {
     let log = logger::build(settings.log_level, &settings.name, &settings.failure_domain);
-    let stop = stop_signal()?;
+    let stop = stop_signal(log.clone())?;
     task::block_on(async {
         let listeners = listen(&settings.listen, &log).await?;
         let store_dir = settings.store_dir.clone();
@@ -203,12 +203,18 @@
 }
 
 /// A channel that brings the request to stop.
-fn stop_signal() -> Result<async_std::channel::Receiver<()>, Report<DaemonError>> {
+fn stop_signal(log: Logger) -> Result<async_std::channel::Receiver<()>, Report<DaemonError>> {
     let handled = [SIGTERM, SIGINT, SIGHUP];
     let mut signals = Signals::new(handled).change_context(DaemonError::Signals)?;
     let (sender, receiver) = async_std::channel::bounded(1);
     std::thread::spawn(move || {
-        if signals.forever().any(|signal| signal != SIGHUP) {
+        let is_stop = |signal| {
+            if signal == SIGHUP {
+                emit!(log, events::RELOAD_ASKED);
+            }
+            signal != SIGHUP
+        };
+        if signals.forever().any(is_stop) {
             // The receiver is gone only if the daemon is ending anyway.
             let _ = sender.try_send(());
         }
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -38,6 +38,7 @@
     STOPPED = 1003, Info, "daemon stopped";
     LISTEN_FAILED = 1004, Critical, "address cannot be listened on";
     TASK_FAILED = 1005, Error, "connection or task ended with an error";
+    RELOAD_ASKED = 1006, Info, "reload asked for: settings take effect at the next start";
     STORE_OPENED = 2001, Info, "store opened";
     STORE_TAIL_CUT = 2002, Warning, "unfinished last batch of the log was cut off";
     STORE_FAILED = 2003, Critical, "store failed: replica stops";
--- a/crates/foxtailgauge-daemon/src/formation.rs
+++ b/crates/foxtailgauge-daemon/src/formation.rs
@@ -25,6 +25,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Wait between rounds of asking.
 const ROUND_WAIT: Duration = Duration::from_millis(100);
+/// Time without a leader after which a replica asks whether it still belongs to the group.
+const REJOIN_AFTER: Duration = Duration::from_secs(4);
 /// Time the leader has to take a learner in.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -64,16 +66,15 @@
     set_state(FormationState::Formed {
         initial: initial.clone(),
     });
-    if initial.members.is_empty() {
-        for group in Group::ALL {
-            let join = join(
-                services.clone(),
-                group,
-                identity.replica,
-                control_addr.clone(),
-            );
-            async_std::task::spawn(join);
-        }
+    for group in Group::ALL {
+        let (services, addr) = (services.clone(), control_addr.clone());
+        let is_new = initial.members.is_empty();
+        async_std::task::spawn(async move {
+            if is_new {
+                join(&services, group, identity.replica, &addr).await;
+            }
+            rejoin(&services, group, identity.replica, &addr).await;
+        });
     }
     Ok(())
 }
@@ -158,23 +159,43 @@
 }
 
 /// Asks to be taken in until this replica finds itself among the members of the group.
-async fn join(services: Services, group: Group, replica: ReplicaId, control_addr: String) {
+async fn join(services: &Services, group: Group, replica: ReplicaId, control_addr: &str) {
     let shared = &services.shared;
-    let client = ReplicaClient::new(shared);
     let is_member = || {
         let handles = shared.replica.get();
         let status = handles.map(|handles| handles.group(group).status());
         status.is_some_and(|status| status.members.members.contains_key(&replica))
     };
     while !is_member() {
-        let request = SubmitRequest::Join {
-            group,
-            replica,
-            control_addr: control_addr.clone(),
-        };
-        if client.submit(request, JOIN_TIMEOUT).await == Ok(SubmitReply::Joined) {
-            emit!(shared.log, events::GROUP_JOINED, "group" => group.as_str());
-        }
+        ask_to_join(services, group, replica, control_addr).await;
         async_std::task::sleep(ROUND_WAIT * 5).await;
     }
 }
+
+/// Asks to be taken in again whenever no leader was heard for long: the group may have gone on
+/// without this replica while it was cut off. For a member, that changes nothing.
+async fn rejoin(services: &Services, group: Group, replica: ReplicaId, control_addr: &str) {
+    loop {
+        async_std::task::sleep(REJOIN_AFTER / 2).await;
+        let handles = services.shared.replica.get();
+        let age_ms = handles.and_then(|handles| handles.group(group).quorum_age_ms());
+        if age_ms.is_none_or(|age_ms| u128::from(age_ms) > REJOIN_AFTER.as_millis()) {
+            ask_to_join(services, group, replica, control_addr).await;
+        }
+    }
+}
+
+async fn ask_to_join(services: &Services, group: Group, replica: ReplicaId, control_addr: &str) {
+    let shared = &services.shared;
+    let request = SubmitRequest::Join {
+        group,
+        replica,
+        control_addr: control_addr.to_owned(),
+    };
+    let reply = ReplicaClient::new(shared)
+        .submit(request, JOIN_TIMEOUT)
+        .await;
+    if reply == Ok(SubmitReply::Joined) {
+        emit!(shared.log, events::GROUP_JOINED, "group" => group.as_str());
+    }
+}
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -9,16 +9,18 @@
 use crate::mesh_settings::MeshSettings;
 use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
-    RouteName, ServerEntry, Throttle, WorkItem, WorkLoad, THROTTLE_RETRY_AFTER,
+    fingerprint, request_digest, Fingerprint, RouteName, ServerEntry, Throttle, WorkItem, WorkLoad,
+    THROTTLE_RETRY_AFTER,
 };
 use foxtailgauge_platform::{headers, ServerReport};
 use futures::io::{AsyncRead, AsyncWrite};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -34,6 +36,8 @@
 const ID_SEPARATOR: char = '.';
 /// Reports that may be missed before a backend server counts as gone.
 const LEASE_REPORTS: u32 = 8;
+/// Requests remembered as having run to their end.
+const MAX_COMPLETED: usize = 16_384;
 /// Interval at which leases of backend servers are checked.
 const LEASE_CHECK: Duration = Duration::from_millis(500);
 
@@ -44,6 +48,8 @@
     pub(crate) request: Request<ForwardBody>,
     /// When the caller gives up.
     pub(crate) deadline: Instant,
+    /// What makes it the same request as another one; `None` for one with a long body.
+    pub(crate) fingerprint: Option<Fingerprint>,
 }
 
 /// The end of an attempt.
@@ -73,6 +79,8 @@
     /// Ids of the requests that run here, with their routes.
     running_ids: Mutex<HashMap<String, RouteName>>,
     throttle: Mutex<Throttle>,
+    /// Requests that ran to their end here: such a one did not kill its backend server.
+    completed: Mutex<HashSet<Fingerprint>>,
 }
 
 /// Takes an id off the list of those that run when it is dropped.
@@ -97,6 +105,7 @@
             servers: Mutex::default(),
             running_ids: Mutex::default(),
             throttle: Mutex::default(),
+            completed: Mutex::default(),
         }
     }
 
@@ -267,9 +276,16 @@
     ) -> (HopEnd, Option<Response<ForwardBody>>) {
         let id = request.request.headers().get(headers::ATTEMPT).cloned();
         let name = request.hop.server.clone();
+        let fingerprint = request.fingerprint;
         let (mut lease, response) = match self.send(server, request).await {
             Ok(sent) => sent,
-            Err(error) => return (self.failed(server, &id, &error), None),
+            Err(error) => {
+                let end = self.failed(server, &id, &error);
+                if end == HopEnd::Broken {
+                    self.note_death(server, fingerprint).await;
+                }
+                return (end, None);
+            }
         };
         let is_declined = response.headers().contains_key(headers::NOT_RUN)
             || response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -290,6 +306,7 @@
                     running.set_declined();
                 } else {
                     running.set_complete();
+                    self.note_completion(fingerprint);
                 }
                 if body.bytes().is_some() {
                     drop(running);
@@ -330,6 +347,31 @@
         }
     }
 
+    fn note_completion(&self, fingerprint: Option<Fingerprint>) {
+        let mut completed = lock(&self.completed);
+        if completed.len() >= MAX_COMPLETED {
+            completed.clear();
+        }
+        completed.extend(fingerprint);
+    }
+
+    /// Looks whether a backend server that broke off has died. Then the request is suspected of
+    /// having killed it, and all daemons hear of that before the caller is answered.
+    async fn note_death(&self, server: &Arc<ForwardServer>, fingerprint: Option<Fingerprint>) {
+        let addr = server.addr().to_string();
+        let probe = async_std::future::timeout(CONNECT_TIMEOUT, connect(&addr)).await;
+        if matches!(probe, Ok(Ok(_))) {
+            return;
+        }
+        self.lost(server);
+        let suspect = fingerprint.filter(|f| !lock(&self.completed).contains(f));
+        if let Some(fingerprint) = suspect {
+            emit!(self.shared.log, events::SERVER_DIED, "server" => server.name(),
+                "fingerprint" => fingerprint);
+            self.shared.record_crash(fingerprint).await;
+        }
+    }
+
     /// Closes the gate of a backend server that cannot be reached, until its next report.
     fn lost(&self, server: &Arc<ForwardServer>) {
         if server.set_unreachable() {
@@ -412,6 +454,7 @@
         let reply = self
             .run(ForwardRequest {
                 hop,
+                fingerprint: fingerprint_of(&parts, &body),
                 request: Request::from_parts(parts, body),
                 deadline: now + Duration::from_millis(left_ms),
             })
@@ -440,6 +483,16 @@
     response
 }
 
+/// What makes a request the same as another one: method, target and body.
+pub(crate) fn fingerprint_of(parts: &Parts, body: &ForwardBody) -> Option<Fingerprint> {
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let digest = request_digest(parts.method.as_str(), target, body.bytes()?);
+    Some(fingerprint(&digest))
+}
+
 /// Tells how much time is left now.
 pub(crate) fn set_time_left(headers: &mut HeaderMap, deadline: Instant) {
     headers.insert(headers::TIME_LEFT_MS, HeaderValue::from(millis(deadline)));
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -5,7 +5,8 @@
 use crate::events;
 use crate::forward_body::{BodyError, ForwardBody};
 use crate::forward_executor::{
-    attempt_id, header, set_time_left, ForwardExecutor, ForwardReply, ForwardRequest,
+    attempt_id, fingerprint_of, header, set_time_left, ForwardExecutor, ForwardReply,
+    ForwardRequest,
 };
 use crate::forward_headers::strip_hop_by_hop;
 use crate::forward_refusal::{refusal, Refusal};
@@ -14,11 +15,11 @@
 use crate::mesh_settings::MeshSettings;
 use crate::metrics::ForwardLabels;
 use crate::peer_client::Identity;
-use crate::shared::{lock, RouteView, Shared};
+use crate::shared::{lock, unix_ms, RouteView, Shared};
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
-    AttemptEnd, AttemptHealth, Attempts, Candidate, HostRoute, Next, RetryBudget, RouteName,
-    ServerKey, ServiceName,
+    AttemptEnd, AttemptHealth, Attempts, Candidate, Fingerprint, HostRoute, Next, RetryBudget,
+    RouteName, ServerKey, ServiceName, SuspectVerdict, UnixMs,
 };
 use foxtailgauge_platform::headers;
 use foxtailgauge_wire::handshake;
@@ -221,6 +222,11 @@
         call: &Call<'_>,
         body: ForwardBody,
     ) -> Result<Response<ForwardBody>, Refusal> {
+        let fingerprint = fingerprint_of(&call.parts, &body);
+        if let Some(until_ms) = fingerprint.and_then(|f| self.quarantined_until(call, f)) {
+            let retry_after = Duration::from_millis(until_ms.saturating_sub(unix_ms()));
+            return Err(Refusal::Quarantined { retry_after });
+        }
         self.earn(&call.service);
         let none = Vec::new();
         let candidates = call.view.candidates.get(&call.service).unwrap_or(&none);
@@ -281,6 +287,14 @@
         }
     }
 
+    /// Until when a request is refused that was in flight when several backend servers died.
+    fn quarantined_until(&self, call: &Call<'_>, fingerprint: Fingerprint) -> Option<UnixMs> {
+        match call.view.suspects.verdict(fingerprint, unix_ms()) {
+            SuspectVerdict::Quarantined { until_ms } => Some(until_ms),
+            SuspectVerdict::Clear | SuspectVerdict::Suspect => None,
+        }
+    }
+
     fn log_again(&self, call: &Call<'_>, from: &Candidate, reply: &ForwardReply, is_repeat: bool) {
         emit!(self.shared.log, events::FORWARD_AGAIN, "request" => &call.id,
             "route" => call.route_name, "server" => &from.key.server, "daemon" => &from.key.daemon,
@@ -357,10 +371,12 @@
             key: &candidate.key,
             is_done: false,
         };
+        let fingerprint = fingerprint_of(&parts, &body);
         let request = ForwardRequest {
             hop,
             request: Request::from_parts(parts, body),
             deadline: call.deadline,
+            fingerprint,
         };
         let reply = if candidate.key.daemon == self.shared.settings.name {
             self.executor.run(request).await
--- a/crates/foxtailgauge-daemon/src/forward_refusal.rs
+++ b/crates/foxtailgauge-daemon/src/forward_refusal.rs
@@ -38,6 +38,11 @@
         /// When there is likely to be room.
         retry_after: Duration,
     },
+    /// It was in flight when several backend servers died. Not run.
+    Quarantined {
+        /// When it may be tried again.
+        retry_after: Duration,
+    },
     /// Nobody knows whether it ran.
     OutcomeUnknown,
     /// The time is over, and it may have run.
@@ -76,6 +81,7 @@
             Refusal::SlowBody => "slow_body",
             Refusal::NoServer => "no_server",
             Refusal::Overloaded { .. } => "overloaded",
+            Refusal::Quarantined { .. } => "quarantined",
             Refusal::OutcomeUnknown => "outcome_unknown",
             Refusal::TimedOut => "timed_out",
         }
@@ -87,7 +93,8 @@
             Refusal::NoConfiguration
             | Refusal::Stopping
             | Refusal::NoServer
-            | Refusal::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::Overloaded { .. }
+            | Refusal::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::UnknownRoute => StatusCode::NOT_FOUND,
             Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -102,7 +109,9 @@
         match self {
             Refusal::NoConfiguration | Refusal::Stopping => Some(ELSEWHERE_RETRY_AFTER),
             Refusal::NoServer => Some(NO_SERVER_RETRY_AFTER),
-            Refusal::Overloaded { retry_after } => Some(*retry_after),
+            Refusal::Overloaded { retry_after } | Refusal::Quarantined { retry_after } => {
+                Some(*retry_after)
+            }
             _ => None,
         }
     }
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -247,6 +247,31 @@
     );
 }
 
+#[test]
+fn request_that_kills_servers_is_refused_everywhere() {
+    let (mesh, servers) = pair();
+    // Ordinary requests run first, so that they are not suspected.
+    assert_eq!(status(&get(&mesh, "/view/1")), 200);
+    servers.iter().for_each(|server| server.set(Script::Die));
+    let mut answers = Vec::new();
+    for n in [1, 2, 1, 2] {
+        let text = request("POST", "/commit/poison", "", "");
+        let answer = exchange(&mesh.outbound(n), &text).unwrap_or_default();
+        answers.push(status(&answer));
+    }
+    assert_eq!(answers[..2], [502, 502], "each killed one server");
+    assert_eq!(answers[2..], [503, 503], "refused, whoever is asked");
+    let arrivals = servers
+        .iter()
+        .flat_map(|server| server.seen.lock().expect("seen").clone())
+        .filter(|request| request.contains("/poison"))
+        .count();
+    assert_eq!(arrivals, 2);
+    let text = request("POST", "/commit/poison", "", "");
+    let answer = exchange(&mesh.outbound(1), &text).unwrap_or_default();
+    assert!(body(&answer).contains("quarantined"), "{answer}");
+}
+
 #[test]
 fn document_is_read_back_as_it_was_sent_and_races_have_one_winner() {
     let (mesh, _servers) = pair();
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -27,6 +27,8 @@
     Truncate,
     /// Answers another request.
     Stray,
+    /// Dies: closes its connections and takes no more.
+    Die,
     /// Answers 503 without saying that it did not run.
     BareUnavailable,
 }
@@ -47,6 +49,14 @@
         let (with_script, with_seen) = (Arc::clone(&script), Arc::clone(&seen));
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if with_seen
+                    .lock()
+                    .expect("seen")
+                    .iter()
+                    .any(|r: &String| r.contains("/poison"))
+                {
+                    return;
+                }
                 let (script, seen) = (Arc::clone(&with_script), Arc::clone(&with_seen));
                 std::thread::spawn(move || serve(stream, &script, &seen));
             }
@@ -89,6 +99,13 @@
                 let _ = stream.write_all(text.as_bytes());
                 return;
             }
+            Script::Die => {
+                // The listener ends with the next connection, before the caller is told.
+                let addr = stream.local_addr().expect("an address");
+                drop(TcpStream::connect(addr));
+                std::thread::sleep(Duration::from_millis(20));
+                return;
+            }
             Script::Break => return,
         };
         if stream.write_all(answer.as_bytes()).is_err() {
