--- a/crates/foxtailgauge-core/src/consensus.rs
+++ b/crates/foxtailgauge-core/src/consensus.rs
@@ -173,6 +173,8 @@
     pub(crate) election_at_ms: u64,
     pub(crate) heartbeat_at_ms: u64,
     pub(crate) leader_heard_ms: Option<u64>,
+    /// Highest commit index that a leader has told since the start.
+    pub(crate) told_commit: Option<LogIndex>,
     pub(crate) led_since_ms: u64,
     pub(crate) ready: Ready,
     rng: SmallRng,
@@ -207,6 +209,7 @@
             election_at_ms: 0,
             heartbeat_at_ms: 0,
             leader_heard_ms: None,
+            told_commit: None,
             led_since_ms: 0,
             ready: Ready::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -455,7 +458,11 @@
     /// Whether all that is committed is applied, as far as an entry of the current term shows: a
     /// replica that has just started, or a new leader, cannot tell before.
     pub fn has_caught_up(&self) -> bool {
-        self.applied == self.commit && self.has_committed_in_term()
+        let is_told = match self.role {
+            Role::Leader => true,
+            _ => self.told_commit.is_some_and(|told| self.applied >= told),
+        };
+        is_told && self.applied == self.commit && self.has_committed_in_term()
     }
 
     pub(crate) fn has_committed_in_term(&self) -> bool {
@@ -506,6 +513,13 @@
         Some(snapshot)
     }
 
+    /// Whether every replica that answers has all entries up to an index, so that none of them needs
+    /// a snapshot once these are gone from the log.
+    pub fn peers_have(&self, index: LogIndex) -> bool {
+        let mut reachable = self.progress.values().filter(|p| self.is_reachable(p));
+        reachable.all(|progress| progress.matched >= index)
+    }
+
     pub(crate) fn send(&mut self, to: ReplicaId, message: Message) {
         let envelope = self.envelope(to, message);
         self.ready.messages.push(envelope);
--- a/crates/foxtailgauge-core/src/registry.rs
+++ b/crates/foxtailgauge-core/src/registry.rs
@@ -12,7 +12,7 @@
 /// Past revisions kept for each team.
 pub const HISTORY_LIMIT: usize = 200;
 /// Texts of past revisions kept for each team, in bytes: the state must fit a small instance.
-pub const HISTORY_BYTES: usize = 4 << 20;
+pub const HISTORY_BYTES: usize = 1 << 20;
 /// Audit entries kept in all.
 pub const AUDIT_LIMIT: usize = 10_000;
 /// Answers kept for resent changes.
--- a/crates/foxtailgauge-core/src/replication.rs
+++ b/crates/foxtailgauge-core/src/replication.rs
@@ -37,7 +37,7 @@
         index
     }
 
-    fn is_reachable(&self, progress: &Progress) -> bool {
+    pub(crate) fn is_reachable(&self, progress: &Progress) -> bool {
         self.now_ms < progress.acked_ms + ELECTION_MIN_MS
     }
 
@@ -119,6 +119,7 @@
     }
 
     pub(crate) fn on_append(&mut self, from: ReplicaId, request: AppendRequest) {
+        self.told_commit = self.told_commit.max(Some(request.commit));
         self.follow(from);
         let (is_match, index) = self.take_entries(&request);
         let reply = AppendReply {
--- a/crates/foxtailgauge-core/src/sync.rs
+++ b/crates/foxtailgauge-core/src/sync.rs
@@ -2,9 +2,9 @@
 
 use crate::directory::{Cursor, InstanceState};
 use crate::ids::{ConfigVersion, DaemonName, Digest, FailureDomain, Incarnation};
-use crate::snapshot::Update;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
+use std::sync::Arc;
 
 /// Quorum contact older than this makes a subscriber look for a better source, in milliseconds.
 ///
@@ -64,8 +64,9 @@
 pub enum PollReply {
     /// What is new.
     News {
-        /// Newer configuration, if there is one.
-        update: Option<Box<Update>>,
+        /// Newer configuration, if there is one: an encoded [`Update`](crate::Update), which is the
+        /// same for all subscribers that hold the same version.
+        update: Option<Arc<Vec<u8>>>,
         /// Changed entries of the directory.
         instances: Vec<InstanceState>,
         /// How far the directory is now read.
--- a/crates/foxtailgauge-core/tests/consensus_rules.rs
+++ b/crates/foxtailgauge-core/tests/consensus_rules.rs
@@ -216,6 +216,34 @@
     assert_eq!(node.commit(), 3);
 }
 
+/// A replica that restarts in the term in which it stopped holds entries of that term, and cannot
+/// tell by itself what was committed after it stopped.
+#[test]
+fn restarted_replica_has_caught_up_only_once_a_leader_told_its_commit() {
+    // Takes a message, makes durable and applies what it brings.
+    let take = |node: &mut Node, message, now_ms| {
+        let ready = step(node, 2, message, now_ms);
+        node.persisted(ready.last);
+        node.take_committed();
+    };
+    let mut node = node(1, &[]);
+    let entries = vec![command(2, 1), command(3, 1)];
+    take(&mut node, append(1, (1, 1), entries, 2), 1);
+    assert!(node.has_caught_up());
+    let stored = Stored {
+        hard_state: node.hard_state(),
+        snapshot: node.compact(2, Vec::new()),
+        entries: node.log().range(3, 10),
+    };
+    let mut restarted = Node::new(1, stored, 0, 7);
+    assert!(!restarted.has_caught_up(), "nobody told it anything");
+    // The leader is further on than what it sends first.
+    take(&mut restarted, append(1, (4, 1), Vec::new(), 4), 1);
+    assert!(!restarted.has_caught_up(), "it lacks an entry");
+    take(&mut restarted, append(1, (3, 1), vec![command(4, 1)], 4), 2);
+    assert!(restarted.has_caught_up());
+}
+
 #[test]
 fn late_duplicate_of_an_append_takes_nothing_back() {
     let mut node = node(1, &[]);
--- a/crates/foxtailgauge-core/tests/registry.rs
+++ b/crates/foxtailgauge-core/tests/registry.rs
@@ -220,7 +220,7 @@
         ));
     }
     let bytes: usize = registry.history("rybar").map(|r| r.text.len()).sum();
-    assert!(bytes <= 4 << 20, "{bytes}");
+    assert!(bytes <= 1 << 20, "{bytes}");
     let newest = registry.history("rybar").last();
     assert_eq!(newest.map(|record| record.revision), Some(20));
 }
--- a/crates/foxtailgauge-daemon/src/machine.rs
+++ b/crates/foxtailgauge-daemon/src/machine.rs
@@ -7,6 +7,9 @@
 };
 use foxtailgauge_wire::{decode, encode_dense, Group, SubmitReply, SubmitRequest};
 
+/// Log of configurations that is compacted, in entries: a replica that starts parses each of them
+/// before it can serve.
+const COMPACT_CONFIG_ENTRIES: usize = 16;
 /// Shortest log that is compacted, in entries.
 const COMPACT_MIN_ENTRIES: usize = 4_096;
 
@@ -58,7 +61,7 @@
     /// Entries after which writing a snapshot costs no more than what it saves.
     pub(crate) fn compact_after(&self) -> usize {
         match self {
-            Machine::Config(_) => COMPACT_MIN_ENTRIES,
+            Machine::Config(_) => COMPACT_CONFIG_ENTRIES,
             Machine::Ledger(ledger) => COMPACT_MIN_ENTRIES.max(2 * ledger.len()),
         }
     }
--- a/crates/foxtailgauge-daemon/src/metrics.rs
+++ b/crates/foxtailgauge-daemon/src/metrics.rs
@@ -27,7 +27,7 @@
 pub(crate) struct PayloadLabels {
     /// `sent` or `received`.
     pub(crate) direction: &'static str,
-    /// `poll`, `full`, `delta`, `instances`, `report`, `submit`, `tell` or `consensus`.
+    /// `poll`, `update`, `instances`, `report`, `submit`, `tell` or `consensus`.
     pub(crate) kind: &'static str,
 }
 
--- a/crates/foxtailgauge-daemon/src/peer_server.rs
+++ b/crates/foxtailgauge-daemon/src/peer_server.rs
@@ -16,11 +16,11 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use capnp_rpc::RpcSystem;
-use foxtailgauge_core::{InstanceState, PollRequest, ReportRequest};
+use foxtailgauge_core::{InstanceState, PollReply, PollRequest, ReportRequest};
 use foxtailgauge_wire::foxtailgauge_capnp::{calls, control};
 use foxtailgauge_wire::handshake::{self, ConnectionKind};
 use foxtailgauge_wire::{
-    decode, encode_dense, CallRequest, FormationState, SubmitReply, SubmitRequest,
+    decode, encode, encode_dense, CallRequest, FormationState, SubmitReply, SubmitRequest,
 };
 use futures::io::{AsyncReadExt, BufReader, BufWriter};
 use serde::de::DeserializeOwned;
@@ -227,7 +227,13 @@
         let request: PollRequest = self.read("poll", params.get()?.get_request()?)?;
         let shared = &self.services.shared;
         let reply = source::poll(shared, request).await;
-        let bytes = written(&reply)?;
+        let bytes = match &reply {
+            // The update in it is dense already.
+            PollReply::News {
+                update: Some(_), ..
+            } => encode(&reply).map_err(|error| capnp::Error::failed(error.to_string()))?,
+            _ => written(&reply)?,
+        };
         source::count_reply(shared, &reply, bytes.len());
         results.get().set_reply(&bytes);
         Ok(())
--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -23,6 +23,8 @@
 const EVENT_QUEUE: usize = 16_384;
 /// Events handled before one sync.
 const EVENTS_PER_ROUND: usize = 1_024;
+/// Log that a leader compacts whoever lags behind, in entries.
+const COMPACT_MAX_ENTRIES: usize = 4_096;
 /// Longest time between two rounds, so that the status stays fresh.
 const MAX_IDLE: Duration = Duration::from_millis(200);
 /// Interval at which a leader lets old keys expire.
@@ -478,6 +480,11 @@
             return Ok(());
         }
         let index = self.node.applied();
+        // A leader waits for those that follow closely: entries cost them less than a snapshot.
+        let is_awaited = self.node.role() == Role::Leader && !self.node.peers_have(index);
+        if is_awaited && self.node.log().len() < COMPACT_MAX_ENTRIES {
+            return Ok(());
+        }
         let data = self.machine.encode()?;
         let Some(snapshot) = self.node.compact(index, data) else {
             return Ok(());
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -14,7 +14,7 @@
     ReportRequest, Role, ServerEntry, ServerKey, ServerState, ServiceName, SessionLimit, Sightings,
     Snapshot, SnapshotError, SnapshotHistory, SuspectIndex, UnixMs, Update, VersionCount,
 };
-use foxtailgauge_wire::{encode, DomainStatus, FleetStatus};
+use foxtailgauge_wire::{encode, encode_dense, DomainStatus, FleetStatus};
 use slog::Logger;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -71,6 +71,22 @@
     history: SnapshotHistory,
     /// Highest version heard of anywhere.
     highest_heard: ConfigVersion,
+    /// Encoded updates to the version held, by the version and digest that they start from.
+    encoded: HashMap<(ConfigVersion, Digest), Arc<Vec<u8>>>,
+}
+
+impl ConfigCell {
+    /// The encoded update for a subscriber that holds the named version, if it is behind.
+    fn encoded_update(&mut self, held: ConfigVersion, digest: &Digest) -> Option<Arc<Vec<u8>>> {
+        if let Some(encoded) = self.encoded.get(&(held, *digest)) {
+            return Some(Arc::clone(encoded));
+        }
+        let update = self.history.update_for(held, digest)?;
+        // An update is made of maps and numbers, which are always encoded.
+        let encoded = Arc::new(encode_dense(&update).ok()?);
+        self.encoded.insert((held, *digest), Arc::clone(&encoded));
+        Some(encoded)
+    }
 }
 
 /// The daemon's own entry in the directory.
@@ -158,6 +174,7 @@
             config: Mutex::new(ConfigCell {
                 history: SnapshotHistory::new(DELTA_BASES),
                 highest_heard: 0,
+                encoded: HashMap::new(),
             }),
             children: Mutex::new(Children::default()),
             own: Mutex::new(OwnEntry {
@@ -213,6 +230,7 @@
     fn advance(&self, config: &mut ConfigCell, next: Arc<Snapshot>) -> Result<(), SnapshotError> {
         let version = next.version;
         config.history.advance(next)?;
+        config.encoded.clear();
         config.highest_heard = config.highest_heard.max(version);
         self.rebuild_view(config.history.current());
         self.metrics
@@ -511,10 +529,7 @@
 
     /// What a subscriber has not seen yet; `None` if there is nothing.
     pub(crate) fn news_for(&self, request: &foxtailgauge_core::PollRequest) -> Option<PollReply> {
-        let update = lock(&self.config)
-            .history
-            .update_for(request.held_version, &request.held_digest)
-            .map(Box::new);
+        let update = lock(&self.config).encoded_update(request.held_version, &request.held_digest);
         let (instances, cursor) =
             lock(&self.directory).changes_since(request.cursor, &request.daemon);
         if update.is_none() && instances.is_empty() {
--- a/crates/foxtailgauge-daemon/src/source.rs
+++ b/crates/foxtailgauge-daemon/src/source.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::Shared;
 use crate::timer::sleep_until;
-use foxtailgauge_core::{PollReply, PollRequest, ReportReply, ReportRequest, Update};
+use foxtailgauge_core::{PollReply, PollRequest, ReportReply, ReportRequest};
 use futures::future::{select, Either};
 
 use std::time::Instant;
@@ -69,12 +69,8 @@
 pub(crate) fn count_reply(shared: &Shared, reply: &PollReply, bytes: usize) {
     let kind = match reply {
         PollReply::News {
-            update: Some(update),
-            ..
-        } => match **update {
-            Update::Full(_) => "full",
-            Update::Delta(_) => "delta",
-        },
+            update: Some(_), ..
+        } => "update",
         PollReply::News { instances, .. } if !instances.is_empty() => "instances",
         PollReply::News { .. } | PollReply::Busy { .. } => "poll",
     };
--- a/crates/foxtailgauge-daemon/src/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/subscriber.rs
@@ -7,7 +7,7 @@
 use crate::timer::sleep_until;
 use foxtailgauge_core::{
     sources, Backoff, Cursor, Freshness, InstanceState, PollReply, PollRequest, ReportReply,
-    Source, REPORT_INTERVAL_MS,
+    Source, Update, REPORT_INTERVAL_MS,
 };
 use foxtailgauge_wire::{decode, encode};
 use futures::future::{select, Either};
@@ -27,10 +27,10 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(10);
 /// Neighbours asked before the first version is taken, and the time that they have to answer.
 const FLOOR_NEIGHBOURS: usize = 3;
-const FLOOR_TIMEOUT: Duration = Duration::from_millis(500);
+const FLOOR_TIMEOUT: Duration = Duration::from_millis(250);
 /// Shortest and longest wait between attempts to reach a source.
 const RETRY_MIN: Duration = Duration::from_millis(50);
-const RETRY_MAX: Duration = Duration::from_secs(2);
+const RETRY_MAX: Duration = Duration::from_millis(500);
 /// Time a daemon stays with a source that answers, so that it does not follow every change of the
 /// directory.
 const MIN_STAY: Duration = Duration::from_secs(1);
@@ -260,6 +260,15 @@
         }) => {
             take_instances(shared, source, instances);
             shared.hear_source(&freshness);
+            let update: Option<Update> = match update.as_deref().map(|bytes| decode(bytes)) {
+                None => None,
+                Some(Ok(update)) => Some(update),
+                Some(Err(error)) => {
+                    emit!(shared.log, events::UPDATE_REFUSED, "source" => &source.control_addr,
+                        "error" => error.to_string());
+                    return Polled::Failed;
+                }
+            };
             if update.is_some() && held_version == 0 {
                 learn_floor(subscriber).await;
             }
