--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -32,6 +32,7 @@
 mod consensus;
 mod directory;
 mod election;
+mod fleet_check;
 mod host_route;
 mod ids;
 mod ledger;
@@ -55,14 +56,15 @@
 pub use balance::{Balancer, CallHealth, Candidate, ServerKey};
 pub use children::Children;
 pub use config::{
-    check_fleet, is_valid_name, parse_team, prefix_matches, ConfigProblem, ConfigProblemKind,
-    Route, Service, TeamConfig, DEFAULT_QUEUE, MAX_TEXT_BYTES,
+    is_valid_name, parse_team, prefix_matches, ConfigProblem, ConfigProblemKind, Route, Service,
+    TeamConfig, DEFAULT_QUEUE, MAX_TEXT_BYTES,
 };
 pub use consensus::{
     HardState, Node, ProposeError, ReadReady, Ready, Role, Stored, ELECTION_MAX_MS,
     ELECTION_MIN_MS, HEARTBEAT_MS,
 };
 pub use directory::{Cursor, Directory, InstanceState, Presence, ServerEntry, ServerState};
+pub use fleet_check::check_fleet;
 pub use host_route::{CallerLimits, HostRoute, HostTable, SplitPart};
 pub use ids::{
     ActionKey, AttemptId, ChangeId, ConfigVersion, DaemonName, Digest, FailureDomain, Incarnation,
--- a/crates/foxtailgauge-core/src/registry.rs
+++ b/crates/foxtailgauge-core/src/registry.rs
@@ -1,8 +1,7 @@
 //! Replicated state of the configuration: teams, revisions, answers to changes, audit trail.
 
-use crate::config::{
-    check_fleet, is_valid_name, parse_team, ConfigProblem, ConfigProblemKind, TeamConfig,
-};
+use crate::config::{is_valid_name, parse_team, ConfigProblem, ConfigProblemKind, TeamConfig};
+use crate::fleet_check::check_fleet;
 use crate::ids::{ChangeId, ConfigVersion, Revision, TeamName, UnixMs};
 use crate::snapshot::Snapshot;
 use serde::{Deserialize, Serialize};
--- a/crates/foxtailgauge-core/tests/forwarding.rs
+++ b/crates/foxtailgauge-core/tests/forwarding.rs
@@ -269,13 +269,24 @@
     assert_eq!(chosen, Some(&candidates[0]));
 }
 
+/// Name, whether it is idempotent, limit of runs, ends of the attempts, time left in milliseconds,
+/// whether servers are busy, decision after the last attempt.
+type Case = (
+    &'static str,
+    bool,
+    u64,
+    &'static [AttemptEnd],
+    u64,
+    bool,
+    Next,
+);
+
 #[test]
 fn next_step_after_each_end() {
     use AttemptEnd::{Answered, Declined, NoRoom, NotReached, ServerFailed, Uncertain};
     use Next::{Again, Deliver, RefuseNotRun, RefuseUnknown};
     let again = |is_repeat| Again { is_repeat };
-    // Idempotent, limit of runs, ends of the attempts, time left in ms, busy, decision after the last.
-    let cases: [(&str, bool, u64, &[AttemptEnd], u64, bool, Next); 16] = [
+    let cases: [Case; 16] = [
         ("answer", false, 2, &[Answered], 400, false, Deliver),
         (
             "failure is the answer of a once-only request",
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -3,19 +3,21 @@
 
 use crate::emit;
 use crate::events;
-use crate::forward_body::{BodyError, ForwardBody};
+use crate::forward_body::ForwardBody;
 use crate::forward_executor::{
     attempt_id, fingerprint_of, header, set_time_left, ForwardExecutor, ForwardReply,
     ForwardRequest,
 };
 use crate::forward_headers::strip_hop_by_hop;
 use crate::forward_refusal::{refusal, Refusal};
+use crate::forward_request::{check_head, is_promise, next_body, read_body, time_to_answer};
 use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
 use crate::http_pool::{connect, HttpPool, Lease, SendError};
 use crate::mesh_settings::MeshSettings;
 use crate::metrics::ForwardLabels;
 use crate::peer_client::Identity;
-use crate::shared::{lock, unix_ms, RouteView, Shared};
+use crate::route_view::RouteView;
+use crate::shared::{lock, unix_ms, Shared};
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
     AttemptEnd, AttemptHealth, Attempts, Candidate, Fingerprint, HostRoute, Next, RetryBudget,
@@ -27,7 +29,7 @@
 use hyper::header::{HeaderValue, CONNECTION, HOST};
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use smol_hyper::rt::FuturesIo;
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -39,13 +41,6 @@
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Idle time after which a connection to another daemon is not used again.
 const PEER_MAX_IDLE: Duration = Duration::from_secs(20);
-/// Part of the time a caller waits that is kept for the answer's way back to it.
-const RETURN_SHARE: u32 = 50;
-/// Bounds of the time kept for the way back.
-const RETURN_MIN: Duration = Duration::from_millis(3);
-const RETURN_MAX: Duration = Duration::from_millis(40);
-/// Largest head of a request, if the configuration sets none.
-const DEFAULT_HEADER_BYTES: u64 = 64 << 10;
 /// Time a caller waits if neither it nor its route says so.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// Retries that one daemon saves up for a service: all daemons share one budget.
@@ -196,7 +191,7 @@
             deadline: started + time_to_answer(patience, route),
             parts: self.outgoing(parts),
         };
-        let body = read_body(body, limits.body_bytes, &call).await?;
+        let body = read_body(body, limits.body_bytes, call.deadline).await?;
         self.run(&call, body).await
     }
 
@@ -523,78 +518,3 @@
     let response = reply.response.as_ref();
     response.is_some_and(|response| response.status().is_server_error())
 }
-
-/// Whether a status tells the caller that the request did not run.
-fn is_promise(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
-
-fn check_head(parts: &Parts, limit_bytes: u64) -> Result<(), Refusal> {
-    let limit_bytes = match limit_bytes {
-        0 => DEFAULT_HEADER_BYTES,
-        limit => limit,
-    };
-    let line = |(name, value): (&hyper::header::HeaderName, &HeaderValue)| {
-        name.as_str().len() + value.len() + ": \r\n".len()
-    };
-    let bytes: usize = parts.headers.iter().map(line).sum();
-    if bytes as u64 > limit_bytes {
-        return Err(Refusal::HeadTooLarge);
-    }
-    Ok(())
-}
-
-/// Reads a body up to its whole size if it is small, and bounds the rest.
-async fn read_body(
-    incoming: Incoming,
-    limit_bytes: u64,
-    call: &Call<'_>,
-) -> Result<ForwardBody, Refusal> {
-    let limit_bytes = match limit_bytes {
-        0 => u64::MAX,
-        limit => limit,
-    };
-    if hyper::body::Body::size_hint(&incoming).lower() > limit_bytes {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let left = call.deadline.saturating_duration_since(Instant::now());
-    let gathering = ForwardBody::gather(incoming);
-    let mut body = match async_std::future::timeout(left, gathering).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLarge)) => return Err(Refusal::BodyTooLarge),
-        Ok(Err(BodyError::Broken(_))) => return Err(Refusal::MalformedBody),
-        Err(_) => return Err(Refusal::SlowBody),
-    };
-    if body
-        .bytes()
-        .is_some_and(|bytes| bytes.len() as u64 > limit_bytes)
-    {
-        return Err(Refusal::BodyTooLarge);
-    }
-    if body.bytes().is_none() && limit_bytes < u64::MAX {
-        body.set_limit(limit_bytes);
-    }
-    Ok(body)
-}
-
-/// Time until the answer must be on its way to a caller.
-fn time_to_answer(patience: Duration, route: &HostRoute) -> Duration {
-    let patience = patience.min(Duration::from_millis(route.timeout_ms));
-    let way_back = (patience / RETURN_SHARE).clamp(RETURN_MIN, RETURN_MAX);
-    patience.saturating_sub(way_back)
-}
-
-/// The body for the next attempt: a copy while it is whole, the body itself once.
-fn next_body(body: &mut Option<ForwardBody>) -> Option<ForwardBody> {
-    let whole = body.as_ref()?.bytes().cloned();
-    match whole {
-        Some(bytes) => Some(ForwardBody::whole(bytes)),
-        None => body.take(),
-    }
-}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/forward_request.rs
@@ -0,0 +1,94 @@
+//! What the gateway asks of a caller's request before it is passed on, and of its answer after.
+
+use crate::forward_body::{BodyError, ForwardBody};
+use crate::forward_refusal::Refusal;
+use foxtailgauge_core::HostRoute;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::StatusCode;
+use std::time::{Duration, Instant};
+
+/// Largest head of a request, if the configuration sets none.
+const DEFAULT_HEADER_BYTES: u64 = 64 << 10;
+/// Part of the time a caller waits that is kept for the answer's way back to it.
+const RETURN_SHARE: u32 = 50;
+/// Bounds of the time kept for the way back.
+const RETURN_MIN: Duration = Duration::from_millis(3);
+const RETURN_MAX: Duration = Duration::from_millis(40);
+
+/// Whether a status tells the caller that the request did not run.
+pub(crate) fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+/// Refuses a head beyond the limit; 0 stands for the default one.
+pub(crate) fn check_head(parts: &Parts, limit_bytes: u64) -> Result<(), Refusal> {
+    let limit_bytes = match limit_bytes {
+        0 => DEFAULT_HEADER_BYTES,
+        limit => limit,
+    };
+    let line = |(name, value): (&hyper::header::HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    let bytes: usize = parts.headers.iter().map(line).sum();
+    if bytes as u64 > limit_bytes {
+        return Err(Refusal::HeadTooLarge);
+    }
+    Ok(())
+}
+
+/// Reads a body up to its whole size if it is small, and bounds the rest.
+pub(crate) async fn read_body(
+    incoming: Incoming,
+    limit_bytes: u64,
+    deadline: Instant,
+) -> Result<ForwardBody, Refusal> {
+    let limit_bytes = match limit_bytes {
+        0 => u64::MAX,
+        limit => limit,
+    };
+    if hyper::body::Body::size_hint(&incoming).lower() > limit_bytes {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let left = deadline.saturating_duration_since(Instant::now());
+    let gathering = ForwardBody::gather(incoming);
+    let mut body = match async_std::future::timeout(left, gathering).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge)) => return Err(Refusal::BodyTooLarge),
+        Ok(Err(BodyError::Broken(_))) => return Err(Refusal::MalformedBody),
+        Err(_) => return Err(Refusal::SlowBody),
+    };
+    if body
+        .bytes()
+        .is_some_and(|bytes| bytes.len() as u64 > limit_bytes)
+    {
+        return Err(Refusal::BodyTooLarge);
+    }
+    if body.bytes().is_none() && limit_bytes < u64::MAX {
+        body.set_limit(limit_bytes);
+    }
+    Ok(body)
+}
+
+/// Time until the answer must be on its way to a caller.
+pub(crate) fn time_to_answer(patience: Duration, route: &HostRoute) -> Duration {
+    let patience = patience.min(Duration::from_millis(route.timeout_ms));
+    let way_back = (patience / RETURN_SHARE).clamp(RETURN_MIN, RETURN_MAX);
+    patience.saturating_sub(way_back)
+}
+
+/// The body for the next attempt: a copy while it is whole, the body itself once.
+pub(crate) fn next_body(body: &mut Option<ForwardBody>) -> Option<ForwardBody> {
+    let whole = body.as_ref()?.bytes().cloned();
+    match whole {
+        Some(bytes) => Some(ForwardBody::whole(bytes)),
+        None => body.take(),
+    }
+}
--- a/crates/foxtailgauge-daemon/src/gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway.rs
@@ -5,7 +5,8 @@
 use crate::executor::{replayed, Executor};
 use crate::ledger_client::LedgerClient;
 use crate::peer_client::{PeerError, PeerReply, PeerRequest};
-use crate::shared::{lock, unix_ms, RouteView, Shared};
+use crate::route_view::RouteView;
+use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::{
     fingerprint, key_time_ms, request_digest, ActionKey, CallHealth, Candidate, ConfigVersion,
     Digest, Fingerprint, LedgerAnswer, LedgerCommand, RetryBudget, Route, ServerKey,
--- a/crates/foxtailgauge-daemon/src/settings.rs
+++ b/crates/foxtailgauge-daemon/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of one daemon: an INI file, checked as a whole before anything starts.
 
 use crate::mesh_settings::{self, MeshSettings};
+use crate::settings_files::{check_folder, read_tokens};
 use foxtailgauge_core::is_valid_name;
 use foxtailgauge_wire::handshake::{ClusterKey, MIN_KEY_BYTES};
 use ini::Ini;
@@ -392,7 +393,7 @@
             self.problem("listen", "address", "no IP", "an IP");
         }
         let ports = text.split_once(',');
-        let ports = ports.and_then(|(first, last)| Some((first.trim(), last.trim())));
+        let ports = ports.map(|(first, last)| (first.trim(), last.trim()));
         let ports = ports.and_then(|(first, last)| Some((first.parse().ok()?, last.parse().ok()?)));
         let first = ports.and_then(|(first, last): (u16, u16)| {
             let count = last.checked_sub(first)?;
@@ -589,32 +590,3 @@
         })
     }
 }
-
-fn check_folder(dir: &Path) -> std::io::Result<()> {
-    std::fs::create_dir_all(dir)?;
-    std::fs::read_dir(dir)?;
-    let probe = dir.join(".probe");
-    std::fs::write(&probe, b"probe")?;
-    std::fs::remove_file(&probe)
-}
-
-fn read_tokens(file: &str) -> Result<BTreeMap<String, Vec<u8>>, String> {
-    let text = std::fs::read_to_string(file).map_err(|error| error.to_string())?;
-    let ini = Ini::load_from_str_noescape(&text).map_err(|error| error.to_string())?;
-    let section = ini.section(Some("tokens")).ok_or("no section [tokens]")?;
-    let mut tokens = BTreeMap::new();
-    for (team, hex) in section.iter() {
-        let hash = parse_hex(hex).filter(|hash| hash.len() == 32);
-        let hash = hash.ok_or_else(|| format!("`{team}` has no SHA-256 in hex"))?;
-        tokens.insert(team.to_owned(), hash);
-    }
-    Ok(tokens)
-}
-
-fn parse_hex(text: &str) -> Option<Vec<u8>> {
-    let text = text.trim();
-    let digit_pairs = (0..text.len()).step_by(2);
-    digit_pairs
-        .map(|at| u8::from_str_radix(text.get(at..at + 2)?, 16).ok())
-        .collect()
-}
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/settings_files.rs
@@ -0,0 +1,36 @@
+//! Files and folders that the settings name.
+
+use ini::Ini;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// Makes sure that a folder exists and can be read and written.
+pub(crate) fn check_folder(dir: &Path) -> std::io::Result<()> {
+    std::fs::create_dir_all(dir)?;
+    std::fs::read_dir(dir)?;
+    let probe = dir.join(".probe");
+    std::fs::write(&probe, b"probe")?;
+    std::fs::remove_file(&probe)
+}
+
+/// SHA-256 hashes of admin tokens by team, or what is wrong with the file.
+pub(crate) fn read_tokens(file: &str) -> Result<BTreeMap<String, Vec<u8>>, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| error.to_string())?;
+    let ini = Ini::load_from_str_noescape(&text).map_err(|error| error.to_string())?;
+    let section = ini.section(Some("tokens")).ok_or("no section [tokens]")?;
+    let mut tokens = BTreeMap::new();
+    for (team, hex) in section.iter() {
+        let hash = parse_hex(hex).filter(|hash| hash.len() == 32);
+        let hash = hash.ok_or_else(|| format!("`{team}` has no SHA-256 in hex"))?;
+        tokens.insert(team.to_owned(), hash);
+    }
+    Ok(tokens)
+}
+
+fn parse_hex(text: &str) -> Option<Vec<u8>> {
+    let text = text.trim();
+    let digit_pairs = (0..text.len()).step_by(2);
+    digit_pairs
+        .map(|at| u8::from_str_radix(text.get(at..at + 2)?, 16).ok())
+        .collect()
+}
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -6,13 +6,14 @@
 use crate::metrics::Metrics;
 use crate::peer_client::{PeerClient, PeerRequest};
 use crate::replica::ReplicaHandles;
+use crate::route_view::RouteView;
 use crate::settings::Settings;
 use event_listener::Event;
 use foxtailgauge_core::{
-    Balancer, Candidate, Children, ConfigVersion, Cursor, Digest, Directory, Fingerprint,
-    Freshness, HostTable, Incarnation, InstanceState, MemberSet, Placement, PollReply, Presence,
-    ReportRequest, Role, ServerEntry, ServerKey, ServerState, ServiceName, SessionLimit, Sightings,
-    Snapshot, SnapshotError, SnapshotHistory, SuspectIndex, UnixMs, Update, VersionCount,
+    Balancer, Children, ConfigVersion, Cursor, Digest, Directory, Fingerprint, Freshness,
+    Incarnation, InstanceState, MemberSet, Placement, PollReply, Presence, ReportRequest, Role,
+    ServerEntry, ServerKey, ServerState, SessionLimit, Sightings, Snapshot, SnapshotError,
+    SnapshotHistory, UnixMs, Update, VersionCount,
 };
 use foxtailgauge_wire::{encode, encode_dense, DomainStatus, FleetStatus};
 use slog::Logger;
@@ -52,21 +53,6 @@
     pub(crate) bulk_calls: PeerClient,
 }
 
-/// What a gateway routes by. Built from one snapshot and one directory, swapped whole.
-///
-/// Invariant: every candidate belongs to a service of the snapshot.
-#[derive(Debug, Default)]
-pub(crate) struct RouteView {
-    /// Configuration.
-    pub(crate) snapshot: Option<Arc<Snapshot>>,
-    /// Backend servers that take work, by service.
-    pub(crate) candidates: HashMap<ServiceName, Vec<Candidate>>,
-    /// Requests that were in flight when backend servers died.
-    pub(crate) suspects: SuspectIndex,
-    /// Host routes of the snapshot, arranged for look-up.
-    pub(crate) hosts: Arc<HostTable>,
-}
-
 struct ConfigCell {
     history: SnapshotHistory,
     /// Highest version heard of anywhere.
@@ -255,32 +241,7 @@
 
     fn rebuild_view(&self, snapshot: &Arc<Snapshot>) {
         let directory = lock(&self.directory);
-        let mut candidates: HashMap<ServiceName, Vec<Candidate>> = HashMap::new();
-        for instance in directory.live() {
-            for server in &instance.servers {
-                let is_known = snapshot.services.contains_key(&server.service);
-                if server.state == ServerState::Ready && is_known {
-                    let list = candidates.entry(server.service.clone()).or_default();
-                    list.push(candidate(instance, server));
-                }
-            }
-        }
-        let suspects = directory.live().flat_map(|i| &i.suspects);
-        let held = self.view();
-        let is_same = held
-            .snapshot
-            .as_ref()
-            .is_some_and(|held| Arc::ptr_eq(held, snapshot));
-        let hosts = match is_same {
-            true => Arc::clone(&held.hosts),
-            false => Arc::new(HostTable::new(&snapshot.host_routes)),
-        };
-        let view = RouteView {
-            snapshot: Some(Arc::clone(snapshot)),
-            hosts,
-            suspects: SuspectIndex::collect(suspects),
-            candidates,
-        };
+        let view = RouteView::build(snapshot, &directory, &self.view());
         self.metrics.daemons.set(directory.live().count() as i64);
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
     }
@@ -611,18 +572,6 @@
     }
 }
 
-fn candidate(instance: &InstanceState, server: &ServerEntry) -> Candidate {
-    Candidate {
-        key: ServerKey {
-            daemon: instance.name.clone(),
-            server: server.name.clone(),
-        },
-        failure_domain: instance.failure_domain.clone(),
-        calls_addr: instance.calls_addr.clone(),
-        slots: server.slots,
-    }
-}
-
 fn domain_statuses<'a>(instances: impl Iterator<Item = &'a InstanceState>) -> Vec<DomainStatus> {
     let mut domains: BTreeMap<String, DomainStatus> = BTreeMap::new();
     for instance in instances {
