--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -1,4 +1,7 @@
 //! A small fleet of real daemons that carry plain HTTP, with backend servers by script.
+//!
+//! Each test file uses a part of it.
+#![allow(dead_code)]
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -304,6 +307,15 @@
         exchange(&self.ready(n), request).is_some_and(|answer| status(&answer) == 200)
     }
 
+    /// Log lines of a daemon that hold a text, as `grep` finds them.
+    pub fn grep(&self, n: usize, text: &str) -> Vec<serde_json::Value> {
+        let log = std::fs::read_to_string(self.path(&format!("d{n}.log"))).unwrap_or_default();
+        log.lines()
+            .filter(|line| line.contains(text))
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
     /// Tells a daemon to stop.
     pub fn terminate(&self, n: usize) {
         let pid = i32::try_from(self.children[n].id()).expect("a pid");
