A key that the ledger was not asked about is not told not run

Change: ledger_unavailable has the outcome unknown, with Retry-After and the same key, also for keys never seen before. Not touched: refusals for lack of room still speak of the attempt only.

--- a/crates/foxtailgauge-daemon/src/executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor.rs
@@ -298,7 +298,9 @@
         deadline: Instant,
     ) -> Result<(), CallReply> {
         let unreachable = || {
-            let reply = CallReply::without_answer(Outcome::NotRun, Cause::LedgerUnreachable);
+            // This attempt did not run, but an earlier one of the key may have: only the ledger
+            // knows, and a caller told "not run" would start the action anew under another key.
+            let reply = CallReply::without_answer(Outcome::Unknown, Cause::LedgerUnreachable);
             reply.retry_after(LEDGER_RETRY_AFTER)
         };
         let contact_age_ms = self.shared.quorum_age_ms();
--- a/crates/foxtailgauge-daemon/src/gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway.rs
@@ -408,7 +408,7 @@
             | Cause::Voided
             | Cause::Shed => Attempt::NotRun(overloaded(call, retry_after)),
             Cause::LedgerUnreachable => {
-                Attempt::Final(refused(Outcome::NotRun, Refusal::LedgerUnavailable))
+                Attempt::Final(refused(Outcome::Unknown, Refusal::LedgerUnavailable))
             }
             Cause::OtherRequest => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyReused)),
             Cause::ExpiredKey => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyExpired)),
