--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -17,6 +17,8 @@
 const REPORT_TTL: Duration = Duration::from_secs(1);
 /// Run time assumed of a backend server without a report.
 const INITIAL_RUN: Duration = Duration::from_millis(50);
+/// Shortest run time that is assumed, so that distance never counts alone.
+const MIN_RUN: Duration = Duration::from_millis(1);
 /// Cost of leaving the failure domain: the hop both ways.
 const REMOTE_COST: Duration = Duration::from_millis(6);
 /// Part of the time to the target within which a backend server of the own failure domain is as
@@ -133,9 +135,6 @@
     }
 }
 
-/// Shortest run time that is assumed, so that distance never counts alone.
-const MIN_RUN: Duration = Duration::from_millis(1);
-
 /// A gateway's picture of all backend servers.
 #[derive(Debug)]
 pub struct Placement {
@@ -228,14 +227,6 @@
         view.failure_at = now;
     }
 
-    /// Time until the answer to a request sent now, and the run time in it.
-    pub fn expected(&self, candidate: &Candidate, now: Instant) -> (Duration, Duration) {
-        match self.views.get(&candidate.key) {
-            Some(view) => (view.expected(candidate.slots, now), view.run()),
-            None => (INITIAL_RUN, INITIAL_RUN),
-        }
-    }
-
     fn cost(&self, candidate: &Candidate, now: Instant) -> Duration {
         let Some(view) = self.views.get(&candidate.key) else {
             return INITIAL_RUN;
--- a/crates/foxtailgauge-daemon/src/admin_http.rs
+++ b/crates/foxtailgauge-daemon/src/admin_http.rs
@@ -48,6 +48,16 @@
     app
 }
 
+/// The metrics alone, for an address that others than operators may read.
+pub(crate) fn metrics_server(shared: &Arc<Shared>, replicas: ReplicaClient) -> Server<Admin> {
+    let mut app = tide::with_state(Admin {
+        shared: Arc::clone(shared),
+        replicas,
+    });
+    app.at("/metrics").get(metrics);
+    app
+}
+
 /// What a request wants to do with a team's subtree.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Access {
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -168,7 +168,7 @@
     caller_http::serve(shared, &gateway, listeners.callers);
 }
 
-fn serve_http<S>(shared: &Arc<Shared>, app: tide::Server<S>, listener: TcpListener)
+pub(crate) fn serve_http<S>(shared: &Arc<Shared>, app: tide::Server<S>, listener: TcpListener)
 where
     S: Clone + Send + Sync + 'static,
 {
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -277,7 +277,7 @@
         let id = request.request.headers().get(headers::ATTEMPT).cloned();
         let name = request.hop.server.clone();
         let fingerprint = request.fingerprint;
-        let (mut lease, response) = match self.send(server, request).await {
+        let (lease, response) = match self.send(server, request).await {
             Ok(sent) => sent,
             Err(error) => {
                 let end = self.failed(server, &id, &error);
@@ -310,7 +310,6 @@
                 }
                 if body.bytes().is_some() {
                     drop(running);
-                    lease.is_reused = true;
                     self.pool.give_back(lease);
                 } else {
                     body.hold((running, lease));
--- a/crates/foxtailgauge-daemon/src/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/http_pool.rs
@@ -48,8 +48,6 @@
 pub(crate) struct Lease {
     sender: SendRequest<ForwardBody>,
     addr: String,
-    /// Whether it has carried a request before.
-    pub(crate) is_reused: bool,
 }
 
 /// Idle connections by address, the one used last first.
@@ -73,7 +71,6 @@
                 return Some(Lease {
                     sender: connection.sender,
                     addr: addr.to_owned(),
-                    is_reused: true,
                 });
             }
         }
@@ -106,7 +103,6 @@
         Ok(Lease {
             sender,
             addr: addr.to_owned(),
-            is_reused: false,
         })
     }
 
--- a/crates/foxtailgauge-daemon/src/mesh.rs
+++ b/crates/foxtailgauge-daemon/src/mesh.rs
@@ -1,6 +1,7 @@
 //! The part of a daemon that carries plain HTTP by host routes: started, drained.
 
-use crate::daemon::{bind, identity, DaemonError};
+use crate::admin_http;
+use crate::daemon::{bind, identity, serve_http, DaemonError};
 use crate::forward_executor::ForwardExecutor;
 use crate::forward_gateway::ForwardGateway;
 use crate::peer_server::Services;
@@ -50,6 +51,11 @@
         let listener = bind(addr, log).await?;
         async_std::task::spawn(Arc::clone(&platform).serve(listener));
     }
+    if let Some(addr) = mesh.metrics {
+        let listener = bind(addr, log).await?;
+        let app = admin_http::metrics_server(shared, replicas.clone());
+        serve_http(shared, app, listener);
+    }
     if let Some(addr) = mesh.outbound {
         let listener = bind(addr, log).await?;
         let counters = &shared.metrics.call_bytes;
--- a/crates/foxtailgauge-daemon/src/mesh_settings.rs
+++ b/crates/foxtailgauge-daemon/src/mesh_settings.rs
@@ -15,10 +15,8 @@
         "platform",
         "metrics",
         "service",
-        "server",
         "report_interval_ms",
         "stop_grace_ms",
-        "drain_ms",
     ],
 )];
 
@@ -37,14 +35,10 @@
     pub metrics: Option<SocketAddr>,
     /// Service of the backend server beside this daemon, without workspace.
     pub service: Option<String>,
-    /// Address of the backend server beside this daemon.
-    pub server: Option<SocketAddr>,
     /// Interval at which a backend server reports.
     pub report_interval: Duration,
     /// Time between the request to stop and the end of the process.
     pub stop_grace: Duration,
-    /// Time after the acknowledgement of its leave in which a backend server still takes requests.
-    pub drain: Duration,
 }
 
 /// Reads the section `mesh`; `None` if the file has none.
@@ -66,9 +60,7 @@
         platform: reader.optional_address("platform"),
         metrics: reader.optional_address("metrics"),
         service,
-        server: reader.optional_address("server"),
         report_interval: reader.millis("mesh", "report_interval_ms", 50..=60_000, 1_500),
         stop_grace: reader.millis("mesh", "stop_grace_ms", 500..=600_000, 6_000),
-        drain: reader.millis("mesh", "drain_ms", 0..=600_000, 2_000),
     })
 }
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -309,6 +309,23 @@
     mesh.wait_end(1);
 }
 
+#[test]
+fn metrics_count_answers_by_reason() {
+    let (mesh, _servers) = pair();
+    assert_eq!(status(&get(&mesh, "/view/1")), 200);
+    assert_eq!(status(&get(&mesh, "/gone/1")), 404);
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    let answer = exchange(&mesh.metrics(1), text).unwrap_or_default();
+    assert_eq!(status(&answer), 200);
+    for expected in [
+        "foxtailgauge_forwarded_total{outcome=\"answered\"}",
+        "foxtailgauge_forwarded_total{outcome=\"unknown_route\"} 1",
+        "foxtailgauge_forward_seconds_count",
+    ] {
+        assert!(body(&answer).contains(expected), "{expected}: {answer}");
+    }
+}
+
 #[test]
 fn daemon_without_configuration_says_not_run() {
     let mesh = Mesh::start(1);
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -189,8 +189,8 @@
     children: Vec<Child>,
 }
 
-/// Ports of each daemon: five of the range, then outbound, ready, platform.
-const PORTS: usize = 8;
+/// Ports of each daemon: five of the range, then outbound, ready, platform, metrics.
+const PORTS: usize = 9;
 
 impl Mesh {
     pub fn start(sidecars: usize) -> Self {
@@ -242,7 +242,10 @@
             String::new()
         } else {
             let (outbound, ready) = (self.outbound(n), self.ready(n));
-            format!("outbound = {outbound}\nready = {ready}\nservice = viewer\n")
+            let metrics = self.metrics(n);
+            format!(
+                "outbound = {outbound}\nready = {ready}\nmetrics = {metrics}\nservice = viewer\n"
+            )
         };
         format!(
             "[instance]\nname = d{n}\nfailure_domain = z{n}\n\
@@ -269,6 +272,10 @@
         format!("{}:{}", Self::ip(n), self.ports[0] + 6)
     }
 
+    pub fn metrics(&self, n: usize) -> String {
+        format!("{}:{}", Self::ip(n), self.ports[0] + 8)
+    }
+
     pub fn platform(&self, n: usize) -> String {
         format!("{}:{}", Self::ip(n), self.platform_port())
     }
