--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -21,8 +21,9 @@
 const MIN_RUN: Duration = Duration::from_millis(1);
 /// Cost of leaving the failure domain: the hop both ways.
 const REMOTE_COST: Duration = Duration::from_millis(6);
-/// Part of the time to the target within which a backend server of the own failure domain is as
-/// good as any: most answers still come in time, and bytes between domains are saved.
+/// Forecast, in times to the target, up to which a backend server of the own failure domain is taken
+/// without a look at the others. Run times spread around their mean, so many answers still come in
+/// time there, and bytes between domains are saved.
 const NEAR_ENOUGH: f64 = 1.2;
 /// Cost of a certain failure: what a caller loses by trying again elsewhere.
 const FAILURE_COST: Duration = Duration::from_millis(500);
