--- a/crates/foxtailgauge-bench/src/plan.rs
+++ b/crates/foxtailgauge-bench/src/plan.rs
@@ -329,6 +329,7 @@
                 listen,
                 target,
                 failure_domain: member.failure_domain.clone(),
+                name: member.name.clone(),
             });
         }
     }
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -264,7 +264,7 @@
     let arrivals = servers
         .iter()
         .flat_map(|server| server.seen.lock().expect("seen").clone())
-        .filter(|request| request.contains("/poison"))
+        .filter(|arrival| arrival.text.contains("/poison"))
         .count();
     assert_eq!(arrivals, 2);
     let text = request("POST", "/commit/poison", "", "");
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -3,8 +3,11 @@
 //! Each test file uses a part of it.
 #![allow(dead_code)]
 
+use foxtailgauge_bench::ports::free_ports;
+use foxtailgauge_bench::relay::{self, Faults, Link, RelayPlan};
+use rustix::process::{kill_process, Pid, Signal};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{IpAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -13,6 +16,9 @@
 /// Longest time that anything may take.
 pub const LIMIT: Duration = Duration::from_secs(30);
 
+/// Longest time that one answer may take; a daemon that is paused gives none.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(10);
+
 /// What a backend server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Script {
@@ -36,11 +42,21 @@
     BareUnavailable,
 }
 
-/// A backend server. It keeps the raw requests that it received.
+/// A request that reached a backend server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Head and body.
+    pub text: String,
+    pub at: Instant,
+    /// Whether the server began to work on it.
+    pub is_run: bool,
+}
+
+/// A backend server. It keeps the requests that it received.
 pub struct Server {
     pub addr: String,
     pub script: Arc<Mutex<Script>>,
-    pub seen: Arc<Mutex<Vec<String>>>,
+    pub seen: Arc<Mutex<Vec<Arrival>>>,
 }
 
 impl Server {
@@ -56,7 +72,7 @@
                     .lock()
                     .expect("seen")
                     .iter()
-                    .any(|r: &String| r.contains("/poison"))
+                    .any(|arrival: &Arrival| arrival.text.contains("/poison"))
                 {
                     return;
                 }
@@ -81,11 +97,15 @@
     }
 }
 
-fn serve(mut stream: TcpStream, script: &Mutex<Script>, seen: &Mutex<Vec<String>>) {
+fn serve(mut stream: TcpStream, script: &Mutex<Script>, seen: &Mutex<Vec<Arrival>>) {
     while let Some(request) = read_message(&mut stream) {
-        seen.lock().expect("seen").push(request.clone());
         let id = header(&request, "attempt-id").unwrap_or_default();
         let script = *script.lock().expect("script");
+        seen.lock().expect("seen").push(Arrival {
+            text: request.clone(),
+            at: Instant::now(),
+            is_run: script != Script::Decline,
+        });
         if let Script::Slow(ms) = script {
             std::thread::sleep(Duration::from_millis(ms));
         }
@@ -165,7 +185,7 @@
 /// Sends raw bytes and reads one answer; `None` if the connection ends without a whole one.
 pub fn exchange(addr: &str, request: &str) -> Option<String> {
     let mut stream = TcpStream::connect(addr).ok()?;
-    stream.set_read_timeout(Some(LIMIT)).ok()?;
+    stream.set_read_timeout(Some(EXCHANGE_LIMIT)).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
     read_message(&mut stream)
 }
@@ -182,43 +202,89 @@
     }
 }
 
-/// One replica and some sidecars.
+/// Shape of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub replicas: usize,
+    pub sidecars: usize,
+    /// Failure domains; daemons are dealt to them by turns.
+    pub domains: usize,
+    /// Whether daemons reach each other over links that a test can disturb.
+    pub has_links: bool,
+}
+
+/// Some replicas, then some sidecars.
 pub struct Mesh {
     dir: tempfile::TempDir,
-    ports: Vec<u16>,
-    children: Vec<Child>,
+    first_port: u16,
+    shape: Shape,
+    /// `None` for a daemon that was ended.
+    children: Vec<Option<Child>>,
+    pub faults: Faults,
 }
 
 /// Ports of each daemon: five of the range, then outbound, ready, platform, metrics.
-const PORTS: usize = 9;
+const PORTS: u16 = 9;
+/// Ports of the range, on which daemons reach each other.
+const RANGE: u16 = 5;
 
 impl Mesh {
+    /// One replica and some sidecars, each in a failure domain of its own.
     pub fn start(sidecars: usize) -> Self {
+        Self::start_shaped(Shape {
+            replicas: 1,
+            sidecars,
+            domains: sidecars + 1,
+            has_links: false,
+        })
+    }
+
+    pub fn start_shaped(shape: Shape) -> Self {
+        let daemons = shape.replicas + shape.sidecars;
+        let ips: Vec<IpAddr> = (0..daemons)
+            .flat_map(|n| [Self::ip(n), Self::link_ip(n)])
+            .map(|ip| ip.parse().expect("an address"))
+            .collect();
         let mut mesh = Mesh {
             dir: tempfile::tempdir().expect("a folder"),
-            ports: free_ports(sidecars + 1),
-            children: Vec::new(),
+            first_port: free_ports(&ips, PORTS).expect("free ports"),
+            shape,
+            children: (0..daemons).map(|_| None).collect(),
+            faults: Faults::default(),
         };
+        if shape.has_links {
+            let links = (0..daemons).flat_map(|n| mesh.links(n)).collect();
+            let listening = relay::listen(RelayPlan { links }, &mesh.faults);
+            async_std::task::block_on(listening).expect("links");
+        }
         std::fs::write(mesh.path("key"), "a key of more than sixteen bytes").expect("a key file");
-        for n in 0..=sidecars {
-            let settings = mesh.settings(n);
-            let file = mesh.path(&format!("d{n}.ini"));
-            std::fs::write(&file, settings).expect("settings");
-            let log = std::fs::File::create(mesh.path(&format!("d{n}.log"))).expect("a log");
-            let child = Command::new(env!("CARGO_BIN_EXE_foxtailgauged"))
-                .arg("--settings")
-                .arg(&file)
-                .stdout(log.try_clone().expect("a log"))
-                .stderr(log)
-                .stdin(Stdio::null())
-                .spawn()
-                .expect("the daemon");
-            mesh.children.push(child);
+        for n in 0..daemons {
+            mesh.start_daemon(n, true);
         }
         mesh
     }
 
-    fn path(&self, name: &str) -> PathBuf {
+    /// Starts a daemon that does not run.
+    pub fn start_daemon(&mut self, n: usize, is_first_start: bool) {
+        let file = self.path(&format!("d{n}.ini"));
+        std::fs::write(&file, self.settings(n, is_first_start)).expect("settings");
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.path(&format!("d{n}.log")))
+            .expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_foxtailgauged"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(log.try_clone().expect("a log"))
+            .stderr(log)
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the daemon");
+        self.children[n] = Some(child);
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
         self.dir.path().join(name)
     }
 
@@ -227,18 +293,65 @@
         format!("127.0.0.{}", n + 1)
     }
 
-    fn settings(&self, n: usize) -> String {
-        let first = self.ports[0];
-        let last = first + 4;
-        let ip = Self::ip(n);
+    /// Address of the links in front of a daemon.
+    fn link_ip(n: usize) -> String {
+        format!("127.0.1.{}", n + 1)
+    }
+
+    /// Where other daemons reach a daemon.
+    fn reached_ip(&self, n: usize) -> String {
+        match self.shape.has_links {
+            true => Self::link_ip(n),
+            false => Self::ip(n),
+        }
+    }
+
+    fn domain(&self, n: usize) -> String {
+        format!("z{}", n % self.shape.domains)
+    }
+
+    fn links(&self, n: usize) -> Vec<Link> {
+        let link = |port: u16| Link {
+            listen: format!("{}:{port}", Self::link_ip(n))
+                .parse()
+                .expect("an address"),
+            target: format!("{}:{port}", Self::ip(n))
+                .parse()
+                .expect("an address"),
+            failure_domain: self.domain(n),
+            name: format!("d{n}"),
+        };
+        (self.first_port..self.first_port + RANGE)
+            .map(link)
+            .collect()
+    }
+
+    /// Folder of a replica's state.
+    pub fn store(&self, n: usize) -> PathBuf {
+        self.path(&format!("store{n}"))
+    }
+
+    fn settings(&self, n: usize, may_form: bool) -> String {
+        let first = self.first_port;
+        let last = first + RANGE - 1;
+        let (ip, domain) = (Self::ip(n), self.domain(n));
         let key = self.path("key");
-        let seeds = format!("{}:{}", Self::ip(0), self.platform_port());
-        let role = if n == 0 {
-            format!("[store]\ndir = {}\n", self.path("store").display())
-        } else {
-            String::new()
+        let seed = |n: usize| format!("{}:{}", self.reached_ip(n), self.platform_port());
+        let seeds: Vec<String> = (0..self.shape.replicas).map(seed).collect();
+        let seeds = seeds.join(",");
+        let is_replica = n < self.shape.replicas;
+        let mut role = match is_replica {
+            true => format!("[store]\ndir = {}\n", self.store(n).display()),
+            false => String::new(),
         };
-        let outbound = if n == 0 {
+        if self.shape.has_links {
+            // The first two ports of the range are those of control and calls.
+            let reached = self.reached_ip(n);
+            let calls = first + 1;
+            role +=
+                &format!("[advertise]\ncontrol = {reached}:{first}\ncalls = {reached}:{calls}\n");
+        }
+        let outbound = if is_replica {
             String::new()
         } else {
             let (outbound, ready) = (self.outbound(n), self.ready(n));
@@ -248,9 +361,9 @@
             )
         };
         format!(
-            "[instance]\nname = d{n}\nfailure_domain = z{n}\n\
+            "[instance]\nname = d{n}\nfailure_domain = {domain}\n\
              [listen]\naddress = {ip}\nports = {first},{last}\n\
-             [replicas]\nseeds = {seeds}\nmay_form = true\n\
+             [replicas]\nseeds = {seeds}\nmay_form = {may_form}\n\
              [cluster]\nkey_file = {}\n{role}\
              [mesh]\nworkspace = mesh\nplatform = {}\nreport_interval_ms = 1000\n\
              stop_grace_ms = 3000\n{outbound}[log]\nlevel = debug\n",
@@ -260,20 +373,20 @@
     }
 
     fn platform_port(&self) -> u16 {
-        self.ports[0] + 7
+        self.first_port + 7
     }
 
     /// Where callers on sidecar `n` send their requests.
     pub fn outbound(&self, n: usize) -> String {
-        format!("{}:{}", Self::ip(n), self.ports[0] + 5)
+        format!("{}:{}", Self::ip(n), self.first_port + 5)
     }
 
     pub fn ready(&self, n: usize) -> String {
-        format!("{}:{}", Self::ip(n), self.ports[0] + 6)
+        format!("{}:{}", Self::ip(n), self.first_port + 6)
     }
 
     pub fn metrics(&self, n: usize) -> String {
-        format!("{}:{}", Self::ip(n), self.ports[0] + 8)
+        format!("{}:{}", Self::ip(n), self.first_port + 8)
     }
 
     pub fn platform(&self, n: usize) -> String {
@@ -283,30 +396,14 @@
     /// Sends an operator's document, again and again until it has a clear answer.
     pub fn put_document(&self, base: u64, document: &serde_json::Value) -> u16 {
         wait_for("a clear answer to the document", || {
-            let body = document.to_string();
-            let request = format!(
-                "PUT /foxtailgauge/config HTTP/1.1\r\nHost: x\r\nIf-Match: {base:08x}\r\n\
-                 Content-Length: {}\r\n\r\n{body}",
-                body.len()
-            );
-            let status = status(&exchange(&self.platform(0), &request)?);
+            let status = put_document(&self.platform(0), base, document)?;
             (status != 503).then_some(status)
         })
     }
 
     /// Reports a backend server to the daemon beside it.
     pub fn report(&self, n: usize, server: &str, addr: &str, state: &str, sequence: u64) -> u16 {
-        let body = serde_json::json!({
-            "address": addr, "born": 1,
-            "info": {"service": "viewer", "version": "v1", "zone": "z", "capacity": 4},
-            "status": {"state": state, "sequence": sequence, "warmup_left_ms": 0},
-        })
-        .to_string();
-        let request = format!(
-            "PUT /foxtailgauge/instances/{server} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        exchange(&self.platform(n), &request).map_or(0, |answer| status(&answer))
+        report(&self.platform(n), server, addr, state, sequence)
     }
 
     pub fn is_ready(&self, n: usize) -> bool {
@@ -323,23 +420,56 @@
             .collect()
     }
 
+    /// Sends a signal to a daemon that runs.
+    pub fn signal(&self, n: usize, signal: Signal) {
+        let child = self.children[n].as_ref().expect("a running daemon");
+        let pid = i32::try_from(child.id()).expect("a pid");
+        kill_process(Pid::from_raw(pid).expect("a pid"), signal).expect("a signal");
+    }
+
+    /// Sends a signal to a daemon, unless it was ended.
+    pub fn signal_if_running(&self, n: usize, signal: Signal) {
+        if self.children[n].is_some() {
+            self.signal(n, signal);
+        }
+    }
+
+    /// Ends the daemons; their logs and state stay.
+    pub fn keep_files(mut self) -> PathBuf {
+        (0..self.children.len()).for_each(|n| self.kill(n));
+        self.dir.disable_cleanup(true);
+        self.dir.path().to_owned()
+    }
+
     /// Tells a daemon to stop.
     pub fn terminate(&self, n: usize) {
-        let pid = i32::try_from(self.children[n].id()).expect("a pid");
-        let pid = rustix::process::Pid::from_raw(pid).expect("a pid");
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("a signal");
+        self.signal(n, Signal::TERM);
+    }
+
+    /// SIGKILL, and waits for the end.
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.children[n].take() {
+            child.kill().expect("a signal");
+            child.wait().expect("the end of a daemon");
+        }
     }
 
     /// Waits for the end of a daemon.
     pub fn wait_end(&mut self, n: usize) {
-        let child = &mut self.children[n];
+        let mut child = self.children[n].take().expect("a running daemon");
         wait_for("the end of a daemon", || child.try_wait().ok().flatten());
     }
+
+    /// Whether a daemon ended by itself.
+    pub fn has_ended(&mut self, n: usize) -> bool {
+        let child = self.children[n].as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
 }
 
 impl Drop for Mesh {
     fn drop(&mut self) {
-        for child in &mut self.children {
+        for child in self.children.iter_mut().flatten() {
             // It may have ended already.
             let _ = child.kill();
             let _ = child.wait();
@@ -347,19 +477,30 @@
     }
 }
 
-/// First of a run of ports that are free on all the daemons' addresses.
-fn free_ports(daemons: usize) -> Vec<u16> {
-    for _ in 0..200 {
-        let first = 20_000 + rand::random::<u16>() % 12_000;
-        let is_free = |port: u16| {
-            (0..daemons).all(|n| TcpListener::bind((Mesh::ip(n).as_str(), port)).is_ok())
-        };
-        let run: Vec<u16> = (first..first + PORTS as u16).collect();
-        if run.iter().all(|port| is_free(*port)) {
-            return run;
-        }
-    }
-    panic!("no free ports");
+/// Sends an operator's document once; `None`: no answer.
+pub fn put_document(platform: &str, base: u64, document: &serde_json::Value) -> Option<u16> {
+    let body = document.to_string();
+    let request = format!(
+        "PUT /foxtailgauge/config HTTP/1.1\r\nHost: x\r\nIf-Match: {base:08x}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    Some(status(&exchange(platform, &request)?))
+}
+
+/// Reports a backend server once; 0: no answer.
+pub fn report(platform: &str, server: &str, addr: &str, state: &str, sequence: u64) -> u16 {
+    let body = serde_json::json!({
+        "address": addr, "born": 1,
+        "info": {"service": "viewer", "version": "v1", "zone": "z", "capacity": 4},
+        "status": {"state": state, "sequence": sequence, "warmup_left_ms": 0},
+    })
+    .to_string();
+    let request = format!(
+        "PUT /foxtailgauge/instances/{server} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    exchange(platform, &request).map_or(0, |answer| status(&answer))
 }
 
 /// A document with one host, an idempotent route `/view/` and a once-only route `/commit/`.
