Forecasts by route: a short call is no longer sent across the border by the mean of long runs

Its mean run time, over long orders and short lookups, made every lookup look late near by, so all went to the fastest server of the fleet. Change: the executor reports the mean run time of the route that asked; the gateway forecasts turns by the mean of all and the own run by the route. Test: placement_forecasts_a_short_call_by_its_own_run_time, seen failing with the former forecast.

--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -4,7 +4,7 @@
 //! or failing, seen through reports that are a few answers old by many gateways at once.
 
 use crate::balance::{Candidate, ServerKey};
-use crate::ids::FailureDomain;
+use crate::ids::{FailureDomain, RouteName};
 use crate::work_queue::WorkLoad;
 use rand::Rng;
 use std::collections::HashMap;
@@ -63,6 +63,8 @@
     own: u32,
     sent_since_report: u32,
     report: Option<(WorkLoad, Instant)>,
+    /// Run times by route. A short call and a long one of the same service differ by several times.
+    route_runs: HashMap<RouteName, Duration>,
     failure_rate: f64,
     failure_at: Instant,
     closed_until: Option<Instant>,
@@ -78,6 +80,7 @@
             own: 0,
             sent_since_report: 0,
             report: None,
+            route_runs: HashMap::new(),
             failure_rate: 0.0,
             failure_at: now,
             closed_until: None,
@@ -113,14 +116,29 @@
         !is_closed && !is_silent
     }
 
+    fn learn_run(&mut self, route: &str, run: Duration) {
+        match self.route_runs.get_mut(route) {
+            Some(known) => *known = run,
+            None => {
+                self.route_runs.insert(route.to_owned(), run);
+            }
+        }
+    }
+
     fn close(&mut self, now: Instant) {
         let time = CLOSED_TIME * 2u32.saturating_pow(self.closings.min(8));
         self.closed_until = Some(now + time.min(MAX_CLOSED_TIME));
         self.closings += 1;
     }
 
-    /// Time until the answer to a request sent now.
-    fn expected(&self, slots: u32, now: Instant) -> Duration {
+    fn route_run(&self, route: &str) -> Duration {
+        let run = self.route_runs.get(route).copied();
+        run.map_or_else(|| self.run(), |run| run.max(MIN_RUN))
+    }
+
+    /// Time until the answer to a request sent now: its turns of waiting behind requests of all
+    /// routes, then its own run.
+    fn expected(&self, slots: u32, route: &str, now: Instant) -> Duration {
         let (under_way, slots) = match self.report(now) {
             Some(load) => (
                 load.running + load.waiting + self.sent_since_report,
@@ -132,7 +150,7 @@
         let under_way = f64::from(under_way);
         let turns = ((under_way + 1.0 - slots) / slots).max(0.0);
         let crowding = CROWDING * (under_way / slots).min(1.0);
-        self.run().mul_f64(1.0 + turns + crowding)
+        self.run().mul_f64(turns) + self.route_run(route).mul_f64(1.0 + crowding)
     }
 }
 
@@ -164,6 +182,7 @@
         &mut self,
         candidates: &'a [Candidate],
         tried: &[ServerKey],
+        route: &str,
         target: Duration,
         now: Instant,
         rng: &mut impl Rng,
@@ -176,11 +195,11 @@
         let (near, far): (Vec<&Candidate>, Vec<&Candidate>) = open
             .into_iter()
             .partition(|c| c.failure_domain == self.failure_domain);
-        let near = sample(near, rng).map(|c| (self.cost(c, now), c));
+        let near = sample(near, rng).map(|c| (self.cost(c, route, now), c));
         let best_near = near.min_by_key(|(cost, _)| *cost);
         let is_near_enough = best_near.is_some_and(|(cost, _)| cost < target.mul_f64(NEAR_ENOUGH));
         let far = if is_near_enough { Vec::new() } else { far };
-        let far = sample(far, rng).map(|c| (self.cost(c, now) + REMOTE_COST, c));
+        let far = sample(far, rng).map(|c| (self.cost(c, route, now) + REMOTE_COST, c));
         let (_, chosen) = best_near
             .into_iter()
             .chain(far)
@@ -196,6 +215,7 @@
     pub fn finish(
         &mut self,
         key: &ServerKey,
+        route: &str,
         health: AttemptHealth,
         report: Option<WorkLoad>,
         now: Instant,
@@ -204,6 +224,7 @@
         view.own = view.own.saturating_sub(1);
         if let Some(load) = report {
             view.report = Some((load, now));
+            view.learn_run(route, load.route_run);
             view.sent_since_report = 0;
         }
         let is_heard = report.is_some() || health == AttemptHealth::Answered;
@@ -228,11 +249,11 @@
         view.failure_at = now;
     }
 
-    fn cost(&self, candidate: &Candidate, now: Instant) -> Duration {
+    fn cost(&self, candidate: &Candidate, route: &str, now: Instant) -> Duration {
         let Some(view) = self.views.get(&candidate.key) else {
             return INITIAL_RUN;
         };
-        view.expected(candidate.slots, now) + FAILURE_COST.mul_f64(view.failure_rate(now))
+        view.expected(candidate.slots, route, now) + FAILURE_COST.mul_f64(view.failure_rate(now))
     }
 
     fn view(&mut self, key: &ServerKey, now: Instant) -> &mut View {
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -81,6 +81,8 @@
     pub slots: u32,
     /// Mean run time over all routes.
     pub mean_run: Duration,
+    /// Mean run time of the route that asks.
+    pub route_run: Duration,
     /// Rank that is refused most for lack of room; nested requests do not count.
     pub pressure: Option<Pressure>,
 }
@@ -147,8 +149,17 @@
         }
     }
 
-    /// How full the backend server is.
-    pub fn load(&self) -> WorkLoad {
+    /// Requests running or waiting.
+    pub fn in_flight(&self) -> u32 {
+        self.running + self.waiting_count()
+    }
+
+    fn waiting_count(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    /// How full the backend server is, for a route.
+    pub fn load(&self, route: &str) -> WorkLoad {
         let pressures = self.refused_share.iter().map(|(rank, share)| Pressure {
             rank: *rank,
             refused_permille: (share * 1_000.0) as u32,
@@ -158,9 +169,10 @@
                 .filter(|pressure| pressure.refused_permille > 0)
                 .max_by_key(|pressure| pressure.refused_permille),
             running: self.running,
-            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            waiting: self.waiting_count(),
             slots: self.slots,
             mean_run: Duration::from_secs_f64(self.mean_run_s),
+            route_run: self.run_time(route),
         }
     }
 
--- a/crates/foxtailgauge-core/tests/forwarding.rs
+++ b/crates/foxtailgauge-core/tests/forwarding.rs
@@ -143,6 +143,7 @@
         waiting,
         slots: 10,
         mean_run: ms(mean_run_ms),
+        route_run: ms(mean_run_ms),
         pressure: None,
     }
 }
@@ -161,10 +162,10 @@
         let mut placement = Placement::new("a");
         for (candidate, (_, load, health)) in candidates.iter().zip(servers) {
             for _ in 0..10 {
-                placement.finish(&candidate.key, *health, Some(*load), now);
+                placement.finish(&candidate.key, "r", *health, Some(*load), now);
             }
         }
-        let chosen = placement.choose(&candidates, &[], target, now, &mut rng);
+        let chosen = placement.choose(&candidates, &[], "r", target, now, &mut rng);
         let index = chosen.and_then(|c| candidates.iter().position(|other| other == c));
         counts[index.unwrap_or_else(|| panic!("nobody chosen"))] += 1;
     }
@@ -231,6 +232,33 @@
     }
 }
 
+/// Load: short calls and long requests on the same backend servers, which differ in speed. By the
+/// mean of both, a short call would look late in its own domain and go to the fastest server of all.
+#[test]
+fn placement_forecasts_a_short_call_by_its_own_run_time() {
+    let now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(9);
+    let candidates = [candidate("s0", "a"), candidate("s1", "b")];
+    let mut placement = Placement::new("a");
+    let mixed = |mean_ms, route_ms| WorkLoad {
+        route_run: ms(route_ms),
+        ..load(9, 0, mean_ms)
+    };
+    for (candidate, scale) in candidates.iter().zip([2, 1]) {
+        for (route, run_ms) in [("long", 300), ("short", 60)] {
+            let load = mixed(200 * scale, run_ms * scale);
+            let health = AttemptHealth::Answered;
+            placement.finish(&candidate.key, route, health, Some(load), now);
+        }
+    }
+    let mut choose = |route| {
+        let chosen = placement.choose(&candidates, &[], route, ms(300), now, &mut rng);
+        chosen.map(|c| c.failure_domain.clone())
+    };
+    assert_eq!(choose("short").as_deref(), Some("a"));
+    assert_eq!(choose("long").as_deref(), Some("b"));
+}
+
 #[test]
 fn silent_daemon_is_passed_over_until_it_speaks() {
     let start = Instant::now();
@@ -239,14 +267,20 @@
     let mut placement = Placement::new("a");
     let fast = load(0, 0, 20);
     for candidate in &candidates {
-        placement.finish(&candidate.key, AttemptHealth::Answered, Some(fast), start);
+        placement.finish(
+            &candidate.key,
+            "r",
+            AttemptHealth::Answered,
+            Some(fast),
+            start,
+        );
     }
     // Both get requests; only the second answers.
     let mut at = start;
     let mut sent_to_silent = 0;
     for step in 0..400u64 {
         at = start + ms(step * 5);
-        let chosen = placement.choose(&candidates, &[], ms(200), at, &mut rng);
+        let chosen = placement.choose(&candidates, &[], "r", ms(200), at, &mut rng);
         match chosen.map(|c| c.key.daemon.as_str()) {
             Some("s0") => {
                 sent_to_silent += 1;
@@ -256,16 +290,28 @@
                     step * 5
                 );
             }
-            _ => placement.finish(&candidates[1].key, AttemptHealth::Answered, Some(fast), at),
+            _ => placement.finish(
+                &candidates[1].key,
+                "r",
+                AttemptHealth::Answered,
+                Some(fast),
+                at,
+            ),
         }
     }
     assert!(sent_to_silent > 0);
     // Its late answer makes it usable again.
     for _ in 0..sent_to_silent {
-        placement.finish(&candidates[0].key, AttemptHealth::Answered, Some(fast), at);
+        placement.finish(
+            &candidates[0].key,
+            "r",
+            AttemptHealth::Answered,
+            Some(fast),
+            at,
+        );
     }
     let tried = [candidates[1].key.clone()];
-    let chosen = placement.choose(&candidates, &tried, ms(200), at, &mut rng);
+    let chosen = placement.choose(&candidates, &tried, "r", ms(200), at, &mut rng);
     assert_eq!(chosen, Some(&candidates[0]));
 }
 
--- a/crates/foxtailgauge-core/tests/work_queue.rs
+++ b/crates/foxtailgauge-core/tests/work_queue.rs
@@ -170,7 +170,7 @@
     assert!(queue.leave(ticket).is_none());
     queue.finish("mesh/r1", None);
     assert_eq!(queue.next_step(now), None);
-    assert_eq!(queue.load().running, 0);
+    assert_eq!(queue.in_flight(), 0);
 }
 
 /// Length of a replayed load, in seconds.
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -186,8 +186,7 @@
 
     /// Requests running and waiting.
     pub(crate) fn in_flight(&self) -> u32 {
-        let in_flight = |s: &Arc<ForwardServer>| s.load().running + s.load().waiting;
-        lock(&self.servers).values().map(in_flight).sum()
+        lock(&self.servers).values().map(|s| s.in_flight()).sum()
     }
 
     /// Removes backend servers that were not heard of for long, again and again.
@@ -226,10 +225,12 @@
         if !admits {
             self.log_refused(&request, "throttled", &server);
             let retry_after = THROTTLE_RETRY_AFTER;
-            return without_answer(HopEnd::Refused { retry_after }, server.load());
+            let load = server.load(&request.hop.route);
+            return without_answer(HopEnd::Refused { retry_after }, load);
         }
+        let route = request.hop.route.clone();
         let item = WorkItem {
-            route: request.hop.route.clone(),
+            route: route.clone(),
             rank: request.hop.rank,
             is_nested: request.hop.is_nested,
             deadline: request.deadline,
@@ -239,22 +240,22 @@
             Ok(running) => running,
             Err(refused) => {
                 self.log_refused(&request, &format!("{refused:?}"), &server);
-                return without_answer(refused.into(), server.load());
+                return without_answer(refused.into(), server.load(&route));
             }
         };
         let limit = request.deadline.saturating_duration_since(Instant::now());
         let id = attempt_id(request.request.headers());
-        let _running_id = self.running_id(id, &request.hop.route);
+        let _running_id = self.running_id(id, &route);
         let exchange = self.exchange(&server, request, running);
         match async_std::future::timeout(limit, exchange).await {
             Ok((end, response)) => ForwardReply {
                 reply: HopReply {
                     end,
-                    load: server.load(),
+                    load: server.load(&route),
                 },
                 response,
             },
-            Err(_) => without_answer(HopEnd::Broken, server.load()),
+            Err(_) => without_answer(HopEnd::Broken, server.load(&route)),
         }
     }
 
@@ -264,7 +265,7 @@
             "request" => attempt_id(request.request.headers()), "server" => &hop.server,
             "route" => &hop.route, "rank" => hop.rank, "is_nested" => hop.is_nested,
             "target_ms" => hop.target.as_millis() as u64, "left_ms" => millis(request.deadline),
-            "reason" => reason, "load" => format!("{:?}", server.load()));
+            "reason" => reason, "load" => format!("{:?}", server.load(&hop.route)));
     }
 
     /// Sends a request to its backend server and judges the answer.
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -244,6 +244,7 @@
             let chosen = lock(&self.shared.placement).choose(
                 candidates,
                 &tried,
+                call.route_name,
                 target,
                 now,
                 &mut rand::rng(),
@@ -253,7 +254,7 @@
             };
             tried.push(candidate.key.clone());
             let reply = self.attempt(call, candidate, attempt_body).await;
-            let run_time = reply.reply.load.mean_run;
+            let run_time = reply.reply.load.route_run;
             if let HopEnd::Refused { retry_after: wait } = reply.reply.end {
                 retry_after = Some(retry_after.unwrap_or(wait).min(wait));
             }
@@ -364,6 +365,7 @@
         let guard = PlacedGuard {
             shared: &self.shared,
             key: &candidate.key,
+            route: call.route_name,
             is_done: false,
         };
         let fingerprint = fingerprint_of(&parts, &body);
@@ -465,6 +467,7 @@
 struct PlacedGuard<'a> {
     shared: &'a Shared,
     key: &'a ServerKey,
+    route: &'a str,
     is_done: bool,
 }
 
@@ -482,7 +485,7 @@
         };
         let load = reply.reply.load;
         let report = (load.slots > 0).then_some(load);
-        lock(&self.shared.placement).finish(self.key, health, report, Instant::now());
+        lock(&self.shared.placement).finish(self.key, self.route, health, report, Instant::now());
     }
 }
 
@@ -490,7 +493,13 @@
     fn drop(&mut self) {
         if !self.is_done {
             let now = Instant::now();
-            lock(&self.shared.placement).finish(self.key, AttemptHealth::Neutral, None, now);
+            lock(&self.shared.placement).finish(
+                self.key,
+                self.route,
+                AttemptHealth::Neutral,
+                None,
+                now,
+            );
         }
     }
 }
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -136,9 +136,14 @@
         lock(&self.inner).addr
     }
 
-    /// How full it is.
-    pub(crate) fn load(&self) -> WorkLoad {
-        lock(&self.inner).queue.load()
+    /// How full it is, for a route.
+    pub(crate) fn load(&self, route: &str) -> WorkLoad {
+        lock(&self.inner).queue.load(route)
+    }
+
+    /// Requests running and waiting.
+    pub(crate) fn in_flight(&self) -> u32 {
+        lock(&self.inner).queue.in_flight()
     }
 
     /// Whether a report is late: of an earlier process at this address, or overtaken.
--- a/crates/foxtailgauge-daemon/src/hop.rs
+++ b/crates/foxtailgauge-daemon/src/hop.rs
@@ -1,7 +1,7 @@
 //! What two daemons tell each other beside the HTTP message that they pass on.
 //!
 //! Both sides travel in one header. A request says `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS`, an answer
-//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;RETRY_AFTER_MS;PRESSURE`, where the last is
+//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;PRESSURE`, where the last is
 //! empty or `RANK:PERMILLE`.
 
 use foxtailgauge_core::{Pressure, Refused, RouteName, WorkLoad};
@@ -112,13 +112,14 @@
             waiting,
             slots,
             mean_run,
+            route_run,
             pressure,
         } = self.load;
-        let mean_us = mean_run.as_micros();
+        let (mean_us, route_us) = (mean_run.as_micros(), route_run.as_micros());
         let pressed = pressure
             .map(|p| format!("{}:{}", p.rank, p.refused_permille))
             .unwrap_or_default();
-        format!("{end};{running};{waiting};{slots};{mean_us};{retry_after_ms};{pressed}")
+        format!("{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{pressed}")
     }
 
     /// Reads the header's value.
@@ -130,6 +131,7 @@
             waiting: parts.next()?.parse().ok()?,
             slots: parts.next()?.parse().ok()?,
             mean_run: Duration::from_micros(parts.next()?.parse().ok()?),
+            route_run: Duration::from_micros(parts.next()?.parse().ok()?),
             pressure: None,
         };
         let retry_after = Duration::from_millis(parts.next()?.parse().ok()?);
