In a shortage, targets count from the caller's first try, and those in time go first

Change: the gateway learns the time that callers of a route usually have left and counts what is missing as spent on earlier tries; of a rank, the queue serves those that can still be in time first; the forecast of a wait counts the work that overtakes it, so a late one is refused at once and not held.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -39,6 +39,7 @@
 mod log;
 mod membership;
 mod message;
+mod patience;
 mod placement;
 mod quarantine;
 mod registry;
@@ -80,6 +81,7 @@
     AppendReply, AppendRequest, Entry, Envelope, Message, Payload, StateSnapshot, VoteReply,
     VoteRequest,
 };
+pub use patience::UsualPatience;
 pub use placement::{AttemptHealth, Placement};
 pub use quarantine::{
     fingerprint, request_digest, Fingerprint, Sightings, Suspect, SuspectIndex, SuspectVerdict,
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -17,6 +17,11 @@
 /// Run time, in mean run times, that a request is given in the forecast of its end. Run times
 /// spread widely, and one that is late by its own run is of as little use as one that waited.
 const RUN_ALLOWANCE: f64 = 1.6;
+/// Time over which the work is averaged that keeps overtaking: long against runs, short against the
+/// rise of a burst.
+const OVERTAKING_WINDOW: Duration = Duration::from_secs(1);
+/// Largest part of the slots that is taken to be overtaking; all of it would make any wait endless.
+const MAX_OVERTAKING: f64 = 0.95;
 /// Shortest time after which a refused request may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -96,9 +101,9 @@
     pub refused_permille: u32,
 }
 
-/// Order of service: nested requests first, then by rank, then by arrival. Who was refused and came
-/// back stands neither before nor behind new ones: before them, a service short of room would soon
-/// serve nobody at the first try.
+/// Order of service: nested requests first, then by rank; of a rank, those that can still be of full
+/// use before those that cannot, then by arrival. A service short of room serves as many either
+/// way, but more of them in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     group: u64,
@@ -112,6 +117,20 @@
     limit: Instant,
 }
 
+/// Work that was started lately, in seconds of run time, fading with time.
+#[derive(Clone, Copy, Debug)]
+struct RecentWork {
+    work_s: f64,
+    at: Instant,
+}
+
+impl RecentWork {
+    fn work_s(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        self.work_s * (-age / OVERTAKING_WINDOW.as_secs_f64()).exp()
+    }
+}
+
 /// The queue in front of one backend server.
 ///
 /// Invariants: `running <= slots` but for slots withdrawn while requests run; nothing waits while a
@@ -126,6 +145,8 @@
     /// Whether a request was put before others since they were last reviewed.
     has_overtaking: bool,
     places: HashMap<Ticket, Place>,
+    /// Work started lately, by the group of its place.
+    started: BTreeMap<u64, RecentWork>,
     run_times: HashMap<RouteName, f64>,
     mean_run_s: f64,
     /// Share of the requests of each rank that were refused, nested ones left out.
@@ -143,6 +164,7 @@
             waiting: BTreeMap::new(),
             has_overtaking: false,
             places: HashMap::new(),
+            started: BTreeMap::new(),
             run_times: HashMap::new(),
             mean_run_s: INITIAL_RUN_TIME.as_secs_f64(),
             refused_share: BTreeMap::new(),
@@ -199,15 +221,16 @@
         if !self.is_open {
             return Arrival::Refused(Refused::Closed);
         }
+        let run = self.run_time(&item.route).mul_f64(RUN_ALLOWANCE);
+        let is_fresh = now + run < item.target;
+        let place = self.place(&item, is_fresh);
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
             self.note_outcome(&item, 0.0);
+            self.note_start(&item.route, &place, now);
             return Arrival::Run;
         }
-        let place = self.place(&item);
-        let wait = self.wait_before(&place);
-        let run = self.run_time(&item.route).mul_f64(RUN_ALLOWANCE);
-        let is_fresh = now + run < item.target;
+        let wait = self.wait_before(&place, now);
         let limit = if is_fresh && !item.is_nested {
             item.target
         } else {
@@ -277,6 +300,7 @@
         }
         let (_, waiting) = self.waiting.pop_first()?;
         self.note_outcome(&waiting.item, 0.0);
+        self.note_start(&waiting.item.route, &place, now);
         self.places.remove(&place.ticket);
         self.running += 1;
         Some(Step::Start(place.ticket, waiting.item.route))
@@ -289,6 +313,28 @@
         }
     }
 
+    fn note_start(&mut self, route: &str, place: &Place, now: Instant) {
+        let run_s = self.run_time(route).as_secs_f64();
+        let fresh = RecentWork {
+            work_s: 0.0,
+            at: now,
+        };
+        let recent = self.started.entry(place.group).or_insert(fresh);
+        *recent = RecentWork {
+            work_s: recent.work_s(now) + run_s,
+            at: now,
+        };
+    }
+
+    /// Slots that work leaves to a place which goes before it even if it arrives later.
+    fn slots_for(&self, place: &Place, now: Instant) -> f64 {
+        let before = self.started.range(..place.group);
+        let work_s: f64 = before.map(|(_, recent)| recent.work_s(now)).sum();
+        let slots = f64::from(self.slots);
+        let overtaking = work_s / OVERTAKING_WINDOW.as_secs_f64() / slots;
+        slots * (1.0 - overtaking.min(MAX_OVERTAKING))
+    }
+
     fn refuse(&mut self, place: &Place) -> Step {
         if let Some(waiting) = self.waiting.remove(place) {
             self.note_outcome(&waiting.item, 1.0);
@@ -307,7 +353,7 @@
         let mut ahead_s = self.mean_run_s / 2.0;
         for (place, waiting) in &self.waiting {
             let run_s = self.run_time(&waiting.item.route).as_secs_f64();
-            let end_s = ahead_s / f64::from(self.slots) + run_s * RUN_ALLOWANCE;
+            let end_s = ahead_s / self.slots_for(place, now) + run_s * RUN_ALLOWANCE;
             if now + Duration::from_secs_f64(end_s) > waiting.limit {
                 return Some(*place);
             }
@@ -323,22 +369,24 @@
         Duration::from_secs_f64(mean_s.unwrap_or(self.mean_run_s))
     }
 
-    fn place(&self, item: &WorkItem) -> Place {
+    fn place(&self, item: &WorkItem, is_fresh: bool) -> Place {
+        let by_rank = 2 * (item.rank + 1) + u64::from(!is_fresh);
         Place {
-            group: if item.is_nested { 0 } else { item.rank + 1 },
+            group: if item.is_nested { 0 } else { by_rank },
             ticket: self.next_ticket,
         }
     }
 
     /// Time until a slot is free for a request at this place: the work that goes before it, and
-    /// half a mean run for the first slot to become free.
-    fn wait_before(&self, place: &Place) -> Duration {
+    /// half a mean run for the first slot to become free, in what others leave of the slots that
+    /// arrive later and go before it all the same.
+    fn wait_before(&self, place: &Place, now: Instant) -> Duration {
         let ahead_s: f64 = self
             .waiting
             .range(..place)
             .map(|(_, waiting)| self.run_time(&waiting.item.route).as_secs_f64())
             .sum();
         let first_free_s = self.mean_run_s / 2.0;
-        Duration::from_secs_f64((ahead_s + first_free_s) / f64::from(self.slots))
+        Duration::from_secs_f64((ahead_s + first_free_s) / self.slots_for(place, now))
     }
 }
--- a/crates/foxtailgauge-core/tests/work_queue.rs
+++ b/crates/foxtailgauge-core/tests/work_queue.rs
@@ -1,7 +1,8 @@
 //! Who waits, who goes next and who is refused in front of one backend server.
 
 use foxtailgauge_core::{
-    Arrival, Pressure, Refused, Step, Throttle, Ticket, WorkItem, WorkQueue, THROTTLE_RETRY_AFTER,
+    Arrival, Pressure, Refused, Step, Throttle, Ticket, UsualPatience, WorkItem, WorkQueue,
+    THROTTLE_RETRY_AFTER,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -269,6 +270,146 @@
     }
 }
 
+/// What became of requests whose callers come back once after a refusal.
+#[derive(Clone, Copy, Debug, Default)]
+struct Returns {
+    in_target: usize,
+    late: usize,
+    lost: usize,
+    /// Refused tries that had waited for three quarters of the time that they had.
+    held: usize,
+}
+
+/// Replays twice the load that 14 slots carry, with callers who come back until the tries or the time are over, with a target counted from their first
+/// try if `knows_first` and from each try otherwise.
+fn replay_returns(seed: u64, deadline_ms: u64, tries: u32, knows_first: bool) -> Returns {
+    let per_second = 233.0 * 2.0;
+    let deadline_s = Duration::from_millis(deadline_ms).as_secs_f64();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut queue = WorkQueue::new(14);
+    let mut ends = Returns::default();
+    // Instant in seconds, first try in seconds, tries left.
+    let mut arrivals: Vec<(f64, f64, u32)> = Vec::new();
+    let mut at_s = 0.0;
+    while at_s < REPLAYED_S {
+        at_s -= rng.random::<f64>().ln() / per_second;
+        arrivals.push((at_s, at_s, tries));
+    }
+    arrivals.reverse();
+    let mut runs: Vec<(f64, f64, f64)> = Vec::new();
+    let mut waiting: HashMap<Ticket, (f64, u32, f64)> = HashMap::new();
+    loop {
+        let next_end_s = runs.iter().map(|run| run.0).fold(f64::MAX, f64::min);
+        let next_arrival_s = arrivals.last().map_or(f64::MAX, |arrival| arrival.0);
+        let now_s = next_arrival_s.min(next_end_s);
+        if now_s == f64::MAX {
+            return ends;
+        }
+        let now = start + Duration::from_secs_f64(now_s);
+        let mut refused: Vec<(f64, u32, Duration)> = Vec::new();
+        let mut work_s = || 0.030 - rng.random::<f64>().ln() * 0.030;
+        if next_end_s <= next_arrival_s {
+            let index = runs.iter().position(|run| run.0 == now_s).unwrap_or(0);
+            let (_, first_s, work_s) = runs.swap_remove(index);
+            queue.finish("mesh/r1", Some(Duration::from_secs_f64(work_s)));
+            match now_s - first_s {
+                time_s if time_s <= 0.2 => ends.in_target += 1,
+                time_s if time_s <= deadline_s => ends.late += 1,
+                _ => ends.lost += 1,
+            }
+        } else if let Some((_, first_s, tries)) = arrivals.pop() {
+            let spent = Duration::from_secs_f64(now_s - first_s);
+            let mut item = item(now, 1, 200, deadline_ms);
+            item.deadline -= spent;
+            if knows_first {
+                item.target -= spent;
+            }
+            match queue.arrive(item, now) {
+                Arrival::Run => {
+                    let work_s = work_s();
+                    runs.push((now_s + work_s, first_s, work_s));
+                }
+                Arrival::Wait(ticket, _) => {
+                    waiting.insert(ticket, (first_s, tries, now_s));
+                }
+                Arrival::Refused(Refused::TooLate { retry_after }) => {
+                    refused.push((first_s, tries, retry_after));
+                }
+                Arrival::Refused(Refused::Closed) => panic!("the queue is open"),
+            }
+        }
+        while let Some(step) = queue.next_step(now) {
+            match step {
+                Step::Start(ticket, _) => {
+                    let (first_s, ..) = waiting.remove(&ticket).unwrap_or((now_s, 1, now_s));
+                    let work_s = work_s();
+                    runs.push((now_s + work_s, first_s, work_s));
+                }
+                Step::Refuse(ticket, _) => {
+                    let (first_s, tries, since_s) =
+                        waiting.remove(&ticket).unwrap_or((now_s, 1, now_s));
+                    let had_s = first_s + deadline_s - since_s;
+                    ends.held += usize::from(now_s - since_s > had_s * 0.75);
+                    refused.push((first_s, tries, ms(20)));
+                }
+            }
+        }
+        for (first_s, tries, retry_after) in refused {
+            let left_s = first_s + deadline_s - now_s;
+            if tries == 1 || left_s <= 0.0 {
+                ends.lost += 1;
+                continue;
+            }
+            let back_s = now_s + retry_after.as_secs_f64().min(left_s / 3.0);
+            let place = arrivals.partition_point(|arrival| arrival.0 > back_s);
+            arrivals.insert(place, (back_s, first_s, tries - 1));
+        }
+    }
+}
+
+/// Load: twice what the slots carry, and callers who come back after a refusal.
+#[test]
+fn in_a_shortage_more_is_in_time_when_the_first_try_counts() {
+    for (deadline_ms, tries) in [(500, 2), (1_400, 2), (1_400, 3)] {
+        for seed in 0..5 {
+            let by_try = replay_returns(seed, deadline_ms, tries, false);
+            let by_first = replay_returns(seed, deadline_ms, tries, true);
+            let served = |ends: Returns| ends.in_target + ends.late;
+            let told = format!(
+                "{deadline_ms} ms, {tries} tries: {by_first:?}, with each counted anew {by_try:?}"
+            );
+            println!("{told}");
+            assert_eq!(by_first.held, 0, "{told}");
+            assert!(by_first.in_target * 20 > by_try.in_target * 21, "{told}");
+            assert!(served(by_first) * 20 > served(by_try) * 19, "{told}");
+        }
+    }
+}
+
+#[test]
+fn usual_patience_tells_later_tries_from_first_ones() {
+    // Times left, in milliseconds, in turns; what a caller with 300 ms left has spent before.
+    let cases: [(&str, &[u64], u64); 5] = [
+        ("first tries only", &[300], 0),
+        ("each comes back", &[500, 300], 200),
+        ("each comes back twice", &[500, 400, 300], 200),
+        ("few with more time", &[300, 300, 300, 300, 300, 9_000], 0),
+        ("few with less time", &[500, 500, 500, 300], 200),
+    ];
+    for (name, turns, expected_ms) in cases {
+        let mut patience = UsualPatience::default();
+        let mut spent = Duration::ZERO;
+        for left_ms in turns.iter().cycle().take(400) {
+            let told = patience.spent_before("r", ms(*left_ms));
+            if *left_ms == 300 {
+                spent = told;
+            }
+        }
+        assert_eq!(spent, ms(expected_ms), "{name}");
+    }
+}
+
 /// Load: a service short of room is called by runs of rank 2 and asked by callers of rank 1.
 #[test]
 fn throttle_meets_the_share_that_the_more_urgent_lose() {
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -21,7 +21,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
     AttemptEnd, AttemptHealth, Attempts, Candidate, Fingerprint, HostRoute, Next, RetryBudget,
-    RouteName, ServerKey, ServiceName, SuspectVerdict, UnixMs,
+    RouteName, ServerKey, ServiceName, SuspectVerdict, UnixMs, UsualPatience,
 };
 use foxtailgauge_platform::headers;
 use foxtailgauge_wire::handshake;
@@ -58,6 +58,7 @@
     identity: Identity,
     pool: HttpPool,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    patience: Mutex<UsualPatience>,
 }
 
 /// One request on its way.
@@ -70,7 +71,9 @@
     /// Route of the request that made this one from here, if one did.
     parent_route: Option<RouteName>,
     started: Instant,
-    /// Time from the start within which the answer is of full use.
+    /// Time that its caller has spent on earlier tries.
+    spent_before: Duration,
+    /// Time from the first try within which the answer is of full use.
     target: Duration,
     deadline: Instant,
     parts: Parts,
@@ -91,6 +94,7 @@
             identity,
             pool: HttpPool::default(),
             budgets: Mutex::default(),
+            patience: Mutex::default(),
         }
     }
 
@@ -179,9 +183,16 @@
             .map_or(DEFAULT_PATIENCE, Duration::from_millis);
         let service = route.part(rand::random()).ok_or(Refusal::UnknownRoute)?;
         let id = attempt_id(&parts.headers);
+        let parent_route = self.executor.parent_route(&id);
+        // Nested requests have what is left of their parents' time: that tells nothing of tries.
+        let spent_before = match parent_route {
+            Some(_) => Duration::ZERO,
+            None => lock(&self.patience).spent_before(route_name, patience),
+        };
         let call = Call {
-            parent_route: self.executor.parent_route(&id),
+            parent_route,
             id,
+            spent_before,
             view: &view,
             route_name,
             route,
@@ -360,7 +371,7 @@
             rank: call.route.rank,
             is_nested: call.parent_route.is_some(),
             is_idempotent: call.route.idempotent,
-            target: call.target.saturating_sub(elapsed),
+            target: call.target.saturating_sub(elapsed + call.spent_before),
         };
         let guard = PlacedGuard {
             shared: &self.shared,
