--- a/crates/foxtailgauge-core/src/retry.rs
+++ b/crates/foxtailgauge-core/src/retry.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Retries that it holds.
+    pub fn left(&self) -> f64 {
+        self.tokens
+    }
+
     /// Counts a call, which earns a part of a retry.
     pub fn earn(&mut self, retry_percent: u64) {
         self.tokens = (self.tokens + retry_percent as f64 / 100.0).min(self.max_saved);
--- a/crates/foxtailgauge-daemon/src/admin_http.rs
+++ b/crates/foxtailgauge-daemon/src/admin_http.rs
@@ -292,7 +292,9 @@
 }
 
 async fn metrics(request: Request<Admin>) -> tide::Result {
-    let text = request.state().shared.metrics.text()?;
+    let shared = &request.state().shared;
+    shared.note_ages();
+    let text = shared.metrics.text()?;
     Ok(Response::builder(StatusCode::Ok)
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
         .body(text)
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -7,6 +7,7 @@
 use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
 use crate::http_pool::{connect, ExchangeError, HttpPool, Lease, SendError};
 use crate::mesh_settings::MeshSettings;
+use crate::metrics::{Metrics, ServiceLabels};
 use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
     fingerprint, request_digest, Fingerprint, RouteName, ServerEntry, Throttle, WorkItem, WorkLoad,
@@ -70,6 +71,38 @@
     OtherService,
 }
 
+/// Measures how long a request waited and ran.
+struct RunTimes<'a> {
+    metrics: &'a Metrics,
+    labels: ServiceLabels,
+    started: Instant,
+}
+
+impl<'a> RunTimes<'a> {
+    /// The wait that began at an instant is over, and the run begins.
+    fn new(shared: &'a Shared, server: &ForwardServer, waiting_since: Instant) -> Self {
+        let metrics = &shared.metrics;
+        let labels = ServiceLabels {
+            service: server.entry().service,
+        };
+        let started = Instant::now();
+        let waited = started.saturating_duration_since(waiting_since);
+        let queue_seconds = metrics.queue_seconds.get_or_create(&labels);
+        queue_seconds.observe(waited.as_secs_f64());
+        drop(queue_seconds);
+        RunTimes {
+            metrics,
+            labels,
+            started,
+        }
+    }
+
+    fn finish(self) {
+        let run_seconds = self.metrics.run_seconds.get_or_create(&self.labels);
+        run_seconds.observe(self.started.elapsed().as_secs_f64());
+    }
+}
+
 /// The backend servers beside this daemon that take forwarded requests.
 pub(crate) struct ForwardExecutor {
     shared: Arc<Shared>,
@@ -194,12 +227,26 @@
         loop {
             async_std::task::sleep(LEASE_CHECK).await;
             let now = Instant::now();
-            let count = lock(&self.servers).len();
-            lock(&self.servers).retain(|_, server| !server.is_expired(now));
-            if lock(&self.servers).len() < count {
-                emit!(self.shared.log, events::SERVER_GONE, "reason" => "no report");
+            let mut expired = Vec::new();
+            lock(&self.servers).retain(|name, server| {
+                let is_expired = server.is_expired(now);
+                if is_expired {
+                    expired.push(name.clone());
+                }
+                !is_expired
+            });
+            for server in &expired {
+                emit!(self.shared.log, events::SERVER_GONE, "server" => server,
+                    "reason" => "no report");
+                self.shared.metrics.server_gone(server);
+            }
+            if !expired.is_empty() {
                 self.publish();
             }
+            for server in lock(&self.servers).values() {
+                let metrics = &self.shared.metrics;
+                metrics.server_load(server.name(), &server.load(""));
+            }
         }
     }
 
@@ -246,8 +293,11 @@
         let limit = request.deadline.saturating_duration_since(Instant::now());
         let id = attempt_id(request.request.headers());
         let _running_id = self.running_id(id, &route);
+        let times = RunTimes::new(&self.shared, &server, now);
         let exchange = self.exchange(&server, request, running);
-        match async_std::future::timeout(limit, exchange).await {
+        let outcome = async_std::future::timeout(limit, exchange).await;
+        times.finish();
+        match outcome {
             Ok((end, response)) => ForwardReply {
                 reply: HopReply {
                     end,
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -14,7 +14,7 @@
 use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
 use crate::http_pool::{connect, HttpPool, Lease, SendError};
 use crate::mesh_settings::MeshSettings;
-use crate::metrics::ForwardLabels;
+use crate::metrics::{ForwardLabels, ServiceLabels};
 use crate::peer_client::Identity;
 use crate::route_view::RouteView;
 use crate::shared::{lock, unix_ms, Shared};
@@ -61,6 +61,13 @@
     patience: Mutex<UsualPatience>,
 }
 
+/// Route and service of a request; empty as long as it has none.
+#[derive(Default)]
+struct TakenBy {
+    route: RouteName,
+    service: ServiceName,
+}
+
 /// One request on its way.
 struct Call<'a> {
     id: String,
@@ -130,7 +137,8 @@
         let started = Instant::now();
         let _guard = self.shared.forwarding();
         let id = attempt_id(request.headers());
-        let (mut response, outcome) = match self.handle(request, started).await {
+        let mut taken_by = TakenBy::default();
+        let (mut response, outcome) = match self.handle(request, started, &mut taken_by).await {
             Ok(response) => (response, "answered"),
             Err(refused) => {
                 emit!(self.shared.log, events::FORWARD_REFUSED, "request" => id,
@@ -140,12 +148,21 @@
                 (refusal(&refused), refused.reason())
             }
         };
-        let labels = ForwardLabels { outcome };
+        let TakenBy { route, service } = taken_by;
         let metrics = &self.shared.metrics;
-        metrics.forwarded.get_or_create(&labels).inc();
+        let of_service = ServiceLabels {
+            service: service.clone(),
+        };
         metrics
             .forward_seconds
+            .get_or_create(&of_service)
             .observe(started.elapsed().as_secs_f64());
+        let labels = ForwardLabels {
+            route,
+            service,
+            outcome,
+        };
+        metrics.forwarded.get_or_create(&labels).inc();
         if self.shared.is_stopping() {
             response
                 .headers_mut()
@@ -158,6 +175,7 @@
         &self,
         request: Request<Incoming>,
         started: Instant,
+        taken_by: &mut TakenBy,
     ) -> Result<Response<ForwardBody>, Refusal> {
         if self
             .shared
@@ -182,6 +200,10 @@
             .and_then(|text| text.trim().parse().ok())
             .map_or(DEFAULT_PATIENCE, Duration::from_millis);
         let service = route.part(rand::random()).ok_or(Refusal::UnknownRoute)?;
+        *taken_by = TakenBy {
+            route: route_name.clone(),
+            service: service.clone(),
+        };
         let id = attempt_id(&parts.headers);
         let parent_route = self.executor.parent_route(&id);
         // Nested requests have what is left of their parents' time: that tells nothing of tries.
@@ -346,10 +368,21 @@
 
     fn try_spend(&self, service: &ServiceName) -> bool {
         let mut budgets = lock(&self.budgets);
-        let is_paid = budgets.get_mut(service).is_some_and(RetryBudget::try_spend);
+        let Some(budget) = budgets.get_mut(service) else {
+            return false;
+        };
+        let is_paid = budget.try_spend();
+        let metrics = &self.shared.metrics;
         if is_paid {
-            self.shared.metrics.retries.inc();
+            metrics.retries.inc();
         }
+        let labels = ServiceLabels {
+            service: service.clone(),
+        };
+        metrics
+            .retries_left
+            .get_or_create(&labels)
+            .set(budget.left());
         is_paid
     }
 
@@ -389,7 +422,10 @@
         let reply = if candidate.key.daemon == self.shared.settings.name {
             self.executor.run(request).await
         } else {
-            self.send(&candidate.calls_addr, request).await
+            let reply = self.send(&candidate.calls_addr, request).await;
+            let hop_seconds = &self.shared.metrics.hop_seconds;
+            hop_seconds.observe(now.elapsed().as_secs_f64());
+            reply
         };
         guard.finish(&reply);
         if let Some(parent) = &call.parent_route {
--- a/crates/foxtailgauge-daemon/src/metrics.rs
+++ b/crates/foxtailgauge-daemon/src/metrics.rs
@@ -1,12 +1,19 @@
 //! Metrics of one daemon.
 
 use crate::meter::ByteCounters;
+use foxtailgauge_core::WorkLoad;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
+use std::sync::atomic::AtomicU64;
+
+/// Buckets of times: 0.25 ms to 8 s, each twice the one before.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_25, 2.0, 16))
+}
 
 /// Label of calls by how they ended.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -15,13 +22,33 @@
     pub(crate) outcome: &'static str,
 }
 
-/// Label of forwarded requests by how they ended.
+/// Labels of forwarded requests.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct ForwardLabels {
+    /// Empty if no route takes the request.
+    pub(crate) route: String,
+    /// Empty if no route takes the request.
+    pub(crate) service: String,
     /// `answered`, or the reason of the refusal.
     pub(crate) outcome: &'static str,
 }
 
+/// Label of what is counted for each service.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    /// Service with its workspace.
+    pub(crate) service: String,
+}
+
+/// Label of backend servers beside the daemon.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ServerLabels {
+    /// Name of the backend server.
+    pub(crate) server: String,
+}
+
+type SecondsBy<L> = Family<L, Histogram, fn() -> Histogram>;
+
 /// Label of control payloads.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct PayloadLabels {
@@ -45,8 +72,17 @@
     pub(crate) calls: Family<CallLabels, Counter>,
     pub(crate) call_seconds: Histogram,
     pub(crate) forwarded: Family<ForwardLabels, Counter>,
-    pub(crate) forward_seconds: Histogram,
+    pub(crate) forward_seconds: SecondsBy<ServiceLabels>,
+    pub(crate) queue_seconds: SecondsBy<ServiceLabels>,
+    pub(crate) run_seconds: SecondsBy<ServiceLabels>,
+    pub(crate) hop_seconds: Histogram,
+    pub(crate) slots: Family<ServerLabels, Gauge>,
+    pub(crate) slots_used: Family<ServerLabels, Gauge>,
+    pub(crate) queued: Family<ServerLabels, Gauge>,
     pub(crate) retries: Counter,
+    pub(crate) retries_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    pub(crate) majority_age_seconds: Gauge<f64, AtomicU64>,
+    pub(crate) source_age_seconds: Gauge<f64, AtomicU64>,
     pub(crate) version: Gauge,
     pub(crate) daemons: Gauge,
     pub(crate) children: Gauge,
@@ -55,6 +91,7 @@
     pub(crate) call_bytes: ByteCounters,
     pub(crate) payload_bytes: Family<PayloadLabels, Counter>,
     pub(crate) syncs: Family<GroupLabels, Counter>,
+    pub(crate) sync_seconds: SecondsBy<GroupLabels>,
     pub(crate) commits: Family<GroupLabels, Counter>,
 }
 
@@ -64,10 +101,19 @@
         let mut metrics = Metrics {
             registry: Registry::with_prefix("foxtailgauge"),
             calls: Family::default(),
-            call_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
+            call_seconds: seconds(),
             forwarded: Family::default(),
-            forward_seconds: Histogram::new(exponential_buckets(0.000_25, 2.0, 16)),
+            forward_seconds: Family::new_with_constructor(seconds),
+            queue_seconds: Family::new_with_constructor(seconds),
+            run_seconds: Family::new_with_constructor(seconds),
+            hop_seconds: seconds(),
+            slots: Family::default(),
+            slots_used: Family::default(),
+            queued: Family::default(),
             retries: Counter::default(),
+            retries_left: Family::default(),
+            majority_age_seconds: Gauge::default(),
+            source_age_seconds: Gauge::default(),
             version: Gauge::default(),
             daemons: Gauge::default(),
             children: Gauge::default(),
@@ -76,6 +122,7 @@
             call_bytes: ByteCounters::default(),
             payload_bytes: Family::default(),
             syncs: Family::default(),
+            sync_seconds: Family::new_with_constructor(seconds),
             commits: Family::default(),
         };
         metrics.register();
@@ -83,6 +130,8 @@
     }
 
     fn register(&mut self) {
+        self.register_forwarding();
+        self.register_ages();
         let registry = &mut self.registry;
         registry.register("calls", "Callers' requests by outcome", self.calls.clone());
         registry.register_with_unit(
@@ -91,17 +140,6 @@
             Unit::Seconds,
             self.call_seconds.clone(),
         );
-        registry.register(
-            "forwarded",
-            "Forwarded requests by outcome",
-            self.forwarded.clone(),
-        );
-        registry.register_with_unit(
-            "forward",
-            "Time from the head of a forwarded request to the head of its answer",
-            Unit::Seconds,
-            self.forward_seconds.clone(),
-        );
         registry.register(
             "retries",
             "Attempts after the first one",
@@ -148,9 +186,111 @@
             self.payload_bytes.clone(),
         );
         registry.register("store_syncs", "Syncs of the log", self.syncs.clone());
+        registry.register_with_unit(
+            "store_sync",
+            "Time of a sync of the log",
+            Unit::Seconds,
+            self.sync_seconds.clone(),
+        );
         registry.register("commits", "Log entries applied", self.commits.clone());
     }
 
+    fn register_forwarding(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "forwarded",
+            "Forwarded requests by route, service and outcome",
+            self.forwarded.clone(),
+        );
+        let times = [
+            (
+                "forward",
+                "Time from the head of a forwarded request to the head of its answer",
+                &self.forward_seconds,
+            ),
+            (
+                "queue",
+                "Time that a request waited for a slot of the backend server beside the daemon",
+                &self.queue_seconds,
+            ),
+            (
+                "run",
+                "Time from a slot to the head of the backend server's answer",
+                &self.run_seconds,
+            ),
+        ];
+        for (name, help, histogram) in times {
+            registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
+        }
+        registry.register_with_unit(
+            "hop",
+            "Time of an attempt through another daemon, its queue and run included",
+            Unit::Seconds,
+            self.hop_seconds.clone(),
+        );
+        let gauges = [
+            (
+                "slots",
+                "Slots of a backend server beside the daemon",
+                &self.slots,
+            ),
+            ("slots_used", "Requests running on it", &self.slots_used),
+            ("queued", "Requests waiting for it", &self.queued),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        registry.register(
+            "retries_left",
+            "Retries that the budget of a service holds",
+            self.retries_left.clone(),
+        );
+    }
+
+    fn register_ages(&mut self) {
+        let ages = [
+            (
+                "majority_age",
+                "Time since contact with a majority of the configuration group, own or the source's",
+                &self.majority_age_seconds,
+            ),
+            (
+                "source_age",
+                "Time since the source of configuration and directory was heard",
+                &self.source_age_seconds,
+            ),
+        ];
+        for (name, help, gauge) in ages {
+            self.registry
+                .register_with_unit(name, help, Unit::Seconds, gauge.clone());
+        }
+    }
+
+    /// Notes how full a backend server is.
+    pub(crate) fn server_load(&self, server: &str, load: &WorkLoad) {
+        let labels = ServerLabels {
+            server: server.to_owned(),
+        };
+        let gauges = [
+            (&self.slots, load.slots),
+            (&self.slots_used, load.running),
+            (&self.queued, load.waiting),
+        ];
+        for (gauge, value) in gauges {
+            gauge.get_or_create(&labels).set(value.into());
+        }
+    }
+
+    /// Forgets a backend server that is gone.
+    pub(crate) fn server_gone(&self, server: &str) {
+        let labels = ServerLabels {
+            server: server.to_owned(),
+        };
+        for gauge in [&self.slots, &self.slots_used, &self.queued] {
+            gauge.remove(&labels);
+        }
+    }
+
     /// Counts a control payload.
     pub(crate) fn payload(&self, direction: &'static str, kind: &'static str, bytes: usize) {
         let labels = PayloadLabels { direction, kind };
--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -362,8 +362,9 @@
         let ready = self.node.ready();
         self.send(&ready.early_messages);
         if ready.has_records() {
+            let started = Instant::now();
             self.store.persist(&ready, self.node.hard_state())?;
-            self.count_sync();
+            self.count_sync(started.elapsed());
         }
         if let Some(snapshot) = &ready.snapshot {
             self.machine = Machine::restore(self.group, Some(snapshot))?;
@@ -525,11 +526,14 @@
         }
     }
 
-    fn count_sync(&self) {
+    fn count_sync(&self, time: Duration) {
         let labels = GroupLabels {
             group: self.group.as_str(),
         };
-        self.shared.metrics.syncs.get_or_create(&labels).inc();
+        let metrics = &self.shared.metrics;
+        metrics.syncs.get_or_create(&labels).inc();
+        let sync_seconds = metrics.sync_seconds.get_or_create(&labels);
+        sync_seconds.observe(time.as_secs_f64());
     }
 
     fn note_changes(&mut self) {
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -544,6 +544,18 @@
         u64::try_from((age + at.elapsed()).as_millis()).ok()
     }
 
+    /// Brings the metrics of ages up to date; they stay as they are while nothing is known.
+    pub(crate) fn note_ages(&self) {
+        if let Some(age_ms) = self.quorum_age_ms() {
+            let age = Duration::from_millis(age_ms).as_secs_f64();
+            self.metrics.majority_age_seconds.set(age);
+        }
+        if let Some((_, at)) = lock(&self.contact).heard {
+            let age = at.elapsed().as_secs_f64();
+            self.metrics.source_age_seconds.set(age);
+        }
+    }
+
     /// Notes how current the source is.
     pub(crate) fn hear_source(&self, freshness: &Freshness) {
         self.hear_version(freshness.highest_version.max(freshness.version));
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -318,9 +318,17 @@
     let answer = exchange(&mesh.metrics(1), text).unwrap_or_default();
     assert_eq!(status(&answer), 200);
     for expected in [
-        "foxtailgauge_forwarded_total{outcome=\"answered\"}",
-        "foxtailgauge_forwarded_total{outcome=\"unknown_route\"} 1",
-        "foxtailgauge_forward_seconds_count",
+        "foxtailgauge_forwarded_total{route=\"mesh/view\",service=\"mesh/viewer\",outcome=\"answered\"}",
+        "foxtailgauge_forwarded_total{route=\"\",service=\"\",outcome=\"unknown_route\"} 1",
+        "foxtailgauge_forward_seconds_count{service=\"mesh/viewer\"}",
+        "foxtailgauge_queue_seconds_count{service=\"mesh/viewer\"}",
+        "foxtailgauge_run_seconds_count{service=\"mesh/viewer\"}",
+        "foxtailgauge_hop_seconds_count",
+        "foxtailgauge_slots{server=\"i-0\"} 4",
+        "foxtailgauge_slots_used{server=\"i-0\"} 0",
+        "foxtailgauge_queued{server=\"i-0\"} 0",
+        "foxtailgauge_source_age_seconds",
+        "foxtailgauge_majority_age_seconds",
     ] {
         assert!(body(&answer).contains(expected), "{expected}: {answer}");
     }
