--- a/crates/foxtailgauge-daemon/tests/soak/main.rs
+++ b/crates/foxtailgauge-daemon/tests/soak.rs
@@ -3,15 +3,12 @@
 //!
 //! `scripts/soak` plays fresh seeds. A seed that ever failed stays in `KEPT`.
 
-mod faults;
-#[path = "../mesh_support/mod.rs"]
 mod mesh_support;
-mod record;
-mod run;
+mod soak_support;
 
 use mesh_support::Shape;
 use rand::Rng;
-use run::Soak;
+use soak_support::run::Soak;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
--- a/crates/foxtailgauge-daemon/tests/soak/record.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/record.rs
@@ -1,6 +1,6 @@
 //! What callers, backend servers and operators saw, and the promises that it is held against.
 
-use crate::faults::{Fault, Planned};
+use super::faults::{Fault, Planned};
 use crate::mesh_support::{header, Arrival};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/crates/foxtailgauge-daemon/tests/soak/run.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/run.rs
@@ -1,11 +1,11 @@
 //! One run: a fleet, its callers, backend servers and operators, and the faults of its seed.
 
-use crate::faults::{plan, Fault, Planned};
+use super::faults::{plan, Fault, Planned};
+use super::record::{Ask, End, Record, Sent, ServerRecord};
 use crate::mesh_support::{
     body, document, exchange, header, put_document, read_message, report, status, wait_for, Mesh,
     Script, Server, Shape,
 };
-use crate::record::{Ask, End, Record, Sent, ServerRecord};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
