--- a/crates/foxtailgauge-daemon/tests/soak_support/run.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/run.rs
@@ -42,6 +42,15 @@
     is_leaving: bool,
 }
 
+/// Lets all threads of a run end, also when what waits for them panics.
+struct EndOfRun<'a>(&'a AtomicBool);
+
+impl Drop for EndOfRun<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A run of one seed.
 pub struct Soak {
     seed: u64,
@@ -83,8 +92,9 @@
         soak.change(0, &versioned(&[1], 1));
         let planned = plan(seed, shape, length);
         let started = std::thread::scope(|scope| {
-            let sidecars = shape.replicas..daemons;
             let soak = &soak;
+            let _end = EndOfRun(&soak.is_over);
+            let sidecars = shape.replicas..daemons;
             for n in sidecars.clone() {
                 scope.spawn(move || soak.report_server(n));
             }
@@ -101,7 +111,6 @@
             soak.disturb(started, &planned);
             soak.wait_served();
             std::thread::sleep(CALM_TIME);
-            soak.is_over.store(true, Ordering::Relaxed);
             started
         });
         soak.read_back();
