--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -151,6 +151,7 @@
                 // What is still being written goes out first.
                 Some(Overdue::Idle) => connection.as_mut().graceful_shutdown(),
                 Some(Overdue::Head) => {
+                    // A caller that has gone meanwhile has no address, and the line says so by none.
                     emit!(self.shared.log, events::CALLER_TOO_SLOW,
                         "caller" => caller.unwrap_or_default());
                     return;
