Metrics of slots and queues are read when they are asked for

Ruled out: a slot kept after the answer (it is freed before the answer's head is passed on). Change: the admin and metrics addresses bring them up to date at each reading; gauges of backend servers that are gone are dropped there as well.

--- a/crates/foxtailgauge-daemon/src/admin_http.rs
+++ b/crates/foxtailgauge-daemon/src/admin_http.rs
@@ -2,6 +2,8 @@
 
 use crate::emit;
 use crate::events;
+use crate::forward_executor::ForwardExecutor;
+use crate::peer_server::Services;
 use crate::replica_client::{ReplicaClient, SubmitError};
 use crate::shared::{unix_ms, Shared};
 use foxtailgauge_core::{is_valid_name, Change, ChangeAnswer};
@@ -29,14 +31,22 @@
 pub(crate) struct Admin {
     shared: Arc<Shared>,
     replicas: ReplicaClient,
+    forward: Option<Arc<ForwardExecutor>>,
+}
+
+impl Admin {
+    fn new(services: &Services, replicas: &ReplicaClient) -> Self {
+        Admin {
+            shared: Arc::clone(&services.shared),
+            replicas: replicas.clone(),
+            forward: services.forward.clone(),
+        }
+    }
 }
 
 /// The HTTP interface.
-pub(crate) fn server(shared: &Arc<Shared>, replicas: ReplicaClient) -> Server<Admin> {
-    let mut app = tide::with_state(Admin {
-        shared: Arc::clone(shared),
-        replicas,
-    });
+pub(crate) fn server(services: &Services, replicas: &ReplicaClient) -> Server<Admin> {
+    let mut app = tide::with_state(Admin::new(services, replicas));
     app.at("/v1/teams/:team/config").put(change).get(read);
     app.at("/v1/teams/:team/check").post(check);
     app.at("/v1/teams/:team/history").get(history);
@@ -49,11 +59,8 @@
 }
 
 /// The metrics alone, for an address that others than operators may read.
-pub(crate) fn metrics_server(shared: &Arc<Shared>, replicas: ReplicaClient) -> Server<Admin> {
-    let mut app = tide::with_state(Admin {
-        shared: Arc::clone(shared),
-        replicas,
-    });
+pub(crate) fn metrics_server(services: &Services, replicas: &ReplicaClient) -> Server<Admin> {
+    let mut app = tide::with_state(Admin::new(services, replicas));
     app.at("/metrics").get(metrics);
     app
 }
@@ -292,8 +299,13 @@
 }
 
 async fn metrics(request: Request<Admin>) -> tide::Result {
-    let shared = &request.state().shared;
+    let Admin {
+        shared, forward, ..
+    } = request.state();
     shared.note_ages();
+    if let Some(forward) = forward {
+        forward.note_loads();
+    }
     let text = shared.metrics.text()?;
     Ok(Response::builder(StatusCode::Ok)
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -155,11 +155,8 @@
     serve_control(services, listeners.control);
     serve_calls(services, listeners.calls);
     task::spawn(Arc::clone(executor).expire_leases());
-    serve_http(
-        shared,
-        admin_http::server(shared, replicas),
-        listeners.admin,
-    );
+    let admin = admin_http::server(services, &replicas);
+    serve_http(shared, admin, listeners.admin);
     serve_http(
         shared,
         announce_http::server(Arc::clone(executor)),
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -238,18 +238,20 @@
             for server in &expired {
                 emit!(self.shared.log, events::SERVER_GONE, "server" => server,
                     "reason" => "no report");
-                self.shared.metrics.server_gone(server);
             }
             if !expired.is_empty() {
                 self.publish();
             }
-            for server in lock(&self.servers).values() {
-                let metrics = &self.shared.metrics;
-                metrics.server_load(server.name(), &server.load(""));
-            }
         }
     }
 
+    /// Brings the metrics of slots and queues up to date.
+    pub(crate) fn note_loads(&self) {
+        let servers: Vec<Arc<ForwardServer>> = lock(&self.servers).values().cloned().collect();
+        let loads = servers.iter().map(|s| (s.name(), s.load("")));
+        self.shared.metrics.server_loads(loads);
+    }
+
     fn publish(&self) {
         let entries: Vec<ServerEntry> = lock(&self.servers).values().map(|s| s.entry()).collect();
         self.shared.announce_forwarded(entries);
--- a/crates/foxtailgauge-daemon/src/mesh.rs
+++ b/crates/foxtailgauge-daemon/src/mesh.rs
@@ -53,7 +53,7 @@
     }
     if let Some(addr) = mesh.metrics {
         let listener = bind(addr, log).await?;
-        let app = admin_http::metrics_server(shared, replicas.clone());
+        let app = admin_http::metrics_server(services, replicas);
         serve_http(shared, app, listener);
     }
     if let Some(addr) = mesh.outbound {
--- a/crates/foxtailgauge-daemon/src/metrics.rs
+++ b/crates/foxtailgauge-daemon/src/metrics.rs
@@ -266,28 +266,23 @@
         }
     }
 
-    /// Notes how full a backend server is.
-    pub(crate) fn server_load(&self, server: &str, load: &WorkLoad) {
-        let labels = ServerLabels {
-            server: server.to_owned(),
-        };
-        let gauges = [
-            (&self.slots, load.slots),
-            (&self.slots_used, load.running),
-            (&self.queued, load.waiting),
-        ];
-        for (gauge, value) in gauges {
-            gauge.get_or_create(&labels).set(value.into());
-        }
-    }
-
-    /// Forgets a backend server that is gone.
-    pub(crate) fn server_gone(&self, server: &str) {
-        let labels = ServerLabels {
-            server: server.to_owned(),
-        };
+    /// Notes how full the backend servers here are; those that are not named are gone.
+    pub(crate) fn server_loads<'a>(&self, loads: impl Iterator<Item = (&'a str, WorkLoad)>) {
         for gauge in [&self.slots, &self.slots_used, &self.queued] {
-            gauge.remove(&labels);
+            gauge.clear();
+        }
+        for (server, load) in loads {
+            let labels = ServerLabels {
+                server: server.to_owned(),
+            };
+            let gauges = [
+                (&self.slots, load.slots),
+                (&self.slots_used, load.running),
+                (&self.queued, load.waiting),
+            ];
+            for (gauge, value) in gauges {
+                gauge.get_or_create(&labels).set(value.into());
+            }
         }
     }
 
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -359,14 +359,19 @@
     mesh.wait_end(1);
 }
 
+fn metrics(mesh: &Mesh) -> String {
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    let answer = exchange(&mesh.metrics(1), text).unwrap_or_default();
+    assert_eq!(status(&answer), 200);
+    body(&answer).to_owned()
+}
+
 #[test]
 fn metrics_count_answers_by_reason() {
     let (mesh, _servers) = pair();
     assert_eq!(status(&get(&mesh, "/view/1")), 200);
     assert_eq!(status(&get(&mesh, "/gone/1")), 404);
-    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
-    let answer = exchange(&mesh.metrics(1), text).unwrap_or_default();
-    assert_eq!(status(&answer), 200);
+    let metrics = metrics(&mesh);
     for expected in [
         "foxtailgauge_forwarded_total{route=\"mesh/view\",service=\"mesh/viewer\",outcome=\"answered\"}",
         "foxtailgauge_forwarded_total{route=\"\",service=\"\",outcome=\"unknown_route\"} 1",
@@ -380,10 +385,31 @@
         "foxtailgauge_source_age_seconds",
         "foxtailgauge_majority_age_seconds",
     ] {
-        assert!(body(&answer).contains(expected), "{expected}: {answer}");
+        assert!(metrics.contains(expected), "{expected}: {metrics}");
     }
 }
 
+#[test]
+fn metrics_of_slots_are_as_old_as_their_reading() {
+    let (mesh, servers) = pair();
+    let used = |count| {
+        let (expected, metrics) = (
+            format!("foxtailgauge_slots_used{{server=\"i-0\"}} {count}\n"),
+            metrics(&mesh),
+        );
+        assert!(metrics.contains(&expected), "{expected}: {metrics}");
+    };
+    servers[0].set(Script::Slow(700));
+    let addr = mesh.outbound(1);
+    let under_way = std::thread::spawn(move || {
+        exchange(&addr, &request("GET", "/view/1", "", "")).unwrap_or_default()
+    });
+    wait_for("the arrival", || (runs(&servers) == 1).then_some(()));
+    used(1);
+    assert_eq!(status(&under_way.join().expect("an answer")), 200);
+    used(0);
+}
+
 #[test]
 fn daemon_without_configuration_says_not_run() {
     let mesh = Mesh::start(1);
