HTTP/2 between daemons: heads are compressed, one connection to each daemon

Change: hop_connection carries requests between daemons over HTTP/2 (hyper, h2); a cancelled request resets its stream and no longer closes a connection. HTTP/1.1 stays to callers and backend servers. Test: heads_between_daemons_are_small, bound from the link; failed before with 192 of 114 bytes.

--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -5,6 +5,7 @@
 use crate::forward_body::{BodyError, ForwardBody};
 use crate::forward_server::{ForwardServer, Running};
 use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
+use crate::hop_connection;
 use crate::http_pool::{connect, ExchangeError, HttpPool, Lease, SendError};
 use crate::mesh_settings::MeshSettings;
 use crate::metrics::{Metrics, ServiceLabels};
@@ -18,11 +19,8 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use smol_hyper::rt::FuturesIo;
+use hyper::{Request, Response, StatusCode, Version};
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -478,15 +476,11 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let service = service_fn(|request| {
+        hop_connection::serve(stream, move |request| {
             let executor = Arc::clone(&self);
-            async move { Ok::<_, Infallible>(executor.serve_hop(request).await) }
-        });
-        let connection = hyper::server::conn::http1::Builder::new()
-            .auto_date_header(false)
-            .serve_connection(FuturesIo::new(stream), service);
-        // The gateway at the other end learns of a broken connection itself.
-        let _ = connection.await;
+            async move { executor.serve_hop(request).await }
+        })
+        .await;
     }
 
     async fn serve_hop(&self, request: Request<Incoming>) -> Response<ForwardBody> {
@@ -499,6 +493,7 @@
         };
         let (mut parts, body) = request.into_parts();
         parts.headers.remove(HOP_HEADER);
+        parts.version = Version::HTTP_11;
         // Nothing of it has run: the gateway broke off its body.
         let Ok(body) = ForwardBody::gather(body).await else {
             return encode(without_answer(HopEnd::Closed, WorkLoad::default()));
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -13,7 +13,8 @@
 use crate::forward_refusal::{refusal, Refusal};
 use crate::forward_request::{check_head, is_promise, next_body, read_body, time_to_answer};
 use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
-use crate::http_pool::{connect, HttpPool, Lease, SendError};
+use crate::hop_connection::HopConnections;
+use crate::http_pool::SendError;
 use crate::mesh_settings::MeshSettings;
 use crate::metrics::{ForwardLabels, ServiceLabels};
 use crate::peer_client::Identity;
@@ -26,24 +27,18 @@
     RouteName, ServerKey, ServiceName, SuspectVerdict, UnixMs, UsualPatience,
 };
 use foxtailgauge_platform::headers;
-use foxtailgauge_wire::handshake;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, HOST};
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use smol_hyper::rt::FuturesIo;
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::io;
 use std::pin::pin;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time to open a connection to another daemon, the handshake included.
-const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Idle time after which a connection to another daemon is not used again.
-const PEER_MAX_IDLE: Duration = Duration::from_secs(20);
 /// Time a caller waits if neither it nor its route says so.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// Retries that one daemon saves up for a service: all daemons share one budget.
@@ -61,8 +56,7 @@
     shared: Arc<Shared>,
     executor: Arc<ForwardExecutor>,
     settings: MeshSettings,
-    identity: Identity,
-    pool: HttpPool,
+    peers: HopConnections,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     patience: Mutex<UsualPatience>,
 }
@@ -104,8 +98,7 @@
             shared: Arc::clone(shared),
             executor: Arc::clone(executor),
             settings,
-            identity,
-            pool: HttpPool::default(),
+            peers: HopConnections::new(identity),
             budgets: Mutex::default(),
             patience: Mutex::default(),
         }
@@ -476,7 +469,7 @@
             Ok(reply) => reply,
             Err(_) => {
                 // Whatever else is open to that daemon may hang as well.
-                self.pool.forget(addr);
+                self.peers.forget(addr);
                 end_only(HopEnd::Broken)
             }
         }
@@ -487,60 +480,43 @@
         if let Ok(hop) = HeaderValue::from_str(&forward.hop.encode()) {
             request.headers_mut().insert(HOP_HEADER, hop);
         }
-        let mut reused = self.pool.take(addr, PEER_MAX_IDLE);
+        *request.version_mut() = Version::HTTP_11;
         loop {
-            let is_reused = reused.is_some();
-            let mut lease = match reused.take() {
-                Some(lease) => lease,
-                None => match self.open(addr).await {
-                    Some(lease) => lease,
-                    None => return end_only(HopEnd::NotReached),
-                },
+            let mut sender = match self.peers.sender(addr).await {
+                Ok(sender) => sender,
+                Err(error) => {
+                    emit!(self.shared.log, events::PEER_UNREACHABLE, "addr" => addr,
+                        "error" => error.to_string());
+                    return end_only(HopEnd::NotReached);
+                }
             };
             set_time_left(request.headers_mut(), forward.deadline);
-            match lease.send(request).await {
-                Ok(response) => return self.receive(lease, response).await,
-                Err(SendError::Unsent(unsent)) if is_reused => request = *unsent,
+            match sender.send(request).await {
+                Ok(response) => return receive(response).await,
+                Err(SendError::Unsent(unsent)) if sender.is_reused => {
+                    self.peers.forget(addr);
+                    request = *unsent;
+                }
                 Err(SendError::Unsent(_)) => return end_only(HopEnd::NotReached),
                 Err(SendError::Broken(_)) => return end_only(HopEnd::Broken),
             }
         }
     }
+}
 
-    async fn open(&self, addr: &str) -> Option<Lease> {
-        let stream = async {
-            let mut stream = connect(addr).await?;
-            handshake::connect(&mut stream, &self.identity.hello, &self.identity.key)
-                .await
-                .map_err(|error| io::Error::other(error.to_string()))?;
-            Ok(stream)
-        };
-        let opened = self.pool.open(addr, stream, PEER_CONNECT_TIMEOUT).await;
-        if let Err(error) = &opened {
-            emit!(self.shared.log, events::PEER_UNREACHABLE, "addr" => addr,
-                "error" => error.to_string());
-        }
-        opened.ok()
-    }
-
-    async fn receive(&self, lease: Lease, response: Response<Incoming>) -> ForwardReply {
-        let reply = header(response.headers(), HOP_HEADER).and_then(HopReply::parse);
-        let Some(reply) = reply else {
-            return end_only(HopEnd::Broken);
-        };
-        let (parts, body) = response.into_parts();
-        let Ok(mut body) = ForwardBody::gather(body).await else {
-            return end_only(HopEnd::Broken);
-        };
-        if body.bytes().is_some() {
-            self.pool.give_back(lease);
-        } else {
-            body.hold(lease);
-        }
-        ForwardReply {
-            reply,
-            response: Some(Response::from_parts(parts, body)),
-        }
+async fn receive(response: Response<Incoming>) -> ForwardReply {
+    let reply = header(response.headers(), HOP_HEADER).and_then(HopReply::parse);
+    let Some(reply) = reply else {
+        return end_only(HopEnd::Broken);
+    };
+    let (mut parts, body) = response.into_parts();
+    parts.version = Version::HTTP_11;
+    let Ok(body) = ForwardBody::gather(body).await else {
+        return end_only(HopEnd::Broken);
+    };
+    ForwardReply {
+        reply,
+        response: Some(Response::from_parts(parts, body)),
     }
 }
 
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod forward_server;
 mod gateway;
 mod hop;
+mod hop_connection;
 mod http_pool;
 mod ledger_client;
 mod local_server;
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -359,9 +359,9 @@
     mesh.wait_end(1);
 }
 
-fn metrics(mesh: &Mesh) -> String {
+fn metrics(mesh: &Mesh, n: usize) -> String {
     let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
-    let answer = exchange(&mesh.metrics(1), text).unwrap_or_default();
+    let answer = exchange(&mesh.metrics(n), text).unwrap_or_default();
     assert_eq!(status(&answer), 200);
     body(&answer).to_owned()
 }
@@ -371,7 +371,7 @@
     let (mesh, _servers) = pair();
     assert_eq!(status(&get(&mesh, "/view/1")), 200);
     assert_eq!(status(&get(&mesh, "/gone/1")), 404);
-    let metrics = metrics(&mesh);
+    let metrics = metrics(&mesh, 1);
     for expected in [
         "foxtailgauge_forwarded_total{route=\"mesh/view\",service=\"mesh/viewer\",outcome=\"answered\"}",
         "foxtailgauge_forwarded_total{route=\"\",service=\"\",outcome=\"unknown_route\"} 1",
@@ -395,7 +395,7 @@
     let used = |count| {
         let (expected, metrics) = (
             format!("foxtailgauge_slots_used{{server=\"i-0\"}} {count}\n"),
-            metrics(&mesh),
+            metrics(&mesh, 1),
         );
         assert!(metrics.contains(&expected), "{expected}: {metrics}");
     };
@@ -410,6 +410,54 @@
     used(0);
 }
 
+/// Half of a link of 1.55 Mbit/s, at 60 requests a second with answers of 1,500 bytes, leaves this
+/// for the head of a request or an answer.
+const HEAD_BYTES: u64 = 1_550_000 / 8 / 2 / 60 - 1_500;
+
+#[test]
+fn heads_between_daemons_are_small() {
+    let mesh = Mesh::start(2);
+    assert_eq!(mesh.put_document(0, &document(1)), 200);
+    let server = Server::start();
+    assert_eq!(
+        mesh.report(2, "i-2bba2aa9bf", &server.addr, "ready", 1),
+        200
+    );
+    let counted = |name: &str| -> u64 {
+        let metrics = metrics(&mesh, 2);
+        let line = metrics.lines().find(|line| line.starts_with(name));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        value.and_then(|value| value.parse().ok()).expect("a count")
+    };
+    let call = |n: u32| {
+        let text = format!(
+            "GET /view/{n} HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: {:016x}\r\n\
+             Deadline-Ms: {}\r\n\r\n",
+            u64::from(n).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            1_000 + n
+        );
+        exchange(&mesh.outbound(1), &text).unwrap_or_default()
+    };
+    wait_for("the other server", || {
+        (status(&call(1)) == 200).then_some(())
+    });
+    let before = [
+        counted("foxtailgauge_calls_received_bytes_total"),
+        counted("foxtailgauge_calls_sent_bytes_total"),
+    ];
+    server.set(Script::Empty);
+    let calls: u64 = 100;
+    (0..100).for_each(|n| assert_eq!(status(&call(n)), 200));
+    let after = [
+        counted("foxtailgauge_calls_received_bytes_total"),
+        counted("foxtailgauge_calls_sent_bytes_total"),
+    ];
+    for (before, after) in before.into_iter().zip(after) {
+        let head = (after - before) / calls;
+        assert!(head <= HEAD_BYTES, "{head} of {HEAD_BYTES} bytes");
+    }
+}
+
 #[test]
 fn daemon_without_configuration_says_not_run() {
     let mesh = Mesh::start(1);
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -24,6 +24,8 @@
 pub enum Script {
     /// Answers with the head and body it received.
     Echo,
+    /// Answers without a body.
+    Empty,
     /// Answers after a time, in milliseconds.
     Slow(u64),
     /// Says that it did not run the request.
@@ -111,6 +113,7 @@
         }
         let answer = match script {
             Script::Echo | Script::Slow(_) => answer("200 OK", &id, "", &request),
+            Script::Empty => answer("200 OK", &id, "", ""),
             Script::Decline => answer("503 No", &id, "Not-Executed: 1\r\n", ""),
             Script::Fail => answer("500 Failed", &id, "", "failed"),
             Script::Stray => answer("200 OK", "another", "", "not yours"),
