Placement: the server beside the caller first, the way to each daemon learned, silence not taken for idleness

Each of 64 gateways hears of a server about once a second; one without a fresh report counted as idle; nothing showed a full link; a server beside the caller was taken by luck only; a domain kept its requests up to 1.2 targets. Change: exact load beside, up to 0.7 targets; way time learned from answers (attempt less what the executor spent); usual fullness for those not heard of; own domain up to 0.8 targets, nested 0.5; crowding 0.1 of a run in place of 0.3. Tests: a replay of a fleet with links (tests/placement.rs).

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -82,7 +82,7 @@
     VoteRequest,
 };
 pub use patience::UsualPatience;
-pub use placement::{AttemptHealth, Placement};
+pub use placement::{AttemptHealth, AttemptReport, Placement, Placing};
 pub use quarantine::{
     fingerprint, request_digest, Fingerprint, Sightings, Suspect, SuspectIndex, SuspectVerdict,
     QUARANTINE_CRASHES, SUSPECT_TTL_MS,
--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -1,10 +1,11 @@
 //! Chooses the backend server for a request by the time at which its answer is expected.
 //!
 //! Load it answers: backend servers of one service that differ in speed by several times, some cold
-//! or failing, seen through reports that are a few answers old by many gateways at once.
+//! or failing, spread unevenly over the failure domains, seen through reports that are a few answers
+//! old by many gateways at once.
 
 use crate::balance::{Candidate, ServerKey};
-use crate::ids::{FailureDomain, RouteName};
+use crate::ids::{DaemonName, FailureDomain, RouteName};
 use crate::work_queue::WorkLoad;
 use rand::Rng;
 use std::collections::HashMap;
@@ -19,12 +20,25 @@
 const INITIAL_RUN: Duration = Duration::from_millis(50);
 /// Shortest run time that is assumed, so that distance never counts alone.
 const MIN_RUN: Duration = Duration::from_millis(1);
-/// Cost of leaving the failure domain: the hop both ways.
+/// Part of the slots in use that is assumed while no backend server of a service has reported.
+const INITIAL_FULLNESS: f64 = 0.5;
+/// Time of the way to another instance and back that is assumed of one not heard of lately: two hops
+/// on a small part of a core at both ends.
+const INITIAL_WAY: Duration = Duration::from_millis(6);
+/// Weight of the newest answer in the time of the way.
+const WAY_WEIGHT: f64 = 0.5;
+/// Time after which half of what was learned of the way is forgotten: a full link empties again.
+const WAY_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Cost of leaving the failure domain: bytes between domains are worth a short wait.
 const REMOTE_COST: Duration = Duration::from_millis(6);
-/// Forecast, in times to the target, up to which a backend server of the own failure domain is taken
-/// without a look at the others. Run times spread around their mean, so many answers still come in
-/// time there, and bytes between domains are saved.
-const NEAR_ENOUGH: f64 = 1.2;
+/// Forecast, in times to the target, up to which the backend server beside this daemon is taken
+/// without a look at the others: few runs take twice their mean, and the hop and its bytes are saved.
+const BESIDE_ENOUGH: f64 = 0.7;
+/// The same for backend servers of the own failure domain. Run times spread around their mean, so many
+/// answers still come in time there, and bytes between domains are saved.
+const NEAR_ENOUGH: f64 = 0.8;
+/// The same for nested requests: while they wait, they hold a slot elsewhere.
+const NEAR_ENOUGH_NESTED: f64 = 0.5;
 /// Cost of a certain failure: what a caller loses by trying again elsewhere.
 const FAILURE_COST: Duration = Duration::from_millis(500);
 /// Weight of the newest answer in the failure rate.
@@ -41,7 +55,7 @@
 /// of several ends is less likely the more they are.
 const SILENCE_RUNS: f64 = 6.0;
 /// Part of a slot by which a running request slows down the others.
-const CROWDING: f64 = 0.3;
+const CROWDING: f64 = 0.1;
 
 /// How an attempt ended, as far as the choice of backend servers is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +72,16 @@
     Neutral,
 }
 
+/// What came with the answer to an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptReport {
+    /// How full the backend server is.
+    pub load: WorkLoad,
+    /// Time that the request and its answer were on the way: all of the attempt but waiting and
+    /// running at the other daemon. `None` if it was this one.
+    pub way: Option<Duration>,
+}
+
 #[derive(Clone, Debug)]
 struct View {
     own: u32,
@@ -65,6 +89,8 @@
     report: Option<(WorkLoad, Instant)>,
     /// Run times by route. A short call and a long one of the same service differ by several times.
     route_runs: HashMap<RouteName, Duration>,
+    /// Time of the way there and back, and when it was learned.
+    way: Option<(Duration, Instant)>,
     failure_rate: f64,
     failure_at: Instant,
     closed_until: Option<Instant>,
@@ -81,6 +107,7 @@
             sent_since_report: 0,
             report: None,
             route_runs: HashMap::new(),
+            way: None,
             failure_rate: 0.0,
             failure_at: now,
             closed_until: None,
@@ -116,6 +143,12 @@
         !is_closed && !is_silent
     }
 
+    fn hear(&mut self, route: &str, load: WorkLoad, now: Instant) {
+        self.report = Some((load, now));
+        self.learn_run(route, load.route_run);
+        self.sent_since_report = 0;
+    }
+
     fn learn_run(&mut self, route: &str, run: Duration) {
         match self.route_runs.get_mut(route) {
             Some(known) => *known = run,
@@ -125,6 +158,22 @@
         }
     }
 
+    fn learn_way(&mut self, sample: Duration, now: Instant) {
+        let known = self.way(now);
+        let way = known.mul_f64(1.0 - WAY_WEIGHT) + sample.mul_f64(WAY_WEIGHT);
+        self.way = Some((way, now));
+    }
+
+    /// Time of the way there and back. What was learned fades towards what is usual.
+    fn way(&self, now: Instant) -> Duration {
+        let Some((way, at)) = self.way else {
+            return INITIAL_WAY;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        let known = 0.5f64.powf(age / WAY_HALF_LIFE.as_secs_f64());
+        way.mul_f64(known) + INITIAL_WAY.mul_f64(1.0 - known)
+    }
+
     fn close(&mut self, now: Instant) {
         let time = CLOSED_TIME * 2u32.saturating_pow(self.closings.min(8));
         self.closed_until = Some(now + time.min(MAX_CLOSED_TIME));
@@ -136,36 +185,54 @@
         run.map_or_else(|| self.run(), |run| run.max(MIN_RUN))
     }
 
+    /// Requests that it has in each slot, if it has reported lately.
+    fn fullness(&self, now: Instant) -> Option<f64> {
+        let load = self.report(now)?;
+        let under_way = load.running + load.waiting + self.sent_since_report;
+        Some(f64::from(under_way) / f64::from(load.slots.max(1)))
+    }
+
     /// Time until the answer to a request sent now: its turns of waiting behind requests of all
-    /// routes, then its own run.
-    fn expected(&self, slots: u32, route: &str, now: Instant) -> Duration {
-        let (under_way, slots) = match self.report(now) {
-            Some(load) => (
-                load.running + load.waiting + self.sent_since_report,
-                load.slots,
-            ),
-            None => (self.own, slots),
-        };
+    /// routes, then its own run. Without a report it is taken to be as full as usual.
+    fn expected(&self, slots: u32, usual_fullness: f64, route: &str, now: Instant) -> Duration {
         let slots = f64::from(slots.max(1));
-        let under_way = f64::from(under_way);
+        let under_way = match self.fullness(now) {
+            Some(fullness) => fullness * slots,
+            None => (usual_fullness * slots).max(f64::from(self.own)),
+        };
         let turns = ((under_way + 1.0 - slots) / slots).max(0.0);
         let crowding = CROWDING * (under_way / slots).min(1.0);
         self.run().mul_f64(turns) + self.route_run(route).mul_f64(1.0 + crowding)
     }
 }
 
+/// What a request is placed by.
+#[derive(Clone, Copy, Debug)]
+pub struct Placing<'a> {
+    /// Its route.
+    pub route: &'a str,
+    /// Time within which the answer is of full use.
+    pub target: Duration,
+    /// Whether a request that already holds a slot elsewhere waits for it.
+    pub is_nested: bool,
+    /// Load of the backend server beside this daemon, as it is now, if it has one of the service.
+    pub beside: Option<WorkLoad>,
+}
+
 /// A gateway's picture of all backend servers.
 #[derive(Debug)]
 pub struct Placement {
     failure_domain: FailureDomain,
+    daemon: DaemonName,
     views: HashMap<ServerKey, View>,
 }
 
 impl Placement {
-    /// A picture without backend servers, seen from a failure domain.
-    pub fn new(failure_domain: impl Into<FailureDomain>) -> Self {
+    /// A picture without backend servers, seen from a daemon in a failure domain.
+    pub fn new(failure_domain: impl Into<FailureDomain>, daemon: impl Into<DaemonName>) -> Self {
         Placement {
             failure_domain: failure_domain.into(),
+            daemon: daemon.into(),
             views: HashMap::new(),
         }
     }
@@ -176,34 +243,26 @@
     }
 
     /// Chooses among the candidates that were not tried yet; counts the request as under way.
-    ///
-    /// `target` is the time within which the answer is of full use.
     pub fn choose<'a>(
         &mut self,
         candidates: &'a [Candidate],
         tried: &[ServerKey],
-        route: &str,
-        target: Duration,
+        placing: &Placing<'_>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<&'a Candidate> {
+        let beside = candidates.iter().find(|c| c.key.daemon == self.daemon);
+        if let (Some(beside), Some(load)) = (beside, placing.beside) {
+            self.view(&beside.key, now).hear(placing.route, load, now);
+        }
         let open = candidates.iter().filter(|c| !tried.contains(&c.key));
         let (usable, unusable): (Vec<&Candidate>, Vec<&Candidate>) =
             open.partition(|c| self.views.get(&c.key).is_none_or(|v| v.is_usable(now)));
         // With nobody else left, one that was silent may be back.
         let open = if usable.is_empty() { unusable } else { usable };
-        let (near, far): (Vec<&Candidate>, Vec<&Candidate>) = open
-            .into_iter()
-            .partition(|c| c.failure_domain == self.failure_domain);
-        let near = sample(near, rng).map(|c| (self.cost(c, route, now), c));
-        let best_near = near.min_by_key(|(cost, _)| *cost);
-        let is_near_enough = best_near.is_some_and(|(cost, _)| cost < target.mul_f64(NEAR_ENOUGH));
-        let far = if is_near_enough { Vec::new() } else { far };
-        let far = sample(far, rng).map(|c| (self.cost(c, route, now) + REMOTE_COST, c));
-        let (_, chosen) = best_near
-            .into_iter()
-            .chain(far)
-            .min_by_key(|(cost, _)| *cost)?;
+        let usual = self.usual_fullness(&open, now);
+        let cost = |c: &'a Candidate| (self.cost(c, usual, placing.route, now), c);
+        let chosen = self.choose_by(open, placing, cost, rng)?;
         let view = self.view(&chosen.key, now);
         view.own += 1;
         view.sent_since_report += 1;
@@ -211,21 +270,72 @@
         Some(chosen)
     }
 
-    /// Ends an attempt that `choose` counted, with the load that the executor reported.
+    /// The backend server beside this daemon, the own failure domain, the others: each is looked at
+    /// only if nothing before is good enough.
+    fn choose_by<'a>(
+        &self,
+        open: Vec<&'a Candidate>,
+        placing: &Placing<'_>,
+        cost: impl Fn(&'a Candidate) -> (Duration, &'a Candidate),
+        rng: &mut impl Rng,
+    ) -> Option<&'a Candidate> {
+        let (beside, others): (Vec<&Candidate>, Vec<&Candidate>) =
+            open.into_iter().partition(|c| c.key.daemon == self.daemon);
+        let by_cost = |(cost, _): &(Duration, &Candidate)| *cost;
+        let beside = beside.into_iter().map(&cost).min_by_key(by_cost);
+        let is_within = |found: &Option<(Duration, &Candidate)>, part: f64| {
+            found.is_some_and(|(cost, _)| cost < placing.target.mul_f64(part))
+        };
+        if is_within(&beside, BESIDE_ENOUGH) {
+            return beside.map(|(_, chosen)| chosen);
+        }
+        let (near, far): (Vec<&Candidate>, Vec<&Candidate>) = others
+            .into_iter()
+            .partition(|c| c.failure_domain == self.failure_domain);
+        let near = sample(near, rng).map(&cost);
+        let near = beside.into_iter().chain(near).min_by_key(by_cost);
+        let enough = match placing.is_nested {
+            true => NEAR_ENOUGH_NESTED,
+            false => NEAR_ENOUGH,
+        };
+        if is_within(&near, enough) {
+            return near.map(|(_, chosen)| chosen);
+        }
+        let far = sample(far, rng).map(&cost);
+        let far = far.map(|(time, candidate)| (time + REMOTE_COST, candidate));
+        let best = near.into_iter().chain(far).min_by_key(by_cost);
+        best.map(|(_, chosen)| chosen)
+    }
+
+    /// How full those are on average that have reported lately. A gateway hears of most only now and
+    /// then; taking the others to be idle would send everything to those it knows least of.
+    fn usual_fullness(&self, candidates: &[&Candidate], now: Instant) -> f64 {
+        let known = candidates.iter().filter_map(|c| self.views.get(&c.key));
+        let (count, sum) = known
+            .filter_map(|view| view.fullness(now))
+            .fold((0.0, 0.0), |(count, sum), fullness| {
+                (count + 1.0, sum + fullness)
+            });
+        match count > 0.0 {
+            true => sum / count,
+            false => INITIAL_FULLNESS,
+        }
+    }
+
+    /// Ends an attempt that `choose` counted, with what the executor reported.
     pub fn finish(
         &mut self,
         key: &ServerKey,
         route: &str,
         health: AttemptHealth,
-        report: Option<WorkLoad>,
+        report: Option<AttemptReport>,
         now: Instant,
     ) {
         let view = self.view(key, now);
         view.own = view.own.saturating_sub(1);
-        if let Some(load) = report {
-            view.report = Some((load, now));
-            view.learn_run(route, load.route_run);
-            view.sent_since_report = 0;
+        if let Some(AttemptReport { load, way }) = report {
+            view.hear(route, load, now);
+            way.into_iter().for_each(|way| view.learn_way(way, now));
         }
         let is_heard = report.is_some() || health == AttemptHealth::Answered;
         if is_heard || view.own == 0 {
@@ -249,11 +359,16 @@
         view.failure_at = now;
     }
 
-    fn cost(&self, candidate: &Candidate, route: &str, now: Instant) -> Duration {
+    fn cost(&self, candidate: &Candidate, usual: f64, route: &str, now: Instant) -> Duration {
         let Some(view) = self.views.get(&candidate.key) else {
             return INITIAL_RUN;
         };
-        view.expected(candidate.slots, route, now) + FAILURE_COST.mul_f64(view.failure_rate(now))
+        let way = match candidate.key.daemon == self.daemon {
+            true => Duration::ZERO,
+            false => view.way(now),
+        };
+        let failures = FAILURE_COST.mul_f64(view.failure_rate(now));
+        view.expected(candidate.slots, usual, route, now) + way + failures
     }
 
     fn view(&mut self, key: &ServerKey, now: Instant) -> &mut View {
--- a/crates/foxtailgauge-core/tests/forwarding.rs
+++ b/crates/foxtailgauge-core/tests/forwarding.rs
@@ -1,8 +1,8 @@
 //! Host routes, the choice of backend servers, and what follows on an attempt.
 
 use foxtailgauge_core::{
-    parse_team, AttemptEnd, AttemptHealth, Attempts, Candidate, HostTable, Next, Placement,
-    ServerKey, Snapshot, WorkLoad,
+    parse_team, AttemptEnd, AttemptHealth, AttemptReport, Attempts, Candidate, HostTable, Next,
+    Placement, Placing, ServerKey, Snapshot, WorkLoad,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -34,6 +34,21 @@
     Duration::from_millis(ms)
 }
 
+/// A request of a caller, placed from an instance without a backend server of the service.
+fn outer(route: &str, target: Duration) -> Placing<'_> {
+    Placing {
+        route,
+        target,
+        is_nested: false,
+        beside: None,
+    }
+}
+
+fn report(load: WorkLoad) -> Option<AttemptReport> {
+    let way = Some(ms(6));
+    Some(AttemptReport { load, way })
+}
+
 fn snapshot(text: &str) -> Snapshot {
     let team = parse_team("mesh", text).unwrap_or_else(|problems| panic!("{problems:?}"));
     Snapshot::from_teams(1, &BTreeMap::from([("mesh".to_owned(), team)]))
@@ -159,13 +174,13 @@
         .collect();
     let mut counts = vec![0; servers.len()];
     for _ in 0..1_000 {
-        let mut placement = Placement::new("a");
+        let mut placement = Placement::new("a", "gateway");
         for (candidate, (_, load, health)) in candidates.iter().zip(servers) {
             for _ in 0..10 {
-                placement.finish(&candidate.key, "r", *health, Some(*load), now);
+                placement.finish(&candidate.key, "r", *health, report(*load), now);
             }
         }
-        let chosen = placement.choose(&candidates, &[], "r", target, now, &mut rng);
+        let chosen = placement.choose(&candidates, &[], &outer("r", target), now, &mut rng);
         let index = chosen.and_then(|c| candidates.iter().position(|other| other == c));
         counts[index.unwrap_or_else(|| panic!("nobody chosen"))] += 1;
     }
@@ -239,7 +254,7 @@
     let now = Instant::now();
     let mut rng = StdRng::seed_from_u64(9);
     let candidates = [candidate("s0", "a"), candidate("s1", "b")];
-    let mut placement = Placement::new("a");
+    let mut placement = Placement::new("a", "gateway");
     let mixed = |mean_ms, route_ms| WorkLoad {
         route_run: ms(route_ms),
         ..load(9, 0, mean_ms)
@@ -248,30 +263,57 @@
         for (route, run_ms) in [("long", 300), ("short", 60)] {
             let load = mixed(200 * scale, run_ms * scale);
             let health = AttemptHealth::Answered;
-            placement.finish(&candidate.key, route, health, Some(load), now);
+            placement.finish(&candidate.key, route, health, report(load), now);
         }
     }
     let mut choose = |route| {
-        let chosen = placement.choose(&candidates, &[], route, ms(300), now, &mut rng);
+        let chosen = placement.choose(&candidates, &[], &outer(route, ms(300)), now, &mut rng);
         chosen.map(|c| c.failure_domain.clone())
     };
     assert_eq!(choose("short").as_deref(), Some("a"));
     assert_eq!(choose("long").as_deref(), Some("b"));
 }
 
+/// Load: a backend server of the service on the gateway's own instance, and one on another instance
+/// that would answer somewhat sooner.
+#[test]
+fn placement_prefers_the_server_beside_while_it_is_in_time() {
+    let now = Instant::now();
+    // Load beside, target in milliseconds, where the request goes.
+    let cases = [
+        (load(9, 0, 100), 200, "gateway"),
+        (load(10, 20, 100), 200, "other"),
+        (load(0, 0, 100), 120, "other"),
+    ];
+    for (beside, target_ms, expected) in cases {
+        let mut rng = StdRng::seed_from_u64(1);
+        let candidates = [candidate("gateway", "a"), candidate("other", "a")];
+        let mut placement = Placement::new("a", "gateway");
+        let health = AttemptHealth::Answered;
+        placement.finish(&candidates[1].key, "r", health, report(load(0, 0, 50)), now);
+        let placing = Placing {
+            beside: Some(beside),
+            ..outer("r", ms(target_ms))
+        };
+        let chosen = placement.choose(&candidates, &[], &placing, now, &mut rng);
+        let daemon = chosen.map(|c| c.key.daemon.as_str());
+        assert_eq!(daemon, Some(expected), "{beside:?}, target {target_ms} ms");
+    }
+}
+
 #[test]
 fn silent_daemon_is_passed_over_until_it_speaks() {
     let start = Instant::now();
     let mut rng = StdRng::seed_from_u64(5);
     let candidates = [candidate("s0", "a"), candidate("s1", "a")];
-    let mut placement = Placement::new("a");
+    let mut placement = Placement::new("a", "gateway");
     let fast = load(0, 0, 20);
     for candidate in &candidates {
         placement.finish(
             &candidate.key,
             "r",
             AttemptHealth::Answered,
-            Some(fast),
+            report(fast),
             start,
         );
     }
@@ -280,7 +322,7 @@
     let mut sent_to_silent = 0;
     for step in 0..400u64 {
         at = start + ms(step * 5);
-        let chosen = placement.choose(&candidates, &[], "r", ms(200), at, &mut rng);
+        let chosen = placement.choose(&candidates, &[], &outer("r", ms(200)), at, &mut rng);
         match chosen.map(|c| c.key.daemon.as_str()) {
             Some("s0") => {
                 sent_to_silent += 1;
@@ -294,7 +336,7 @@
                 &candidates[1].key,
                 "r",
                 AttemptHealth::Answered,
-                Some(fast),
+                report(fast),
                 at,
             ),
         }
@@ -306,12 +348,12 @@
             &candidates[0].key,
             "r",
             AttemptHealth::Answered,
-            Some(fast),
+            report(fast),
             at,
         );
     }
     let tried = [candidates[1].key.clone()];
-    let chosen = placement.choose(&candidates, &tried, "r", ms(200), at, &mut rng);
+    let chosen = placement.choose(&candidates, &tried, &outer("r", ms(200)), at, &mut rng);
     assert_eq!(chosen, Some(&candidates[0]));
 }
 
--- /dev/null
+++ b/crates/foxtailgauge-core/tests/placement.rs
@@ -0,0 +1,550 @@
+//! Replays a fleet of gateways that place requests on the backend servers of one service.
+//!
+//! Load: a service near its capacity that is spread unevenly over the failure domains, called
+//! through so many gateways that each hears of a backend server only now and then. Some calls are
+//! made by requests that hold a slot elsewhere meanwhile.
+
+use foxtailgauge_core::{
+    Arrival, AttemptEnd, AttemptHealth, AttemptReport, Attempts, Candidate, Next, Placement,
+    Placing, Refused, ServerKey, Step, Ticket, WorkItem, WorkQueue,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::{Duration, Instant};
+
+/// Backend servers of each failure domain.
+const SERVERS: [usize; 3] = [9, 7, 6];
+/// Gateways of each failure domain; the first ones stand beside a backend server.
+const GATEWAYS: [usize; 3] = [24, 20, 20];
+/// Share of the requests that begin in each failure domain.
+const TRAFFIC: [f64; 3] = [0.345, 0.315, 0.34];
+/// Run times of backend servers, in times of the usual one.
+const SLOWNESS: [f64; 3] = [1.43, 1.43, 0.625];
+const SLOTS: u32 = 18;
+const LENGTH_S: f64 = 12.0;
+/// Not counted: the gateways know nothing of run times at first.
+const WARM_UP_S: f64 = 2.0;
+/// Time of a hop one way, processor time of both daemons included.
+const HOP_S: f64 = 0.003;
+const FAR_HOP_S: f64 = 0.005;
+/// What a link of 1.55 Mbit/s carries each way, less what requests of other services take.
+const SLOW_LINK: f64 = 194e3 - 100e3;
+const FAST_LINK: f64 = 1e9;
+const REFUSAL_BYTES: f64 = 100.0;
+
+/// A message of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leg {
+    There,
+    Back,
+    Refused,
+}
+
+impl Leg {
+    fn back(is_answered: bool) -> Self {
+        match is_answered {
+            true => Leg::Back,
+            false => Leg::Refused,
+        }
+    }
+}
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    route: &'static str,
+    is_nested: bool,
+    per_s: f64,
+    run_s: f64,
+    target_s: f64,
+    deadline_s: f64,
+    request_bytes: f64,
+    answer_bytes: f64,
+}
+
+const COMMIT: Kind = Kind {
+    route: "mesh/commit",
+    is_nested: false,
+    per_s: 460.0,
+    run_s: 0.440,
+    target_s: 1.0,
+    deadline_s: 1.5,
+    request_bytes: 1_400.0,
+    answer_bytes: 500.0,
+};
+const LOOKUP: Kind = Kind {
+    route: "mesh/lookup",
+    is_nested: true,
+    per_s: 1_800.0,
+    run_s: 0.071,
+    target_s: 0.3,
+    deadline_s: 0.8,
+    request_bytes: 150.0,
+    answer_bytes: 700.0,
+};
+
+struct Request {
+    kind: Kind,
+    gateway: usize,
+    at_s: f64,
+    attempts: Attempts,
+    tried: Vec<ServerKey>,
+    /// Server it is at.
+    server: usize,
+    placed_s: f64,
+    arrived_s: f64,
+    replied_s: f64,
+}
+
+/// A link: when what was put on it is through.
+#[derive(Clone, Copy, Debug, Default)]
+struct Link {
+    out_s: f64,
+    in_s: f64,
+}
+
+/// What became of the requests of a kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ends {
+    all: usize,
+    in_target: usize,
+    late: usize,
+    refused: usize,
+    near: usize,
+    beside: usize,
+}
+
+impl Ends {
+    fn share_in_target(&self) -> f64 {
+        self.in_target as f64 / self.all as f64
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Place(usize),
+    Arrive(usize),
+    GiveUp(usize, Ticket),
+    EndRun(usize),
+    Reply(usize, bool),
+}
+
+struct Server {
+    queue: WorkQueue,
+    domain: usize,
+    slowness: f64,
+    waiting: HashMap<Ticket, usize>,
+}
+
+struct Fleet {
+    rng: StdRng,
+    start: Instant,
+    now_s: f64,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    servers: Vec<Server>,
+    candidates: Vec<Candidate>,
+    gateways: Vec<(usize, Placement)>,
+    requests: Vec<Request>,
+    link_bytes_per_s: f64,
+    links: HashMap<String, Link>,
+    ends: HashMap<&'static str, Ends>,
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6) as u64
+}
+
+fn domain_name(domain: usize) -> String {
+    format!("z{domain}")
+}
+
+impl Fleet {
+    fn new(seed: u64, kinds: &[Kind], link_bytes_per_s: f64) -> Self {
+        let mut fleet = Fleet {
+            rng: StdRng::seed_from_u64(seed),
+            start: Instant::now(),
+            now_s: 0.0,
+            events: BinaryHeap::new(),
+            servers: Vec::new(),
+            candidates: Vec::new(),
+            gateways: Vec::new(),
+            requests: Vec::new(),
+            link_bytes_per_s,
+            links: HashMap::new(),
+            ends: HashMap::new(),
+        };
+        for domain in 0..SERVERS.len() {
+            for n in 0..GATEWAYS[domain] {
+                let daemon = format!("d{domain}-{n}");
+                let placement = Placement::new(domain_name(domain), &daemon);
+                fleet.gateways.push((domain, placement));
+                if n < SERVERS[domain] {
+                    fleet.add_server(domain, daemon);
+                }
+            }
+        }
+        for kind in kinds {
+            let mut at_s = 0.0;
+            while at_s < LENGTH_S {
+                at_s -= fleet.rng.random::<f64>().ln() / kind.per_s;
+                let gateway = fleet.draw_gateway();
+                let request = fleet.requests.len();
+                fleet.requests.push(Request {
+                    kind: *kind,
+                    gateway,
+                    at_s,
+                    attempts: Attempts::new(kind.is_nested, 2),
+                    tried: Vec::new(),
+                    server: 0,
+                    placed_s: at_s,
+                    arrived_s: at_s,
+                    replied_s: at_s,
+                });
+                fleet.at(at_s, Event::Place(request));
+            }
+        }
+        fleet
+    }
+
+    fn draw_gateway(&mut self) -> usize {
+        let mut draw = self.rng.random::<f64>();
+        let mut domain = 0;
+        while domain + 1 < TRAFFIC.len() && draw >= TRAFFIC[domain] {
+            draw -= TRAFFIC[domain];
+            domain += 1;
+        }
+        let first: usize = GATEWAYS[..domain].iter().sum();
+        first + self.rng.random_range(0..GATEWAYS[domain])
+    }
+
+    fn add_server(&mut self, domain: usize, daemon: String) {
+        let n = self.servers.len();
+        self.servers.push(Server {
+            queue: WorkQueue::new(SLOTS),
+            domain,
+            slowness: SLOWNESS[n % SLOWNESS.len()],
+            waiting: HashMap::new(),
+        });
+        self.candidates.push(Candidate {
+            key: ServerKey {
+                daemon,
+                server: format!("i-{n}"),
+            },
+            failure_domain: domain_name(domain),
+            calls_addr: String::new(),
+            slots: SLOTS,
+        });
+    }
+
+    fn at(&mut self, at_s: f64, event: Event) {
+        self.events.push(Reverse((micros(at_s), event)));
+    }
+
+    fn now(&self) -> Instant {
+        self.instant(self.now_s)
+    }
+
+    fn instant(&self, at_s: f64) -> Instant {
+        self.start + Duration::from_secs_f64(at_s)
+    }
+
+    fn play(mut self) -> HashMap<&'static str, Ends> {
+        while let Some(Reverse((at_us, event))) = self.events.pop() {
+            self.now_s = at_us as f64 / 1e6;
+            match event {
+                Event::Place(request) => self.place(request),
+                Event::Arrive(request) => self.arrive(request),
+                Event::GiveUp(server, ticket) => {
+                    if self.servers[server].queue.give_up(ticket).is_some() {
+                        self.refuse(server, ticket);
+                    }
+                }
+                Event::EndRun(request) => self.end_run(request),
+                Event::Reply(request, is_answered) => self.reply(request, is_answered),
+            }
+        }
+        self.ends
+    }
+
+    /// Instant at which a message is through both links.
+    fn deliver_s(&mut self, request: usize, leg: Leg) -> f64 {
+        if self.is_beside(request) {
+            return self.now_s;
+        }
+        let Request {
+            kind,
+            gateway,
+            server,
+            ..
+        } = self.requests[request];
+        let (domain, _) = self.gateways[gateway];
+        let distance_s = match domain == self.servers[server].domain {
+            true => HOP_S,
+            false => FAR_HOP_S,
+        };
+        let here = self.daemon_name(gateway);
+        let there = self.candidates[server].key.daemon.clone();
+        let (bytes, from, to) = match leg {
+            Leg::There => (kind.request_bytes, here, there),
+            Leg::Back => (kind.answer_bytes, there, here),
+            Leg::Refused => (REFUSAL_BYTES, there, here),
+        };
+        let time_s = bytes / self.link_bytes_per_s;
+        let link = self.links.entry(from).or_default();
+        link.out_s = link.out_s.max(self.now_s) + time_s;
+        let at_s = link.out_s + distance_s;
+        let link = self.links.entry(to).or_default();
+        link.in_s = link.in_s.max(at_s) + time_s;
+        link.in_s
+    }
+
+    fn is_beside(&self, request: usize) -> bool {
+        let Request {
+            gateway, server, ..
+        } = self.requests[request];
+        self.candidates[server].key.daemon == self.daemon_name(gateway)
+    }
+
+    fn daemon_name(&self, gateway: usize) -> String {
+        let (domain, _) = self.gateways[gateway];
+        let first: usize = GATEWAYS[..domain].iter().sum();
+        format!("d{domain}-{}", gateway - first)
+    }
+
+    fn place(&mut self, request: usize) {
+        let now = self.now();
+        let Request {
+            kind,
+            gateway,
+            at_s,
+            ..
+        } = self.requests[request];
+        let target = Duration::from_secs_f64((at_s + kind.target_s - self.now_s).max(0.0));
+        let daemon = self.daemon_name(gateway);
+        let (_, placement) = &mut self.gateways[gateway];
+        let beside = self
+            .candidates
+            .iter()
+            .position(|c| c.key.daemon == daemon)
+            .map(|n| self.servers[n].queue.load(kind.route));
+        let placing = Placing {
+            route: kind.route,
+            target,
+            is_nested: kind.is_nested,
+            beside,
+        };
+        let tried = &self.requests[request].tried;
+        let chosen = placement.choose(&self.candidates, tried, &placing, now, &mut self.rng);
+        let Some(candidate) = chosen else {
+            return self.end(request, false);
+        };
+        let key = candidate.key.clone();
+        let server = self.candidates.iter().position(|c| c.key == key);
+        self.requests[request].server = server.unwrap_or(0);
+        self.requests[request].tried.push(key);
+        self.requests[request].placed_s = self.now_s;
+        let at_s = self.deliver_s(request, Leg::There);
+        self.at(at_s, Event::Arrive(request));
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let now = self.now();
+        self.requests[request].arrived_s = self.now_s;
+        let Request {
+            kind, at_s, server, ..
+        } = self.requests[request];
+        let item = WorkItem {
+            route: kind.route.to_owned(),
+            rank: 1,
+            is_nested: kind.is_nested,
+            deadline: self.instant(at_s + kind.deadline_s),
+            target: self.instant(at_s + kind.target_s),
+        };
+        match self.servers[server].queue.arrive(item, now) {
+            Arrival::Run => self.run(request),
+            Arrival::Refused(Refused::TooLate { .. } | Refused::Closed) => {
+                self.send_reply(request, false);
+            }
+            Arrival::Wait(ticket, until) => {
+                self.servers[server].waiting.insert(ticket, request);
+                let until_s = until.duration_since(self.start).as_secs_f64();
+                self.at(until_s, Event::GiveUp(server, ticket));
+            }
+        }
+        self.advance(server);
+    }
+
+    fn run(&mut self, request: usize) {
+        let Request { kind, server, .. } = self.requests[request];
+        // Half of a run time is fixed, the rest spread exponentially.
+        let spread = 0.5 - 0.5 * self.rng.random::<f64>().ln();
+        let run_s = kind.run_s * spread * self.servers[server].slowness;
+        self.at(self.now_s + run_s, Event::EndRun(request));
+    }
+
+    fn end_run(&mut self, request: usize) {
+        let Request { kind, server, .. } = self.requests[request];
+        // The mean is close enough for what the queue learns.
+        let run = Duration::from_secs_f64(kind.run_s * self.servers[server].slowness);
+        self.servers[server].queue.finish(kind.route, Some(run));
+        self.send_reply(request, true);
+        self.advance(server);
+    }
+
+    fn advance(&mut self, server: usize) {
+        let now = self.now();
+        while let Some(step) = self.servers[server].queue.next_step(now) {
+            match step {
+                Step::Start(ticket, _) => {
+                    if let Some(request) = self.servers[server].waiting.remove(&ticket) {
+                        self.run(request);
+                    }
+                }
+                Step::Refuse(ticket, _) => self.refuse(server, ticket),
+            }
+        }
+    }
+
+    fn refuse(&mut self, server: usize, ticket: Ticket) {
+        if let Some(request) = self.servers[server].waiting.remove(&ticket) {
+            self.send_reply(request, false);
+        }
+    }
+
+    fn send_reply(&mut self, request: usize, is_answered: bool) {
+        self.requests[request].replied_s = self.now_s;
+        let at_s = self.deliver_s(request, Leg::back(is_answered));
+        self.at(at_s, Event::Reply(request, is_answered));
+    }
+
+    fn reply(&mut self, request: usize, is_answered: bool) {
+        let now = self.now();
+        let Request {
+            kind,
+            gateway,
+            at_s,
+            server,
+            ..
+        } = self.requests[request];
+        let load = self.servers[server].queue.load(kind.route);
+        let health = match is_answered {
+            true => AttemptHealth::Answered,
+            false => AttemptHealth::Neutral,
+        };
+        let key = self.candidates[server].key.clone();
+        let is_beside = self.is_beside(request);
+        let Request {
+            placed_s,
+            arrived_s,
+            replied_s,
+            ..
+        } = self.requests[request];
+        let way =
+            Duration::from_secs_f64((self.now_s - placed_s - (replied_s - arrived_s)).max(0.0));
+        let (_, placement) = &mut self.gateways[gateway];
+        let report = AttemptReport {
+            load,
+            way: (!is_beside).then_some(way),
+        };
+        placement.finish(&key, kind.route, health, Some(report), now);
+        if is_answered {
+            return self.end(request, true);
+        }
+        let left = Duration::from_secs_f64((at_s + kind.deadline_s - self.now_s).max(0.0));
+        let run = load.route_run;
+        let attempts = &mut self.requests[request].attempts;
+        match attempts.after(AttemptEnd::NoRoom, left, run, true) {
+            Next::Again { .. } => self.place(request),
+            _ => self.end(request, false),
+        }
+    }
+
+    fn end(&mut self, request: usize, is_answered: bool) {
+        let Request {
+            kind,
+            gateway,
+            at_s,
+            server,
+            ..
+        } = self.requests[request];
+        if at_s < WARM_UP_S {
+            return;
+        }
+        let took_s = self.now_s - at_s;
+        let is_near = self.gateways[gateway].0 == self.servers[server].domain;
+        let is_beside = self.is_beside(request);
+        let ends = self.ends.entry(kind.route).or_default();
+        ends.all += 1;
+        if !is_answered {
+            ends.refused += 1;
+            return;
+        }
+        ends.near += usize::from(is_near);
+        ends.beside += usize::from(is_beside);
+        if took_s <= kind.target_s {
+            ends.in_target += 1;
+        } else {
+            ends.late += 1;
+        }
+    }
+}
+
+fn play(seed: u64, load: f64, link_bytes_per_s: f64) -> (Ends, Ends) {
+    let kinds = [COMMIT, LOOKUP].map(|kind| Kind {
+        per_s: kind.per_s * load,
+        ..kind
+    });
+    let ends = Fleet::new(seed, &kinds, link_bytes_per_s).play();
+    let of = |kind: Kind| ends.get(kind.route).copied().unwrap_or_default();
+    (of(COMMIT), of(LOOKUP))
+}
+
+/// Part of the requests that is to be answered within its target.
+const WANTED: f64 = 0.9;
+
+#[test]
+fn full_links_are_passed_over() {
+    for seed in 0..4 {
+        let (commits, lookups) = play(seed, 1.0, SLOW_LINK);
+        let shares = [commits.share_in_target(), lookups.share_in_target()];
+        assert!(
+            shares.iter().all(|share| *share > WANTED),
+            "seed {seed}: {shares:?}, {commits:?}, {lookups:?}"
+        );
+    }
+}
+
+#[test]
+fn a_domain_short_of_servers_is_helped_by_the_others() {
+    for seed in 0..4 {
+        let (commits, lookups) = play(seed, 1.1, FAST_LINK);
+        let shares = [commits.share_in_target(), lookups.share_in_target()];
+        assert!(
+            shares.iter().all(|share| *share > WANTED),
+            "seed {seed}: {shares:?}, {commits:?}, {lookups:?}"
+        );
+    }
+}
+
+#[test]
+fn in_calm_most_requests_stay_in_their_domain_and_many_on_their_instance() {
+    for seed in 0..4 {
+        let (commits, lookups) = play(seed, 0.6, SLOW_LINK);
+        assert!(
+            commits.near * 20 > commits.all * 19,
+            "seed {seed}: {commits:?}"
+        );
+        assert!(
+            lookups.near * 20 > lookups.all * 19,
+            "seed {seed}: {lookups:?}"
+        );
+        // Of 64 gateways, 22 stand beside a backend server; those that are slow are left alone.
+        assert!(
+            commits.beside * 10 > commits.all,
+            "seed {seed}: {commits:?}"
+        );
+        assert_eq!(commits.refused + lookups.refused, 0, "seed {seed}");
+    }
+}
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -215,6 +215,13 @@
         self.publish();
     }
 
+    /// Load of the backend server of a service here, if it takes requests.
+    pub(crate) fn load_of(&self, service: &str, route: &str) -> Option<WorkLoad> {
+        let servers = lock(&self.servers);
+        let mut of_service = servers.values().filter(|s| s.serves(service));
+        Some(of_service.next()?.load(route))
+    }
+
     /// Requests running and waiting.
     pub(crate) fn in_flight(&self) -> u32 {
         lock(&self.servers).values().map(|s| s.in_flight()).sum()
@@ -302,6 +309,7 @@
                 reply: HopReply {
                     end,
                     load: server.load(&route),
+                    spent: Duration::ZERO,
                 },
                 response,
             },
@@ -498,7 +506,8 @@
         let Ok(body) = ForwardBody::gather(body).await else {
             return encode(without_answer(HopEnd::Closed, WorkLoad::default()));
         };
-        let reply = self
+        let arrived = Instant::now();
+        let mut reply = self
             .run(ForwardRequest {
                 hop,
                 fingerprint: fingerprint_of(&parts, &body),
@@ -506,13 +515,18 @@
                 deadline: now + Duration::from_millis(left_ms),
             })
             .await;
+        reply.reply.spent = arrived.elapsed();
         encode(reply)
     }
 }
 
 fn without_answer(end: HopEnd, load: WorkLoad) -> ForwardReply {
     ForwardReply {
-        reply: HopReply { end, load },
+        reply: HopReply {
+            end,
+            load,
+            spent: Duration::ZERO,
+        },
         response: None,
     }
 }
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -23,8 +23,8 @@
 use crate::socket;
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
-    AttemptEnd, AttemptHealth, Attempts, Candidate, Fingerprint, HostRoute, Next, RetryBudget,
-    RouteName, ServerKey, ServiceName, SuspectVerdict, UnixMs, UsualPatience,
+    AttemptEnd, AttemptHealth, AttemptReport, Attempts, Candidate, Fingerprint, HostRoute, Next,
+    Placing, RetryBudget, RouteName, ServerKey, ServiceName, SuspectVerdict, UnixMs, UsualPatience,
 };
 use foxtailgauge_platform::headers;
 use hyper::body::Incoming;
@@ -301,11 +301,16 @@
             };
             let now = Instant::now();
             let target = call.target.saturating_sub(now - call.started);
+            let placing = Placing {
+                route: call.route_name,
+                target,
+                is_nested: call.parent_route.is_some(),
+                beside: self.executor.load_of(&call.service, call.route_name),
+            };
             let chosen = lock(&self.shared.placement).choose(
                 candidates,
                 &tried,
-                call.route_name,
-                target,
+                &placing,
                 now,
                 &mut rand::rng(),
             );
@@ -446,15 +451,17 @@
             deadline: call.deadline,
             fingerprint,
         };
-        let reply = if candidate.key.daemon == self.shared.settings.name {
-            self.executor.run(request).await
+        let (reply, way) = if candidate.key.daemon == self.shared.settings.name {
+            (self.executor.run(request).await, None)
         } else {
             let reply = self.send(&candidate.calls_addr, request).await;
+            let elapsed = now.elapsed();
             let hop_seconds = &self.shared.metrics.hop_seconds;
-            hop_seconds.observe(now.elapsed().as_secs_f64());
-            reply
+            hop_seconds.observe(elapsed.as_secs_f64());
+            let way = elapsed.saturating_sub(reply.reply.spent);
+            (reply, Some(way))
         };
-        guard.finish(&reply);
+        guard.finish(&reply, way);
         if let Some(parent) = &call.parent_route {
             self.executor.note_call(parent, &call.service, &reply.reply);
         }
@@ -529,7 +536,7 @@
 }
 
 impl PlacedGuard<'_> {
-    fn finish(mut self, reply: &ForwardReply) {
+    fn finish(mut self, reply: &ForwardReply, way: Option<Duration>) {
         self.is_done = true;
         let health = match reply.reply.end {
             HopEnd::Answered if is_server_failure(reply) => AttemptHealth::Failed,
@@ -541,7 +548,7 @@
             HopEnd::Refused { .. } => AttemptHealth::Neutral,
         };
         let load = reply.reply.load;
-        let report = (load.slots > 0).then_some(load);
+        let report = (load.slots > 0).then_some(AttemptReport { load, way });
         lock(&self.shared.placement).finish(self.key, self.route, health, report, Instant::now());
     }
 }
@@ -564,7 +571,11 @@
 fn end_only(end: HopEnd) -> ForwardReply {
     let load = foxtailgauge_core::WorkLoad::default();
     ForwardReply {
-        reply: HopReply { end, load },
+        reply: HopReply {
+            end,
+            load,
+            spent: Duration::ZERO,
+        },
         response: None,
     }
 }
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -141,6 +141,12 @@
         lock(&self.inner).queue.load(route)
     }
 
+    /// Whether it takes requests of a service.
+    pub(crate) fn serves(&self, service: &str) -> bool {
+        let inner = lock(&self.inner);
+        inner.is_open() && inner.entry.service == service
+    }
+
     /// Requests running and waiting.
     pub(crate) fn in_flight(&self) -> u32 {
         lock(&self.inner).queue.in_flight()
--- a/crates/foxtailgauge-daemon/src/hop.rs
+++ b/crates/foxtailgauge-daemon/src/hop.rs
@@ -1,8 +1,8 @@
 //! What two daemons tell each other beside the HTTP message that they pass on.
 //!
 //! Both sides travel in one header. A request says `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS`, an answer
-//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;PRESSURE`, where the last is
-//! empty or `RANK:PERMILLE`.
+//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;SPENT_US;PRESSURE`, where
+//! the last is empty or `RANK:PERMILLE`.
 
 use foxtailgauge_core::{Pressure, Refused, RouteName, WorkLoad};
 use std::time::Duration;
@@ -54,6 +54,8 @@
     pub(crate) end: HopEnd,
     /// How full the backend server is.
     pub(crate) load: WorkLoad,
+    /// Time from the arrival of the whole request to this reply.
+    pub(crate) spent: Duration,
 }
 
 impl From<Refused> for HopEnd {
@@ -119,7 +121,10 @@
         let pressed = pressure
             .map(|p| format!("{}:{}", p.rank, p.refused_permille))
             .unwrap_or_default();
-        format!("{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{pressed}")
+        let spent_us = self.spent.as_micros();
+        format!(
+            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{spent_us};{pressed}"
+        )
     }
 
     /// Reads the header's value.
@@ -135,6 +140,7 @@
             pressure: None,
         };
         let retry_after = Duration::from_millis(parts.next()?.parse().ok()?);
+        let spent = Duration::from_micros(parts.next()?.parse().ok()?);
         if let Some((rank, permille)) = parts.next()?.split_once(':') {
             load.pressure = Some(Pressure {
                 rank: rank.parse().ok()?,
@@ -150,6 +156,6 @@
             "b" => HopEnd::Broken,
             _ => return None,
         };
-        Some(HopReply { end, load })
+        Some(HopReply { end, load, spent })
     }
 }
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -145,7 +145,10 @@
             directory: Mutex::new(Directory::new(settings.name.clone(), incarnation)),
             sessions: Mutex::new(SessionLimit::new(settings.distribution.sessions_per_second)),
             balancer: Mutex::new(Balancer::new(settings.failure_domain.clone())),
-            placement: Mutex::new(Placement::new(settings.failure_domain.clone())),
+            placement: Mutex::new(Placement::new(
+                settings.failure_domain.clone(),
+                settings.name.clone(),
+            )),
             forwarding: AtomicU32::new(0),
             stopping: OnceLock::new(),
             settings,
