Large exchanges stay in their failure domain for longer

The rule knew distance but not size. Ruled out: control traffic (60 versions of 17 KB to three followers are 3 MB of it). Change: leaving the domain costs 0.2 targets a kilobyte of the route's exchanges, learned from answers; nested requests leave from 0.8 targets on (0.5 before: their own run was beyond that on a slow server). Tests: forwarding::placement_keeps_large_exchanges_in_the_domain_for_longer, seen failing with a cost of 0; placement::a_domain_short_of_servers_is_helped_by_the_others failed with own-domain thresholds of 0.9 and 1.0 and with 0.3 a kilobyte, which are so ruled out.

--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -29,8 +29,13 @@
 const WAY_WEIGHT: f64 = 0.5;
 /// Time after which half of what was learned of the way is forgotten: a full link empties again.
 const WAY_HALF_LIFE: Duration = Duration::from_secs(1);
-/// Cost of leaving the failure domain: bytes between domains are worth a short wait.
+/// Cost of leaving the failure domain with any request.
 const REMOTE_COST: Duration = Duration::from_millis(6);
+/// Cost of leaving it besides, in times to the target for each kilobyte of request and answer: bytes
+/// between domains are dear, and a wait within the target costs the caller little.
+const REMOTE_COST_PER_KB: f64 = 0.2;
+/// Weight of the newest exchange in the bytes of a route.
+const BYTES_WEIGHT: f64 = 0.1;
 /// Forecast, in times to the target, up to which the backend server beside this daemon is taken
 /// without a look at the others: few runs take twice their mean, and the hop and its bytes are saved.
 const BESIDE_ENOUGH: f64 = 0.7;
@@ -38,7 +43,7 @@
 /// answers still come in time there, and bytes between domains are saved.
 const NEAR_ENOUGH: f64 = 0.8;
 /// The same for nested requests: while they wait, they hold a slot elsewhere.
-const NEAR_ENOUGH_NESTED: f64 = 0.5;
+const NEAR_ENOUGH_NESTED: f64 = 0.8;
 /// Cost of a certain failure: what a caller loses by trying again elsewhere.
 const FAILURE_COST: Duration = Duration::from_millis(500);
 /// Weight of the newest answer in the failure rate.
@@ -80,6 +85,8 @@
     /// Time that the request and its answer were on the way: all of the attempt but waiting and
     /// running at the other daemon. `None` if it was this one.
     pub way: Option<Duration>,
+    /// Bytes of the request's body and the answer's; `None` without an answer.
+    pub bytes: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -225,6 +232,8 @@
     failure_domain: FailureDomain,
     daemon: DaemonName,
     views: HashMap<ServerKey, View>,
+    /// Mean bytes of an exchange, by route.
+    route_bytes: HashMap<RouteName, f64>,
 }
 
 impl Placement {
@@ -234,6 +243,7 @@
             failure_domain: failure_domain.into(),
             daemon: daemon.into(),
             views: HashMap::new(),
+            route_bytes: HashMap::new(),
         }
     }
 
@@ -302,11 +312,29 @@
             return near.map(|(_, chosen)| chosen);
         }
         let far = sample(far, rng).map(&cost);
-        let far = far.map(|(time, candidate)| (time + REMOTE_COST, candidate));
+        let remote_cost = self.remote_cost(placing);
+        let far = far.map(|(time, candidate)| (time + remote_cost, candidate));
         let best = near.into_iter().chain(far).min_by_key(by_cost);
         best.map(|(_, chosen)| chosen)
     }
 
+    /// What leaving the failure domain costs besides the time of the way.
+    fn remote_cost(&self, placing: &Placing<'_>) -> Duration {
+        let bytes = self.route_bytes.get(placing.route).copied();
+        let targets = REMOTE_COST_PER_KB * bytes.unwrap_or(0.0) / 1_000.0;
+        REMOTE_COST + placing.target.mul_f64(targets)
+    }
+
+    fn learn_bytes(&mut self, route: &str, bytes: u64) {
+        let sample = bytes as f64;
+        match self.route_bytes.get_mut(route) {
+            Some(known) => *known += BYTES_WEIGHT * (sample - *known),
+            None => {
+                self.route_bytes.insert(route.to_owned(), sample);
+            }
+        }
+    }
+
     /// How full those are on average that have reported lately. A gateway hears of most only now and
     /// then; taking the others to be idle would send everything to those it knows least of.
     fn usual_fullness(&self, candidates: &[&Candidate], now: Instant) -> f64 {
@@ -331,9 +359,12 @@
         report: Option<AttemptReport>,
         now: Instant,
     ) {
+        if let Some(bytes) = report.and_then(|report| report.bytes) {
+            self.learn_bytes(route, bytes);
+        }
         let view = self.view(key, now);
         view.own = view.own.saturating_sub(1);
-        if let Some(AttemptReport { load, way }) = report {
+        if let Some(AttemptReport { load, way, .. }) = report {
             view.hear(route, load, now);
             way.into_iter().for_each(|way| view.learn_way(way, now));
         }
--- a/crates/foxtailgauge-core/tests/forwarding.rs
+++ b/crates/foxtailgauge-core/tests/forwarding.rs
@@ -45,8 +45,16 @@
 }
 
 fn report(load: WorkLoad) -> Option<AttemptReport> {
-    let way = Some(ms(6));
-    Some(AttemptReport { load, way })
+    report_of(load, 0)
+}
+
+/// A report with the answer to an exchange of some bytes.
+fn report_of(load: WorkLoad, bytes: u64) -> Option<AttemptReport> {
+    Some(AttemptReport {
+        load,
+        way: Some(ms(6)),
+        bytes: Some(bytes),
+    })
 }
 
 fn snapshot(text: &str) -> Snapshot {
@@ -274,6 +282,31 @@
     assert_eq!(choose("long").as_deref(), Some("b"));
 }
 
+/// Load: small pages and large orders of one service, whose server in the own domain is slow.
+#[test]
+fn placement_keeps_large_exchanges_in_the_domain_for_longer() {
+    let now = Instant::now();
+    // Run in the own domain, bytes of an exchange, where the request goes.
+    let cases = [
+        (450, 1_500, "a"),
+        (650, 1_500, "b"),
+        (650, 9_000, "a"),
+        (1_500, 9_000, "b"),
+    ];
+    for (run_ms, bytes, expected) in cases {
+        let mut rng = StdRng::seed_from_u64(1);
+        let candidates = [candidate("s0", "a"), candidate("s1", "b")];
+        let mut placement = Placement::new("a", "gateway");
+        for (candidate, run_ms) in candidates.iter().zip([run_ms, 300]) {
+            let report = report_of(load(0, 0, run_ms), bytes);
+            placement.finish(&candidate.key, "r", AttemptHealth::Answered, report, now);
+        }
+        let chosen = placement.choose(&candidates, &[], &outer("r", ms(600)), now, &mut rng);
+        let domain = chosen.map(|c| c.failure_domain.as_str());
+        assert_eq!(domain, Some(expected), "run of {run_ms} ms, {bytes} bytes");
+    }
+}
+
 /// Load: a backend server of the service on the gateway's own instance, and one on another instance
 /// that would answer somewhat sooner.
 #[test]
--- a/crates/foxtailgauge-core/tests/placement.rs
+++ b/crates/foxtailgauge-core/tests/placement.rs
@@ -447,6 +447,7 @@
         let report = AttemptReport {
             load,
             way: (!is_beside).then_some(way),
+            bytes: is_answered.then_some((kind.request_bytes + kind.answer_bytes) as u64),
         };
         placement.finish(&key, kind.route, health, Some(report), now);
         if is_answered {
--- a/crates/foxtailgauge-daemon/src/forward_body.rs
+++ b/crates/foxtailgauge-daemon/src/forward_body.rs
@@ -96,6 +96,11 @@
         self.rest.is_none().then_some(&self.head)
     }
 
+    /// Bytes that are known of: all of a small body, what has been read of a longer one.
+    pub(crate) fn known_length(&self) -> u64 {
+        self.head.len() as u64
+    }
+
     /// Holds on to something until the end of the body.
     pub(crate) fn hold(&mut self, guard: impl Any + Send) {
         self.guard = Some(Box::new(guard));
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -445,6 +445,7 @@
             is_done: false,
         };
         let fingerprint = fingerprint_of(&parts, &body);
+        let sent = body.known_length();
         let request = ForwardRequest {
             hop,
             request: Request::from_parts(parts, body),
@@ -461,7 +462,7 @@
             let way = elapsed.saturating_sub(reply.reply.spent);
             (reply, Some(way))
         };
-        guard.finish(&reply, way);
+        guard.finish(&reply, way, sent);
         if let Some(parent) = &call.parent_route {
             self.executor.note_call(parent, &call.service, &reply.reply);
         }
@@ -536,7 +537,7 @@
 }
 
 impl PlacedGuard<'_> {
-    fn finish(mut self, reply: &ForwardReply, way: Option<Duration>) {
+    fn finish(mut self, reply: &ForwardReply, way: Option<Duration>, sent: u64) {
         self.is_done = true;
         let health = match reply.reply.end {
             HopEnd::Answered if is_server_failure(reply) => AttemptHealth::Failed,
@@ -548,7 +549,15 @@
             HopEnd::Refused { .. } => AttemptHealth::Neutral,
         };
         let load = reply.reply.load;
-        let report = (load.slots > 0).then_some(AttemptReport { load, way });
+        let received = reply
+            .response
+            .as_ref()
+            .filter(|_| health == AttemptHealth::Answered);
+        let report = (load.slots > 0).then_some(AttemptReport {
+            load,
+            way,
+            bytes: received.map(|response| sent + response.body().known_length()),
+        });
         lock(&self.shared.placement).finish(self.key, self.route, health, report, Instant::now());
     }
 }
--- a/crates/foxtailgauge-daemon/src/hop_connection.rs
+++ b/crates/foxtailgauge-daemon/src/hop_connection.rs
@@ -112,6 +112,8 @@
             known => known.cloned(),
         };
         known.unwrap_or_else(|| {
+            // Daemons that are gone for good leave no trace.
+            slots.retain(|_, slot| !matches!(slot, Slot::Open(sender) if sender.is_closed()));
             let opening = open(addr.to_owned(), self.identity.clone())
                 .boxed()
                 .shared();
