--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/forward_attempt.rs
@@ -0,0 +1,98 @@
+//! How an attempt on a backend server ended, and what the choice of backend servers learns from it.
+
+use crate::forward_executor::ForwardReply;
+use crate::hop::{HopEnd, HopReply};
+use crate::shared::{lock, Shared};
+use foxtailgauge_core::{AttemptEnd, AttemptHealth, AttemptReport, ServerKey};
+use std::time::{Duration, Instant};
+
+/// Ends the count of a request under way, also when its caller goes away.
+pub(crate) struct PlacedGuard<'a> {
+    shared: &'a Shared,
+    key: &'a ServerKey,
+    route: &'a str,
+    is_done: bool,
+}
+
+impl<'a> PlacedGuard<'a> {
+    /// Counts an attempt that `Placement::choose` has begun.
+    pub(crate) fn new(shared: &'a Shared, key: &'a ServerKey, route: &'a str) -> Self {
+        PlacedGuard {
+            shared,
+            key,
+            route,
+            is_done: false,
+        }
+    }
+
+    /// The attempt has ended: `sent` bytes of a body went out, and all of it but the executor's time
+    /// was the way.
+    pub(crate) fn finish(mut self, reply: &ForwardReply, way: Option<Duration>, sent: u64) {
+        self.is_done = true;
+        let health = match reply.reply.end {
+            HopEnd::Answered if is_server_failure(reply) => AttemptHealth::Failed,
+            HopEnd::Answered => AttemptHealth::Answered,
+            HopEnd::Declined => AttemptHealth::Failed,
+            HopEnd::Broken if reply.reply.load.slots > 0 => AttemptHealth::Failed,
+            HopEnd::Broken => AttemptHealth::Silent,
+            HopEnd::Closed | HopEnd::NotReached => AttemptHealth::Closed,
+            HopEnd::Refused { .. } => AttemptHealth::Neutral,
+        };
+        let load = reply.reply.load;
+        let received = reply
+            .response
+            .as_ref()
+            .filter(|_| health == AttemptHealth::Answered);
+        let report = (load.slots > 0).then_some(AttemptReport {
+            load,
+            way,
+            bytes: received.map(|response| sent + response.body().known_length()),
+        });
+        lock(&self.shared.placement).finish(self.key, self.route, health, report, Instant::now());
+    }
+}
+
+impl Drop for PlacedGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let now = Instant::now();
+            lock(&self.shared.placement).finish(
+                self.key,
+                self.route,
+                AttemptHealth::Neutral,
+                None,
+                now,
+            );
+        }
+    }
+}
+
+/// An end without an answer or a load.
+pub(crate) fn end_only(end: HopEnd) -> ForwardReply {
+    let load = foxtailgauge_core::WorkLoad::default();
+    ForwardReply {
+        reply: HopReply {
+            end,
+            load,
+            spent: Duration::ZERO,
+        },
+        response: None,
+    }
+}
+
+/// The end as the next step is decided by.
+pub(crate) fn attempt_end(reply: &ForwardReply) -> AttemptEnd {
+    match reply.reply.end {
+        HopEnd::Answered if is_server_failure(reply) => AttemptEnd::ServerFailed,
+        HopEnd::Answered => AttemptEnd::Answered,
+        HopEnd::Declined => AttemptEnd::Declined,
+        HopEnd::Refused { .. } => AttemptEnd::NoRoom,
+        HopEnd::Closed | HopEnd::NotReached => AttemptEnd::NotReached,
+        HopEnd::Broken => AttemptEnd::Uncertain,
+    }
+}
+
+fn is_server_failure(reply: &ForwardReply) -> bool {
+    let response = reply.response.as_ref();
+    response.is_some_and(|response| response.status().is_server_error())
+}
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -4,6 +4,7 @@
 use crate::caller_connection::{CallerPhase, Overdue, PhasedStream};
 use crate::emit;
 use crate::events;
+use crate::forward_attempt::{attempt_end, end_only, PlacedGuard};
 use crate::forward_body::ForwardBody;
 use crate::forward_executor::{
     attempt_id, fingerprint_of, header, set_time_left, ForwardExecutor, ForwardReply,
@@ -23,8 +24,8 @@
 use crate::socket;
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
-    AttemptEnd, AttemptHealth, AttemptReport, Attempts, Candidate, Fingerprint, HostRoute, Next,
-    Placing, RetryBudget, RouteName, ServerKey, ServiceName, SuspectVerdict, UnixMs, UsualPatience,
+    AttemptEnd, Attempts, Candidate, Fingerprint, HostRoute, Next, Placing, RetryBudget, RouteName,
+    ServerKey, ServiceName, SuspectVerdict, UnixMs, UsualPatience,
 };
 use foxtailgauge_platform::headers;
 use hyper::body::Incoming;
@@ -438,12 +439,7 @@
             is_idempotent: call.route.idempotent,
             target: call.target.saturating_sub(elapsed + call.spent_before),
         };
-        let guard = PlacedGuard {
-            shared: &self.shared,
-            key: &candidate.key,
-            route: call.route_name,
-            is_done: false,
-        };
+        let guard = PlacedGuard::new(&self.shared, &candidate.key, call.route_name);
         let fingerprint = fingerprint_of(&parts, &body);
         let sent = body.known_length();
         let request = ForwardRequest {
@@ -527,80 +523,3 @@
         response: Some(Response::from_parts(parts, body)),
     }
 }
-
-/// Ends the count of a request under way, also when its caller goes away.
-struct PlacedGuard<'a> {
-    shared: &'a Shared,
-    key: &'a ServerKey,
-    route: &'a str,
-    is_done: bool,
-}
-
-impl PlacedGuard<'_> {
-    fn finish(mut self, reply: &ForwardReply, way: Option<Duration>, sent: u64) {
-        self.is_done = true;
-        let health = match reply.reply.end {
-            HopEnd::Answered if is_server_failure(reply) => AttemptHealth::Failed,
-            HopEnd::Answered => AttemptHealth::Answered,
-            HopEnd::Declined => AttemptHealth::Failed,
-            HopEnd::Broken if reply.reply.load.slots > 0 => AttemptHealth::Failed,
-            HopEnd::Broken => AttemptHealth::Silent,
-            HopEnd::Closed | HopEnd::NotReached => AttemptHealth::Closed,
-            HopEnd::Refused { .. } => AttemptHealth::Neutral,
-        };
-        let load = reply.reply.load;
-        let received = reply
-            .response
-            .as_ref()
-            .filter(|_| health == AttemptHealth::Answered);
-        let report = (load.slots > 0).then_some(AttemptReport {
-            load,
-            way,
-            bytes: received.map(|response| sent + response.body().known_length()),
-        });
-        lock(&self.shared.placement).finish(self.key, self.route, health, report, Instant::now());
-    }
-}
-
-impl Drop for PlacedGuard<'_> {
-    fn drop(&mut self) {
-        if !self.is_done {
-            let now = Instant::now();
-            lock(&self.shared.placement).finish(
-                self.key,
-                self.route,
-                AttemptHealth::Neutral,
-                None,
-                now,
-            );
-        }
-    }
-}
-
-fn end_only(end: HopEnd) -> ForwardReply {
-    let load = foxtailgauge_core::WorkLoad::default();
-    ForwardReply {
-        reply: HopReply {
-            end,
-            load,
-            spent: Duration::ZERO,
-        },
-        response: None,
-    }
-}
-
-fn attempt_end(reply: &ForwardReply) -> AttemptEnd {
-    match reply.reply.end {
-        HopEnd::Answered if is_server_failure(reply) => AttemptEnd::ServerFailed,
-        HopEnd::Answered => AttemptEnd::Answered,
-        HopEnd::Declined => AttemptEnd::Declined,
-        HopEnd::Refused { .. } => AttemptEnd::NoRoom,
-        HopEnd::Closed | HopEnd::NotReached => AttemptEnd::NotReached,
-        HopEnd::Broken => AttemptEnd::Uncertain,
-    }
-}
-
-fn is_server_failure(reply: &ForwardReply) -> bool {
-    let response = reply.response.as_ref();
-    response.is_some_and(|response| response.status().is_server_error())
-}
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -11,13 +11,13 @@
 use event_listener::Event;
 use foxtailgauge_core::{
     Balancer, Children, ConfigVersion, Cursor, Digest, Directory, Fingerprint, Freshness,
-    Incarnation, InstanceState, MemberSet, Placement, PollReply, Presence, ReportRequest, Role,
-    ServerEntry, ServerKey, ServerState, SessionLimit, Sightings, Snapshot, SnapshotError,
-    SnapshotHistory, UnixMs, Update, VersionCount,
+    Incarnation, InstanceState, Placement, PollReply, Presence, ReportRequest, Role, ServerEntry,
+    ServerKey, SessionLimit, Sightings, Snapshot, SnapshotError, SnapshotHistory, UnixMs, Update,
+    VersionCount,
 };
-use foxtailgauge_wire::{encode, encode_dense, DomainStatus, FleetStatus};
+use foxtailgauge_wire::{encode, encode_dense};
 use slog::Logger;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -486,7 +486,7 @@
         (request, cursor)
     }
 
-    fn counts(&self, version: ConfigVersion) -> Vec<VersionCount> {
+    pub(crate) fn counts(&self, version: ConfigVersion) -> Vec<VersionCount> {
         let own = (self.settings.name.as_str(), self.incarnation);
         lock(&self.children).counts(own, &self.settings.failure_domain, version)
     }
@@ -567,52 +567,4 @@
             *lock(&self.contact) = Contact { heard };
         }
     }
-
-    /// Where the fleet stands, seen from here.
-    pub(crate) fn fleet_status(&self) -> FleetStatus {
-        let (version, _) = self.held();
-        let domains = self.with_directory(|directory| domain_statuses(directory.all()));
-        FleetStatus {
-            version,
-            answered_by: self.settings.name.clone(),
-            groups: self
-                .replica
-                .get()
-                .map(ReplicaHandles::statuses)
-                .unwrap_or_default(),
-            domains,
-            held: self.counts(version),
-            ledger_keys: self.replica.get().map_or(0, ReplicaHandles::ledger_keys),
-        }
-    }
-}
-
-fn domain_statuses<'a>(instances: impl Iterator<Item = &'a InstanceState>) -> Vec<DomainStatus> {
-    let mut domains: BTreeMap<String, DomainStatus> = BTreeMap::new();
-    for instance in instances {
-        let name = &instance.failure_domain;
-        let status = domains.entry(name.clone()).or_insert_with(|| DomainStatus {
-            failure_domain: name.clone(),
-            live: MemberSet::default(),
-            lost: Vec::new(),
-            ready_servers: 0,
-            leaving_servers: 0,
-        });
-        match instance.presence {
-            Presence::Live => {}
-            Presence::Lost => {
-                status.lost.push(instance.name.clone());
-                continue;
-            }
-            Presence::Stopped => continue,
-        }
-        status.live.insert(&instance.name, instance.incarnation);
-        for server in &instance.servers {
-            match server.state {
-                ServerState::Ready => status.ready_servers += 1,
-                ServerState::Leaving => status.leaving_servers += 1,
-            }
-        }
-    }
-    domains.into_values().collect()
 }
