A replica that misses committed entries does not pass for current, and tells its subscribers at once

A cut that lets one direction through: the leader hears no answer, knows of no gap and sends no entries. Its seven subscribers stayed with it for 3.0 s, as a poll also waits up to 1 s with its answer. Ruled out: load (links are not full at second 6), the update itself (all others held it 0.05 s after). Change: contact of a follower counts while it has all that the leader's message calls committed; a replica whose contact ends answers the polls that wait there. Test: consensus_rules::follower_that_misses_committed_entries_does_not_pass_for_current, failed before (0 in place of 300 ms).

--- a/crates/foxtailgauge-core/src/consensus.rs
+++ b/crates/foxtailgauge-core/src/consensus.rs
@@ -173,6 +173,8 @@
     pub(crate) election_at_ms: u64,
     pub(crate) heartbeat_at_ms: u64,
     pub(crate) leader_heard_ms: Option<u64>,
+    /// When a leader was last heard while this replica had all that was committed.
+    pub(crate) current_ms: Option<u64>,
     /// Highest commit index that a leader has told since the start.
     pub(crate) told_commit: Option<LogIndex>,
     pub(crate) led_since_ms: u64,
@@ -209,6 +211,7 @@
             election_at_ms: 0,
             heartbeat_at_ms: 0,
             leader_heard_ms: None,
+            current_ms: None,
             told_commit: None,
             led_since_ms: 0,
             ready: Ready::default(),
@@ -288,14 +291,16 @@
 
     /// Time since this replica last had contact with a majority, in milliseconds.
     ///
-    /// For a leader, contact of its own; for a follower, contact with its leader.
+    /// For a leader, contact of its own; for a follower, contact with its leader while nothing that
+    /// the leader had committed was missing here: one that hears its leader but cannot answer it
+    /// gets no entries, and must not pass for current.
     pub fn quorum_age_ms(&self) -> Option<u64> {
         let heard_ms = match self.role {
             Role::Leader => {
                 let contact = self.membership().quorum_value(|id| self.contact_ms(id));
                 Some(contact)
             }
-            _ => self.leader_heard_ms,
+            _ => self.current_ms,
         };
         heard_ms.map(|at| self.now_ms.saturating_sub(at))
     }
--- a/crates/foxtailgauge-core/src/election.rs
+++ b/crates/foxtailgauge-core/src/election.rs
@@ -135,6 +135,7 @@
         let contact_ms = self.membership().quorum_value(|id| self.contact_ms(id));
         if self.now_ms > contact_ms + ELECTION_MIN_MS {
             self.leader_heard_ms = Some(contact_ms);
+            self.current_ms = Some(contact_ms);
             self.become_follower(self.hard.term, None);
             return;
         }
--- a/crates/foxtailgauge-core/src/replication.rs
+++ b/crates/foxtailgauge-core/src/replication.rs
@@ -122,6 +122,9 @@
         self.told_commit = self.told_commit.max(Some(request.commit));
         self.follow(from);
         let (is_match, index) = self.take_entries(&request);
+        if self.commit >= request.commit {
+            self.current_ms = Some(self.now_ms);
+        }
         let reply = AppendReply {
             term: self.hard.term,
             is_match,
--- a/crates/foxtailgauge-core/tests/consensus_rules.rs
+++ b/crates/foxtailgauge-core/tests/consensus_rules.rs
@@ -44,6 +44,21 @@
     node.ready()
 }
 
+/// A partition that lets the leader's messages through but not the answers: heartbeats arrive, and
+/// the leader, which hears of no gap, sends no entries.
+#[test]
+fn follower_that_misses_committed_entries_does_not_pass_for_current() {
+    let mut node = node(2, &[2]);
+    step(&mut node, 2, append(2, (2, 2), Vec::new(), 2), 100);
+    assert_eq!(node.quorum_age_ms(), Some(0));
+    for now_ms in [200, 300, 400] {
+        step(&mut node, 2, append(2, (3, 2), Vec::new(), 3), now_ms);
+    }
+    assert_eq!(node.quorum_age_ms(), Some(300));
+    step(&mut node, 2, append(2, (2, 2), vec![command(3, 2)], 3), 500);
+    assert_eq!(node.quorum_age_ms(), Some(0));
+}
+
 fn vote(term: Term, last_term: Term, last_index: LogIndex) -> Message {
     Message::Vote(VoteRequest {
         is_pre_vote: false,
--- a/crates/foxtailgauge-daemon/src/source.rs
+++ b/crates/foxtailgauge-daemon/src/source.rs
@@ -2,10 +2,9 @@
 
 use crate::shared::Shared;
 use crate::timer::sleep_until;
-use foxtailgauge_core::{PollReply, PollRequest, ReportReply, ReportRequest};
+use foxtailgauge_core::{PollReply, PollRequest, ReportReply, ReportRequest, STALE_SOURCE_MS};
 use futures::future::{select, Either};
-
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Answers a poll: at once if there is news, else when there is, or at the end of its hold.
 pub(crate) async fn poll(shared: &Shared, request: PollRequest) -> PollReply {
@@ -28,8 +27,13 @@
             }
         }
         is_first = false;
-        if let Either::Right(_) = select(news, sleep_until(deadline)).await {
-            return shared.no_news();
+        let until = contact_end(shared).map_or(deadline, |end| end.min(deadline));
+        if let Either::Right(_) = select(news, sleep_until(until)).await {
+            let has_lost_contact = shared.freshness().has_lost_contact();
+            if until == deadline || has_lost_contact {
+                return shared.no_news();
+            }
+            continue;
         }
         gather(shared, &request, deadline).await;
         if let Some(reply) = shared.news_for(&request) {
@@ -38,6 +42,15 @@
     }
 }
 
+/// When this daemon will have been without contact to a majority for too long to be a source, if it
+/// is a replica and nothing comes until then. Subscribers that wait are told at once: they may miss
+/// what others hold. Other daemons hear of the majority with their own polls only.
+fn contact_end(shared: &Shared) -> Option<Instant> {
+    shared.replica.get()?;
+    let left_ms = STALE_SOURCE_MS.checked_sub(shared.quorum_age_ms()?)?;
+    Some(Instant::now() + Duration::from_millis(left_ms + 1))
+}
+
 /// Lets changes of the directory gather for the batch time; a new version is not held up.
 async fn gather(shared: &Shared, request: &PollRequest, deadline: Instant) {
     let end = deadline.min(Instant::now() + shared.settings.distribution.batch);
