Replies are admitted by the bytes that the link can carry; fewer attempts in overload

Replies that are already computed wait behind one another: crew-dispatch p50 647 ms with a target of 600, network-fetch 292 ms for 77 ms of work, so intake holds its slots three times as long; 25,000 attempts end in connection timeouts of 140 ms; 240,000 of 375,000 attempts are refusals. Change: the executor reserves the link for the expected reply of each request of another daemon and refuses the least urgent ones before they run (core: reply_link; setting [limits] link_mbps); callers' bytes are counted. A refused request is sent on only as often as the route's attempts are accepted, and not to instances that are out of reach. Tests: reply_link replays an instance of dispatch; without the admission every rank is late (shown by the test). placement::overload_is_refused_after_few_attempts compares both rules.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -30,6 +30,7 @@
 mod caller_timeout;
 mod config;
 mod consensus;
+mod decaying_sum;
 mod directory;
 mod election;
 mod fleet_check;
@@ -43,6 +44,7 @@
 mod quarantine;
 mod registry;
 mod replication;
+mod reply_link;
 mod retry;
 mod snapshot;
 mod subscriber_table;
@@ -87,6 +89,7 @@
     QUARANTINE_CRASHES, SUSPECT_TTL_MS,
 };
 pub use registry::{AuditEntry, Change, ChangeAnswer, Document, Registry, RevisionRecord};
+pub use reply_link::{LinkRequest, LinkReservation, ReplyLink};
 pub use retry::RetryBudget;
 pub use snapshot::{Delta, Snapshot, SnapshotError, SnapshotHistory, Update};
 pub use subscriber_table::SubscriberTable;
--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -66,6 +66,11 @@
 /// by the square root of the number of requests in flight: the more there are, the less likely it
 /// is that none of them ends.
 const UNANSWERED_RUNS: f64 = 6.0;
+/// Weight of the newest attempt in the accepted share of a route.
+const ACCEPTED_WEIGHT: f64 = 0.05;
+/// Attempts that follow a refusal, as a multiple of those that the accepted share would allow: the
+/// share recovers only if enough attempts are made.
+const ACCEPTED_MARGIN: f64 = 2.0;
 /// Relative slowdown of a run on a backend server whose slots are all in use.
 const CONTENTION: f64 = 0.1;
 
@@ -80,7 +85,9 @@
     Unavailable,
     /// Its daemon did not respond in time, or closed the connection early.
     Unresponsive,
-    /// Says nothing about its health, such as a refusal for lack of capacity.
+    /// It has no capacity for the request. Says nothing about its health.
+    Refused,
+    /// Says nothing about its health or capacity, such as the caller's disconnection.
     Neutral,
 }
 
@@ -244,6 +251,8 @@
     pub target: Duration,
     /// Whether its caller is itself a running request that holds a slot elsewhere.
     pub is_nested: bool,
+    /// Whether a backend server has refused it for lack of capacity.
+    pub was_refused: bool,
     /// Current load of the colocated backend server, if the service has one on this daemon's
     /// instance.
     pub colocated_load: Option<WorkLoad>,
@@ -257,6 +266,8 @@
     server_stats: HashMap<ServerKey, ServerStats>,
     /// Mean bytes of an exchange, by route.
     route_bytes: HashMap<RouteName, f64>,
+    /// Share of the attempts that were not refused for lack of capacity, by route.
+    accepted_shares: HashMap<RouteName, f64>,
 }
 
 impl Placement {
@@ -267,6 +278,7 @@
             daemon: daemon.into(),
             server_stats: HashMap::new(),
             route_bytes: HashMap::new(),
+            accepted_shares: HashMap::new(),
         }
     }
 
@@ -296,8 +308,12 @@
                 .get(&c.key)
                 .is_none_or(|stats| stats.is_usable(now))
         });
-        // With no usable one left, an unavailable or unresponsive one may have recovered.
-        let eligible = if usable.is_empty() { unusable } else { usable };
+        // With no usable one left, an unavailable or unresponsive one may have recovered. A request
+        // that was refused for lack of capacity is not delayed by an attempt to find out.
+        let eligible = match usable.is_empty() && !placement_request.was_refused {
+            true => unusable,
+            false => usable,
+        };
         let mean_load_per_slot = self.mean_load_per_slot(&eligible, now);
         let cost = |c: &'a Candidate| {
             (
@@ -313,6 +329,30 @@
         Some(chosen)
     }
 
+    /// Whether a request that was refused for lack of capacity may be sent to another backend server.
+    /// While most attempts of the route are refused, further ones only load the links and
+    /// processors of instances that are short of capacity; `draw` is a random number in `0.0..1.0`.
+    pub fn may_try_another(&self, route: &str, draw: f64) -> bool {
+        let accepted_share = self.accepted_shares.get(route).copied();
+        draw < accepted_share.unwrap_or(1.0) * ACCEPTED_MARGIN
+    }
+
+    fn record_acceptance(&mut self, route: &str, health: AttemptHealth) {
+        let sample = match health {
+            AttemptHealth::Refused => 0.0,
+            AttemptHealth::Answered | AttemptHealth::Failed => 1.0,
+            AttemptHealth::Unavailable | AttemptHealth::Unresponsive | AttemptHealth::Neutral => {
+                return
+            }
+        };
+        match self.accepted_shares.get_mut(route) {
+            Some(share) => *share += ACCEPTED_WEIGHT * (sample - *share),
+            None => {
+                self.accepted_shares.insert(route.to_owned(), 1.0);
+            }
+        }
+    }
+
     /// Considers the colocated backend server, then those of the same failure domain, then the
     /// others. A later group is considered only if no forecast of the earlier ones is good enough.
     fn choose_by<'a>(
@@ -403,6 +443,7 @@
         if let Some(bytes) = report.and_then(|report| report.bytes) {
             self.record_bytes(route, bytes);
         }
+        self.record_acceptance(route, health);
         let stats = self.stats_mut(key, now);
         stats.own_in_flight = stats.own_in_flight.saturating_sub(1);
         if let Some(AttemptReport {
@@ -429,7 +470,7 @@
                 stats.mark_unavailable(now);
                 1.0
             }
-            AttemptHealth::Neutral => return,
+            AttemptHealth::Refused | AttemptHealth::Neutral => return,
         };
         let rate = stats.failure_rate(now);
         stats.failure_rate = rate + FAILURE_WEIGHT * (sample - rate);
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -5,6 +5,7 @@
 //! time behind the requests ahead of it, so a burst reduces the number of requests served but not
 //! their latency.
 
+use crate::decaying_sum::DecayingSum;
 use crate::ids::RouteName;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -122,20 +123,6 @@
     latest_end: Instant,
 }
 
-/// Recently started work in seconds of run time, with exponential decay.
-#[derive(Clone, Copy, Debug)]
-struct RecentWork {
-    work_s: f64,
-    at: Instant,
-}
-
-impl RecentWork {
-    fn work_s(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at).as_secs_f64();
-        self.work_s * (-age / OVERTAKING_WINDOW.as_secs_f64()).exp()
-    }
-}
-
 /// The queue in front of one backend server.
 ///
 /// Invariants: `running <= slots`, except after slots were withdrawn while requests run; no request
@@ -150,8 +137,8 @@
     /// Whether a request was queued ahead of others since their forecasts were last checked.
     has_overtaking: bool,
     keys: HashMap<Ticket, QueueKey>,
-    /// Recently started work, by the group of its key.
-    recent_work: BTreeMap<u64, RecentWork>,
+    /// Recently started work in seconds of run time, by the group of its key.
+    recent_work: BTreeMap<u64, DecayingSum>,
     run_times: HashMap<RouteName, f64>,
     mean_run_s: f64,
     /// Refused share of the requests of each rank, without nested requests.
@@ -260,6 +247,20 @@
         ArrivalDecision::Wait(key.ticket, until)
     }
 
+    /// Counts a request that was refused for another shortage of this instance, so that its
+    /// [pressure](WorkLoad::pressure) covers it.
+    pub fn count_refusal(&mut self, rank: u64) {
+        let share = self.refused_share.entry(rank).or_default();
+        *share += REFUSED_WEIGHT * (1.0 - *share);
+    }
+
+    /// Forecast time until the end of a request of this route that arrives now and is served after
+    /// all waiting ones.
+    pub fn expected_time_to_end(&self, route: &str) -> Duration {
+        let waiting = f64::from(self.waiting_count()) / f64::from(self.slots);
+        Duration::from_secs_f64(self.mean_run_s * waiting) + self.run_time(route)
+    }
+
     /// Records the end of a run. `run_time` is a sample for the means; pass `None` if the request
     /// did not run to its end.
     pub fn finish(&mut self, route: &str, run_time: Option<Duration>) {
@@ -322,24 +323,19 @@
 
     fn record_start(&mut self, route: &str, key: &QueueKey, now: Instant) {
         let run_s = self.run_time(route).as_secs_f64();
-        let initial = RecentWork {
-            work_s: 0.0,
-            at: now,
-        };
-        let recent = self.recent_work.entry(key.group).or_insert(initial);
-        *recent = RecentWork {
-            work_s: recent.work_s(now) + run_s,
-            at: now,
-        };
+        self.recent_work
+            .entry(key.group)
+            .or_insert_with(|| DecayingSum::new(OVERTAKING_WINDOW))
+            .add(run_s, now);
     }
 
     /// Slots available to a request with this key: those not used by work of the groups ahead of
     /// it, which is served first even if it arrives later.
     fn available_slots(&self, key: &QueueKey, now: Instant) -> f64 {
         let groups_ahead = self.recent_work.range(..key.group);
-        let work_s: f64 = groups_ahead.map(|(_, recent)| recent.work_s(now)).sum();
+        let slots_used: f64 = groups_ahead.map(|(_, recent)| recent.per_s(now)).sum();
         let slots = f64::from(self.slots);
-        let overtaking_share = work_s / OVERTAKING_WINDOW.as_secs_f64() / slots;
+        let overtaking_share = slots_used / slots;
         slots * (1.0 - overtaking_share.min(MAX_OVERTAKING_SHARE))
     }
 
--- a/crates/foxtailgauge-core/tests/placement.rs
+++ b/crates/foxtailgauge-core/tests/placement.rs
@@ -90,6 +90,7 @@
     /// When it entered at the gateway, in seconds since the start.
     entered_s: f64,
     attempts: Attempts,
+    was_refused: bool,
     tried: Vec<ServerKey>,
     /// Index of the backend server of the current attempt.
     server: usize,
@@ -109,6 +110,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Outcomes {
     all: usize,
+    /// Attempts of all requests.
+    attempts: usize,
     in_target: usize,
     late: usize,
     refused: usize,
@@ -147,6 +150,8 @@
     candidates: Vec<Candidate>,
     gateways: Vec<(usize, Placement)>,
     requests: Vec<Request>,
+    /// Whether further attempts depend on the accepted share.
+    is_limited: bool,
     link_bytes_per_s: f64,
     links: HashMap<String, Link>,
     outcomes: HashMap<&'static str, Outcomes>,
@@ -171,6 +176,7 @@
             candidates: Vec::new(),
             gateways: Vec::new(),
             requests: Vec::new(),
+            is_limited: true,
             link_bytes_per_s,
             links: HashMap::new(),
             outcomes: HashMap::new(),
@@ -196,6 +202,7 @@
                     gateway,
                     entered_s,
                     attempts: Attempts::new(kind.is_nested, 2),
+                    was_refused: false,
                     tried: Vec::new(),
                     server: 0,
                     placed_s: entered_s,
@@ -333,6 +340,7 @@
             route: kind.route,
             target,
             is_nested: kind.is_nested,
+            was_refused: self.requests[request].was_refused,
             colocated_load,
         };
         let tried = &self.requests[request].tried;
@@ -440,7 +448,7 @@
         let load = self.servers[server].queue.load(kind.route);
         let health = match is_answered {
             true => AttemptHealth::Answered,
-            false => AttemptHealth::Neutral,
+            false => AttemptHealth::Refused,
         };
         let key = self.candidates[server].key.clone();
         let is_colocated = self.is_colocated(request);
@@ -465,6 +473,13 @@
         let time_left =
             Duration::from_secs_f64((entered_s + kind.deadline_s - self.now_s).max(0.0));
         let run = load.route_run;
+        self.requests[request].was_refused = true;
+        let may_try_another = kind.is_nested
+            || !self.is_limited
+            || placement.may_try_another(kind.route, self.rng.random());
+        if !may_try_another {
+            return self.end(request, false);
+        }
         let attempts = &mut self.requests[request].attempts;
         match attempts.decide_next(AttemptEnd::NoCapacity, time_left, run, true) {
             NextAction::TryAnother { .. } => self.place(request),
@@ -488,6 +503,7 @@
         let is_colocated = self.is_colocated(request);
         let outcomes = self.outcomes.entry(kind.route).or_default();
         outcomes.all += 1;
+        outcomes.attempts += self.requests[request].tried.len();
         if !is_answered {
             outcomes.refused += 1;
             return;
@@ -503,11 +519,22 @@
 }
 
 fn simulate_seed(seed: u64, load: f64, link_bytes_per_s: f64) -> (Outcomes, Outcomes) {
+    simulate_attempts(seed, load, link_bytes_per_s, true)
+}
+
+fn simulate_attempts(
+    seed: u64,
+    load: f64,
+    link_bytes_per_s: f64,
+    is_limited: bool,
+) -> (Outcomes, Outcomes) {
     let kinds = [COMMIT, LOOKUP].map(|kind| RequestKind {
         per_s: kind.per_s * load,
         ..kind
     });
-    let outcomes = Fleet::new(seed, &kinds, link_bytes_per_s).simulate();
+    let mut fleet = Fleet::new(seed, &kinds, link_bytes_per_s);
+    fleet.is_limited = is_limited;
+    let outcomes = fleet.simulate();
     let outcomes_of = |kind: RequestKind| outcomes.get(kind.route).copied().unwrap_or_default();
     (outcomes_of(COMMIT), outcomes_of(LOOKUP))
 }
@@ -537,6 +564,28 @@
     assert_most_in_target(1.1, FAST_LINK_BYTES_PER_S);
 }
 
+#[test]
+fn overload_is_refused_after_few_attempts() {
+    for seed in 0..4 {
+        let (commits, _) = simulate_attempts(seed, 2.0, FAST_LINK_BYTES_PER_S, true);
+        let (unlimited, _) = simulate_attempts(seed, 2.0, FAST_LINK_BYTES_PER_S, false);
+        assert!(
+            commits.refused * 2 > commits.all,
+            "seed {seed}: {commits:?}"
+        );
+        let [per_request, unlimited_per_request] =
+            [commits, unlimited].map(|kind| kind.attempts as f64 / kind.all as f64);
+        assert!(
+            per_request < 0.75 * unlimited_per_request,
+            "seed {seed}: {per_request} attempts, {unlimited_per_request} without the limit"
+        );
+        assert!(
+            commits.in_target as f64 > 0.95 * unlimited.in_target as f64,
+            "seed {seed}: {commits:?}, {unlimited:?}"
+        );
+    }
+}
+
 #[test]
 fn at_low_load_most_requests_stay_in_their_domain_and_many_on_their_instance() {
     for seed in 0..4 {
--- /dev/null
+++ b/crates/foxtailgauge-core/tests/reply_link.rs
@@ -0,0 +1,215 @@
+//! Replays a service with large replies on an instance whose link carries fewer of them than its
+//! slots can compute.
+
+use foxtailgauge_core::{LinkRequest, LinkReservation, ReplyLink};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+/// 2.1 Mbit/s.
+const LINK_BYTES_PER_S: f64 = 2.1e6 / 8.0;
+/// Responses to callers on the same instance.
+const OTHER_BYTES_PER_S: f64 = 47e3;
+const OTHER_INTERVAL_S: f64 = 0.02;
+const DURATION_S: f64 = 20.0;
+/// Requests before this time are not counted: the mean bytes of the routes are not known yet.
+const WARM_UP_S: f64 = 3.0;
+
+struct RequestKind {
+    route: &'static str,
+    rank: u64,
+    is_nested: bool,
+    per_s: f64,
+    run_s: f64,
+    target_s: f64,
+    reply_bytes: u64,
+}
+
+const KINDS: [RequestKind; 3] = [
+    RequestKind {
+        route: "mesh/dispatch",
+        rank: 0,
+        is_nested: false,
+        per_s: 25.0,
+        run_s: 0.22,
+        target_s: 0.6,
+        reply_bytes: 5_000,
+    },
+    RequestKind {
+        route: "mesh/status",
+        rank: 1,
+        is_nested: false,
+        per_s: 25.0,
+        run_s: 0.12,
+        target_s: 0.5,
+        reply_bytes: 5_000,
+    },
+    RequestKind {
+        route: "mesh/lookup",
+        rank: 1,
+        is_nested: true,
+        per_s: 57.0,
+        run_s: 0.077,
+        target_s: 0.3,
+        reply_bytes: 600,
+    },
+];
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcomes {
+    all: u32,
+    in_target: u32,
+    refused: u32,
+}
+
+impl Outcomes {
+    fn share_in_target(&self) -> f64 {
+        f64::from(self.in_target) / f64::from(self.all)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    /// Index of the kind and number of the run.
+    EndRun(usize, usize),
+    OtherTraffic,
+}
+
+/// A first-in, first-out link that a test sends over.
+#[derive(Default)]
+struct Wire {
+    free_s: f64,
+    total: u64,
+}
+
+impl Wire {
+    /// Time at which the bytes have been transmitted.
+    fn send(&mut self, bytes: u64, now_s: f64) -> f64 {
+        self.total += bytes;
+        self.free_s = self.free_s.max(now_s) + bytes as f64 / LINK_BYTES_PER_S;
+        self.free_s
+    }
+}
+
+/// Outcomes of each kind, with or without the admission by bytes.
+fn simulate(seed: u64, is_limited: bool) -> [Outcomes; 3] {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut link = ReplyLink::new(LINK_BYTES_PER_S);
+    let mut wire = Wire::default();
+    let mut events = BinaryHeap::new();
+    let mut runs: Vec<(f64, Option<LinkReservation>)> = Vec::new();
+    let mut outcomes = [Outcomes::default(); 3];
+    let micros = |seconds: f64| (seconds * 1e6) as u64;
+    for (kind_index, kind) in KINDS.iter().enumerate() {
+        let mut at_s = 0.0;
+        while at_s < DURATION_S {
+            at_s -= rng.random::<f64>().ln() / kind.per_s;
+            events.push(Reverse((micros(at_s), Event::Arrive(kind_index))));
+        }
+    }
+    events.push(Reverse((0, Event::OtherTraffic)));
+    while let Some(Reverse((at_us, event))) = events.pop() {
+        let now_s = at_us as f64 / 1e6;
+        let now = start + Duration::from_secs_f64(now_s);
+        match event {
+            Event::OtherTraffic => {
+                wire.send((OTHER_BYTES_PER_S * OTHER_INTERVAL_S) as u64, now_s);
+                if now_s < DURATION_S {
+                    let next = micros(now_s + OTHER_INTERVAL_S);
+                    events.push(Reverse((next, Event::OtherTraffic)));
+                }
+            }
+            Event::Arrive(kind_index) => {
+                let kind = &KINDS[kind_index];
+                let is_counted = now_s > WARM_UP_S;
+                outcomes[kind_index].all += u32::from(is_counted);
+                link.observe_total(wire.total, now);
+                let request = LinkRequest {
+                    route: kind.route,
+                    rank: kind.rank,
+                    is_nested: kind.is_nested,
+                    time_to_reply: Duration::from_secs_f64(kind.run_s),
+                };
+                let reservation = match is_limited {
+                    true => match link.admit(&request, now) {
+                        Ok(reservation) => Some(reservation),
+                        Err(retry_after) => {
+                            assert!(retry_after >= Duration::from_millis(20));
+                            outcomes[kind_index].refused += u32::from(is_counted);
+                            continue;
+                        }
+                    },
+                    false => None,
+                };
+                runs.push((now_s, reservation));
+                // Half of the run time is fixed, the rest exponentially distributed.
+                let run_s = kind.run_s * (0.5 - 0.5 * rng.random::<f64>().ln());
+                let end = Event::EndRun(kind_index, runs.len() - 1);
+                events.push(Reverse((micros(now_s + run_s), end)));
+            }
+            Event::EndRun(kind_index, run) => {
+                let kind = &KINDS[kind_index];
+                let end_s = wire.send(kind.reply_bytes + 150, now_s);
+                let (arrived_s, reservation) = &mut runs[run];
+                if let Some(reservation) = reservation.take() {
+                    link.sent(reservation, kind.route, kind.reply_bytes, now);
+                }
+                let is_in_target = end_s - *arrived_s <= kind.target_s;
+                let is_counted = *arrived_s > WARM_UP_S;
+                outcomes[kind_index].in_target += u32::from(is_counted && is_in_target);
+            }
+        }
+    }
+    outcomes
+}
+
+#[test]
+fn saturated_link_is_left_to_nested_and_urgent_requests() {
+    for seed in 0..4 {
+        let [dispatch, status, lookup] = simulate(seed, true);
+        assert!(
+            dispatch.share_in_target() > 0.9 && lookup.share_in_target() > 0.9,
+            "seed {seed}: {dispatch:?}, {lookup:?}"
+        );
+        // The others leave 30 KB/s to it, of the 129 KB/s that it would need.
+        assert!(status.share_in_target() > 0.1, "seed {seed}: {status:?}");
+        assert_eq!(
+            lookup.refused, 0,
+            "seed {seed}: nested requests are admitted"
+        );
+    }
+}
+
+#[test]
+fn without_admission_by_bytes_every_rank_is_late() {
+    for seed in 0..4 {
+        let outcomes = simulate(seed, false);
+        assert!(
+            outcomes.iter().all(|kind| kind.share_in_target() < 0.2),
+            "seed {seed}: {outcomes:?}"
+        );
+    }
+}
+
+#[test]
+fn cancelled_reservations_are_free_again() {
+    let now = Instant::now();
+    let mut link = ReplyLink::new(100_000.0);
+    let request = LinkRequest {
+        route: "mesh/page",
+        rank: 1,
+        is_nested: false,
+        time_to_reply: Duration::from_millis(10),
+    };
+    let first = link.admit(&request, now).unwrap();
+    link.sent(first, request.route, 9_000, now);
+    let later = now + Duration::from_secs(1);
+    let second = link.admit(&request, later).unwrap();
+    assert!(link.admit(&request, later).is_err(), "no room for a third");
+    link.cancel(second);
+    assert!(link.admit(&request, later).is_ok());
+}
--- a/crates/foxtailgauge-daemon/src/forward_attempt.rs
+++ b/crates/foxtailgauge-daemon/src/forward_attempt.rs
@@ -42,7 +42,7 @@
             HopEnd::Broken if reply.reply.load.slots > 0 => AttemptHealth::Failed,
             HopEnd::Broken => AttemptHealth::Unresponsive,
             HopEnd::Closed | HopEnd::NotReached => AttemptHealth::Unavailable,
-            HopEnd::Refused { .. } => AttemptHealth::Neutral,
+            HopEnd::Refused { .. } => AttemptHealth::Refused,
         };
         let load = reply.reply.load;
         let received = reply
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -12,8 +12,8 @@
 use crate::metrics::{Metrics, ServiceLabels};
 use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
-    fingerprint, request_digest, Fingerprint, RouteName, ServerEntry, Throttle, WorkItem, WorkLoad,
-    THROTTLE_RETRY_AFTER,
+    fingerprint, request_digest, Fingerprint, LinkRequest, LinkReservation, ReplyLink, RouteName,
+    ServerEntry, Throttle, WorkItem, WorkLoad, THROTTLE_RETRY_AFTER,
 };
 use foxtailgauge_platform::{headers, ServerReport};
 use futures::io::{AsyncRead, AsyncWrite};
@@ -111,6 +111,8 @@
     /// Ids of the running requests, with their routes.
     running_ids: Mutex<HashMap<String, RouteName>>,
     throttle: Mutex<Throttle>,
+    /// Link of the instance, if its rate is known.
+    reply_link: Option<Mutex<ReplyLink>>,
     /// Requests that completed here and therefore did not crash their backend server.
     completed: Mutex<HashSet<Fingerprint>>,
 }
@@ -127,6 +129,31 @@
     }
 }
 
+/// Reservation of link capacity for a reply. Dropping it cancels the reservation.
+struct ReplyReservation<'a> {
+    link: &'a Mutex<ReplyLink>,
+    reservation: Option<LinkReservation>,
+}
+
+impl ReplyReservation<'_> {
+    /// Ends the reservation: the reply is handed to the link.
+    fn end_with_reply(mut self, route: &str, reply: &ForwardReply) {
+        let response = reply.response.as_ref();
+        let body_bytes = response.map_or(0, |response| response.body().buffered_length());
+        if let Some(reservation) = self.reservation.take() {
+            lock(self.link).sent(reservation, route, body_bytes, Instant::now());
+        }
+    }
+}
+
+impl Drop for ReplyReservation<'_> {
+    fn drop(&mut self) {
+        if let Some(reservation) = self.reservation.take() {
+            lock(self.link).cancel(reservation);
+        }
+    }
+}
+
 impl ForwardExecutor {
     /// An executor without backend servers.
     pub(crate) fn new(shared: &Arc<Shared>, settings: MeshSettings) -> Self {
@@ -137,6 +164,11 @@
             servers: Mutex::default(),
             running_ids: Mutex::default(),
             throttle: Mutex::default(),
+            reply_link: shared
+                .settings
+                .limits
+                .link_bytes_per_s
+                .map(|rate| Mutex::new(ReplyLink::new(rate))),
             completed: Mutex::default(),
         }
     }
@@ -319,6 +351,48 @@
         }
     }
 
+    /// Reserves link capacity for the reply to another daemon; `None` if the rate of the link is not
+    /// known. Fails with the refusal if the reply would wait for the link.
+    fn reserve_reply(
+        &self,
+        request: &ForwardRequest,
+    ) -> Result<Option<ReplyReservation<'_>>, HopReply> {
+        let Some(link) = &self.reply_link else {
+            return Ok(None);
+        };
+        let hop = &request.hop;
+        let Some(server) = lock(&self.servers).get(&hop.server).cloned() else {
+            return Ok(None);
+        };
+        let link_request = LinkRequest {
+            route: &hop.route,
+            rank: hop.rank,
+            is_nested: hop.is_nested,
+            time_to_reply: server.expected_time_to_end(&hop.route),
+        };
+        let now = Instant::now();
+        let admitted = {
+            let mut link = lock(link);
+            link.observe_total(self.shared.metrics.link_bytes_sent(), now);
+            link.admit(&link_request, now)
+        };
+        match admitted {
+            Ok(reservation) => Ok(Some(ReplyReservation {
+                link,
+                reservation: Some(reservation),
+            })),
+            Err(retry_after) => {
+                server.count_refusal(hop.rank);
+                self.log_refusal(request, "link", &server);
+                Err(HopReply {
+                    end: HopEnd::Refused { retry_after },
+                    load: server.load(&hop.route),
+                    elapsed: Duration::ZERO,
+                })
+            }
+        }
+    }
+
     fn log_refusal(&self, request: &ForwardRequest, reason: &str, server: &ForwardServer) {
         let hop = &request.hop;
         emit!(self.shared.log, events::WORK_REFUSED,
@@ -512,14 +586,23 @@
             return encode(without_response(HopEnd::Closed, WorkLoad::default()));
         };
         let arrived = Instant::now();
-        let mut reply = self
-            .run(ForwardRequest {
-                hop,
-                fingerprint: fingerprint_of(&parts, &body),
-                request: Request::from_parts(parts, body),
-                deadline: now + Duration::from_millis(time_left_ms),
-            })
-            .await;
+        let request = ForwardRequest {
+            hop,
+            fingerprint: fingerprint_of(&parts, &body),
+            request: Request::from_parts(parts, body),
+            deadline: now + Duration::from_millis(time_left_ms),
+        };
+        let mut reply = match self.reserve_reply(&request) {
+            Ok(reservation) => {
+                let route = request.hop.route.clone();
+                let reply = self.run(request).await;
+                if let Some(reservation) = reservation {
+                    reservation.end_with_reply(&route, &reply);
+                }
+                reply
+            }
+            Err(refused) => without_response(refused.end, refused.load),
+        };
         reply.reply.elapsed = arrived.elapsed();
         encode(reply)
     }
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -19,6 +19,7 @@
 use crate::hop_connection::HopConnections;
 use crate::http_pool::SendError;
 use crate::mesh_settings::MeshSettings;
+use crate::meter::MeteredStream;
 use crate::metrics::{ForwardLabels, ServiceLabels};
 use crate::peer_client::PeerIdentity;
 use crate::route_view::RouteView;
@@ -131,6 +132,7 @@
                 Ok::<_, Infallible>(response)
             }
         });
+        let stream = MeteredStream::new(stream, self.shared.metrics.caller_bytes.clone());
         let stream = PhasedStream::new(stream, phase.clone());
         let connection = hyper::server::conn::http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -319,6 +321,7 @@
                 route: call.route_name,
                 target,
                 is_nested: call.parent_route.is_some(),
+                was_refused: retry_after.is_some(),
                 colocated_load: self.executor.service_load(&call.service, call.route_name),
             };
             let chosen = lock(&self.shared.placement).choose(
@@ -344,7 +347,10 @@
             let mut next = attempts.decide_next(end, time_left, run_time, is_busy);
             let is_over_budget = matches!(next, NextAction::TryAnother { is_repeat: true })
                 && !self.try_withdraw(&call.service);
-            if is_over_budget {
+            let is_given_up = matches!(reply.reply.end, HopEnd::Refused { .. })
+                && call.parent_route.is_none()
+                && !lock(&self.shared.placement).may_try_another(call.route_name, rand::random());
+            if is_over_budget || is_given_up {
                 next = attempts.final_action(end);
             }
             match next {
--- a/crates/foxtailgauge-daemon/src/meter.rs
+++ b/crates/foxtailgauge-daemon/src/meter.rs
@@ -56,6 +56,18 @@
         result
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        if let Poll::Ready(Ok(count)) = &result {
+            self.counters.sent.inc_by(*count as u64);
+        }
+        result
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
--- a/crates/foxtailgauge-daemon/src/metrics.rs
+++ b/crates/foxtailgauge-daemon/src/metrics.rs
@@ -88,6 +88,8 @@
     pub(crate) control: ByteCounters,
     pub(crate) consensus: ByteCounters,
     pub(crate) call_bytes: ByteCounters,
+    /// Plain HTTP of callers on this instance.
+    pub(crate) caller_bytes: ByteCounters,
     pub(crate) payload_bytes: Family<PayloadLabels, Counter>,
     pub(crate) syncs: Family<GroupLabels, Counter>,
     pub(crate) sync_seconds: HistogramFamily<GroupLabels>,
@@ -118,6 +120,7 @@
             control: ByteCounters::default(),
             consensus: ByteCounters::default(),
             call_bytes: ByteCounters::default(),
+            caller_bytes: ByteCounters::default(),
             payload_bytes: Family::default(),
             syncs: Family::default(),
             sync_seconds: Family::new_with_constructor(time_histogram),
@@ -162,17 +165,22 @@
             ("control", &self.control),
             ("consensus", &self.consensus),
             ("calls", &self.call_bytes),
+            ("callers", &self.caller_bytes),
         ];
         for (name, counters) in connections {
+            let peers = match name {
+                "callers" => "callers",
+                _ => "other daemons",
+            };
             registry.register_with_unit(
                 format!("{name}_received"),
-                "Bytes received from other daemons",
+                format!("Bytes received from {peers}"),
                 Unit::Bytes,
                 counters.received.clone(),
             );
             registry.register_with_unit(
                 format!("{name}_sent"),
-                "Bytes sent to other daemons",
+                format!("Bytes sent to {peers}"),
                 Unit::Bytes,
                 counters.sent.clone(),
             );
@@ -285,6 +293,17 @@
         }
     }
 
+    /// Bytes sent over the instance's link, to other daemons and to callers.
+    pub(crate) fn link_bytes_sent(&self) -> u64 {
+        let counters = [
+            &self.control,
+            &self.consensus,
+            &self.call_bytes,
+            &self.caller_bytes,
+        ];
+        counters.iter().map(|counters| counters.sent.get()).sum()
+    }
+
     /// Counts the bytes of a control payload.
     pub(crate) fn record_payload(&self, direction: &'static str, kind: &'static str, bytes: usize) {
         let labels = PayloadLabels { direction, kind };
--- a/crates/foxtailgauge-daemon/src/settings.rs
+++ b/crates/foxtailgauge-daemon/src/settings.rs
@@ -13,6 +13,12 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Bounds of the rate of an instance's link, in Mbit/s.
+const MIN_LINK_MBPS: f64 = 0.1;
+const MAX_LINK_MBPS: f64 = 1_000_000.0;
+/// Bytes per second of 1 Mbit/s.
+const BYTES_PER_S_PER_MBPS: f64 = 1e6 / 8.0;
+
 /// Addresses a daemon listens on.
 #[derive(Clone, Debug)]
 pub struct Listen {
@@ -50,6 +56,8 @@
     pub connections: usize,
     /// Maximum number of connections to one backend server.
     pub server_connections: usize,
+    /// Rate of the instance's link, in bytes per second; `None` if it is not limited.
+    pub link_bytes_per_s: Option<f64>,
 }
 
 /// Settings of one daemon.
@@ -169,7 +177,12 @@
     ),
     (
         "limits",
-        &["body_bytes", "connections", "server_connections"],
+        &[
+            "body_bytes",
+            "connections",
+            "server_connections",
+            "link_mbps",
+        ],
     ),
     ("ledger", &["retention_hours"]),
     ("log", &["level"]),
@@ -285,6 +298,7 @@
             connections: self.number("limits", "connections", 1..=100_000, 4096) as usize,
             server_connections: self.number("limits", "server_connections", 1..=10_000, 100)
                 as usize,
+            link_bytes_per_s: self.link_bytes_per_s(),
         };
         let hours = self.number("ledger", "retention_hours", 1..=8760, 48);
         let log_level = self.log_level();
@@ -361,6 +375,18 @@
         }
     }
 
+    /// Rate of the instance's link; `None` if the key is missing or empty.
+    fn link_bytes_per_s(&mut self) -> Option<f64> {
+        let text = self.non_empty_value("limits", "link_mbps")?;
+        let mbps = text.parse::<f64>().ok();
+        let mbps = mbps.filter(|mbps| (MIN_LINK_MBPS..=MAX_LINK_MBPS).contains(mbps));
+        if mbps.is_none() {
+            let allowed = format!("a number from {MIN_LINK_MBPS} to {MAX_LINK_MBPS}, in Mbit/s");
+            self.add_problem("limits", "link_mbps", format!("`{text}`"), &allowed);
+        }
+        mbps.map(|mbps| mbps * BYTES_PER_S_PER_MBPS)
+    }
+
     pub(crate) fn duration_ms(
         &mut self,
         section: &str,
