Past versions are kept as deltas; routes are found by hash

Each request compared its path with all routes of its host. Change: SnapshotHistory keeps the deltas between versions and joins them for a subscriber further behind. HostTable looks up each prefix of the path that ends with a slash. Tests: distribution::memory_of_past_versions_does_not_grow_with_the_configuration at 20, 200 and 2,000 routes, seen failing on the code before (references 3, 4, 5, ...); composed_deltas_have_the_effect_of_each_in_turn; forwarding::prefixes_with_and_without_a_final_slash_compete_by_length.

--- a/crates/foxtailgauge-core/src/host_route.rs
+++ b/crates/foxtailgauge-core/src/host_route.rs
@@ -65,24 +65,63 @@
     pub idle_ms: u64,
 }
 
-/// Host routes indexed by host.
+/// A host route with its name.
+type NamedRoute = (RouteName, Arc<HostRoute>);
+
+/// Routes of one host.
 ///
-/// Invariant: the routes of a host are sorted from the longest prefix to the shortest.
+/// Invariants: a prefix in `by_prefix` ends with a slash, one in `others` does not; `others` is sorted
+/// from the longest prefix to the shortest.
+#[derive(Debug, Default)]
+struct RoutesOfHost {
+    by_prefix: HashMap<String, NamedRoute>,
+    others: Vec<NamedRoute>,
+}
+
+impl RoutesOfHost {
+    fn insert(&mut self, named: NamedRoute) {
+        match named.1.prefix.ends_with('/') {
+            true => {
+                self.by_prefix.insert(named.1.prefix.clone(), named);
+            }
+            false => self.others.push(named),
+        }
+    }
+
+    /// The route with the longest prefix of `path`. Takes one lookup for each slash in `path`,
+    /// however many routes the host has.
+    fn find(&self, path: &str) -> Option<&NamedRoute> {
+        let ends = path
+            .rmatch_indices('/')
+            .map(|(index, slash)| index + slash.len());
+        let mut prefixes = ends.filter_map(|end| self.by_prefix.get(&path[..end]));
+        let is_match = |named: &&NamedRoute| path.starts_with(&named.1.prefix);
+        let other = self.others.iter().find(is_match);
+        let with_slash = prefixes.next();
+        with_slash
+            .into_iter()
+            .chain(other)
+            .max_by_key(|(_, route)| route.prefix.len())
+    }
+}
+
+/// Host routes indexed by host and prefix.
 #[derive(Debug, Default)]
 pub struct HostTable {
-    by_host: HashMap<String, Vec<(RouteName, Arc<HostRoute>)>>,
+    by_host: HashMap<String, RoutesOfHost>,
 }
 
 impl HostTable {
     /// Indexes the host routes of a configuration.
     pub fn new(routes: &BTreeMap<RouteName, Arc<HostRoute>>) -> Self {
-        let mut by_host: HashMap<String, Vec<(RouteName, Arc<HostRoute>)>> = HashMap::new();
+        let mut by_host: HashMap<String, RoutesOfHost> = HashMap::new();
         for (name, route) in routes {
-            let list = by_host.entry(route.host.clone()).or_default();
-            list.push((name.clone(), Arc::clone(route)));
+            let of_host = by_host.entry(route.host.clone()).or_default();
+            of_host.insert((name.clone(), Arc::clone(route)));
         }
-        for list in by_host.values_mut() {
-            list.sort_by_key(|(_, route)| std::cmp::Reverse(route.prefix.len()));
+        for of_host in by_host.values_mut() {
+            let length = |(_, route): &NamedRoute| std::cmp::Reverse(route.prefix.len());
+            of_host.others.sort_by_key(length);
         }
         HostTable { by_host }
     }
@@ -90,12 +129,11 @@
     /// Returns the route of a `Host` header value with the longest prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&(RouteName, Arc<HostRoute>)> {
         let hostname = host.rsplit_once(':').map_or(host, |(hostname, _)| hostname);
-        let list = match self.by_host.get(hostname) {
-            Some(list) => list,
+        let of_host = match self.by_host.get(hostname) {
+            Some(of_host) => of_host,
             None => self.by_host.get(&hostname.to_ascii_lowercase())?,
         };
-        list.iter()
-            .find(|(_, route)| path.starts_with(&route.prefix))
+        of_host.find(path)
     }
 }
 
--- a/crates/foxtailgauge-core/src/snapshot.rs
+++ b/crates/foxtailgauge-core/src/snapshot.rs
@@ -5,7 +5,7 @@
 use crate::ids::{ConfigVersion, Digest, RouteName, ServiceName, TeamName};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::sync::Arc;
 
@@ -77,6 +77,19 @@
     pub caller_limits: Option<CallerLimits>,
 }
 
+impl Delta {
+    /// The delta that has the effect of this one and then of `next`, which is based on its result.
+    fn followed_by(mut self, next: &Delta) -> Self {
+        self.version = next.version;
+        self.digest = next.digest;
+        extend_map(&mut self.services, &next.services);
+        extend_map(&mut self.routes, &next.routes);
+        extend_map(&mut self.host_routes, &next.host_routes);
+        self.caller_limits = next.caller_limits.or(self.caller_limits);
+        self
+    }
+}
+
 /// What a source sends to bring a subscriber to a newer version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Update {
@@ -260,6 +273,16 @@
     }
 }
 
+fn extend_map<T>(
+    changes: &mut BTreeMap<String, Option<Arc<T>>>,
+    later: &BTreeMap<String, Option<Arc<T>>>,
+) {
+    let later = later
+        .iter()
+        .map(|(name, change)| (name.clone(), change.clone()));
+    changes.extend(later);
+}
+
 fn hash_route(hasher: &mut Sha256, name: &str, route: &Route) {
     hash_text(hasher, "route");
     hash_text(hasher, name);
@@ -299,23 +322,27 @@
     hasher.update(text);
 }
 
-/// The current snapshot and past ones that serve as bases of deltas.
+/// The current snapshot, and the deltas that led to it.
 ///
-/// Invariants: versions strictly increase; `past` holds at most `limit` snapshots, oldest first.
+/// Past versions are kept as deltas, so that a version takes memory in proportion to its changes and
+/// not to the size of the configuration.
+///
+/// Invariants: versions strictly increase; `deltas` holds at most `limit` of them, oldest first, each
+/// based on the result of the one before; the last one results in `current`.
 #[derive(Debug)]
 pub struct SnapshotHistory {
     current: Arc<Snapshot>,
-    past: std::collections::VecDeque<Arc<Snapshot>>,
+    deltas: VecDeque<Delta>,
     limit: usize,
 }
 
 impl SnapshotHistory {
-    /// Creates a history that starts with the empty configuration and keeps up to `limit` past
-    /// versions.
+    /// Creates a history that starts with the empty configuration and serves as bases up to `limit`
+    /// past versions.
     pub fn new(limit: usize) -> Self {
         SnapshotHistory {
             current: Arc::new(Snapshot::empty()),
-            past: std::collections::VecDeque::new(),
+            deltas: VecDeque::new(),
             limit,
         }
     }
@@ -334,10 +361,10 @@
         if next.version <= self.current.version {
             return Err(SnapshotError::OlderVersion);
         }
-        self.past
-            .push_back(std::mem::replace(&mut self.current, next));
-        while self.past.len() > self.limit {
-            self.past.pop_front();
+        self.deltas.push_back(next.delta_from(&self.current));
+        self.current = next;
+        while self.deltas.len() > self.limit {
+            self.deltas.pop_front();
         }
         Ok(())
     }
@@ -349,12 +376,16 @@
         if base_version >= self.current.version {
             return None;
         }
-        let base = self
-            .past
-            .iter()
-            .find(|s| s.version == base_version && s.digest == *base_digest);
-        Some(match base {
-            Some(base) => Update::Delta(self.current.delta_from(base)),
+        let is_base =
+            |delta: &Delta| delta.base_version == base_version && delta.base_digest == *base_digest;
+        let first = self.deltas.iter().position(is_base);
+        let delta = first.and_then(|first| {
+            let mut later = self.deltas.range(first..);
+            let first = later.next()?.clone();
+            Some(later.fold(first, Delta::followed_by))
+        });
+        Some(match delta {
+            Some(delta) => Update::Delta(delta),
             None => Update::Full(Arc::clone(&self.current)),
         })
     }
--- a/crates/foxtailgauge-core/tests/distribution.rs
+++ b/crates/foxtailgauge-core/tests/distribution.rs
@@ -145,6 +145,52 @@
     );
 }
 
+/// Versions that a storm of changes puts in force one after another.
+const STORM_VERSIONS: u64 = 60;
+
+/// Each version of a storm changes one of the routes. A history that kept whole versions would hold
+/// each route once for each version.
+#[test]
+fn memory_of_past_versions_does_not_grow_with_the_configuration() {
+    for route_count in [20, 200, 2_000] {
+        let mut history = SnapshotHistory::new(256);
+        history.advance(snapshot(1, route_count)).unwrap();
+        let unchanged = Arc::clone(&history.current().routes["rybar/r1"]);
+        let mut references = Vec::new();
+        for version in 2..STORM_VERSIONS {
+            let mut next = Snapshot::clone(history.current());
+            next.version = version;
+            let mut changed = foxtailgauge_core::Route::clone(&next.routes["rybar/r0"]);
+            changed.deadline_ms = version;
+            next.routes.insert("rybar/r0".to_owned(), Arc::new(changed));
+            history.advance(Arc::new(next)).unwrap();
+            references.push(Arc::strong_count(&unchanged));
+        }
+        assert!(
+            references.iter().all(|count| *count == references[0]),
+            "{route_count} routes: references to an unchanged one {references:?}"
+        );
+    }
+}
+
+#[test]
+fn composed_deltas_have_the_effect_of_each_in_turn() {
+    let versions: Vec<Arc<Snapshot>> = [3, 5, 1, 4, 2]
+        .iter()
+        .zip(1..)
+        .map(|(services, version)| snapshot(version, *services))
+        .collect();
+    let mut history = SnapshotHistory::new(8);
+    for version in &versions {
+        history.advance(Arc::clone(version)).unwrap();
+    }
+    for base in &versions[..versions.len() - 1] {
+        let update = history.update_for(base.version, &base.digest).unwrap();
+        assert!(matches!(update, Update::Delta(_)), "{update:?}");
+        assert_eq!(base.with_update(&update).unwrap(), versions[4]);
+    }
+}
+
 fn instance(name: &str, domain: &str, sequence: u64) -> InstanceState {
     InstanceState {
         name: name.to_owned(),
--- a/crates/foxtailgauge-core/tests/forwarding.rs
+++ b/crates/foxtailgauge-core/tests/forwarding.rs
@@ -601,3 +601,35 @@
         assert_eq!(attempts.may_have_run(), may_have_run, "{name}");
     }
 }
+
+#[test]
+fn prefixes_with_and_without_a_final_slash_compete_by_length() {
+    let prefixes = ["/a/", "/a/b", "/a/b/", "/a/b/cd"];
+    let routes: String = prefixes
+        .iter()
+        .enumerate()
+        .map(|(n, prefix)| {
+            format!(
+                "[host-routes/r{n}]\nhost = h\nprefix = {prefix}\nsplit = viewer\ntimeout_ms = 9\n"
+            )
+        })
+        .collect();
+    let table = HostTable::new(&snapshot(&format!("[services/viewer]\n{routes}")).host_routes);
+    // Path, prefix of the route.
+    let cases = [
+        ("/a/", Some("/a/")),
+        ("/a/x/y/z", Some("/a/")),
+        ("/a/bc", Some("/a/b")),
+        ("/a/b", Some("/a/b")),
+        ("/a/b/c/d", Some("/a/b/")),
+        ("/a/b/cde/", Some("/a/b/cd")),
+        ("/a", None),
+        ("", None),
+    ];
+    for (path, expected) in cases {
+        let found = table
+            .find("h", path)
+            .map(|(_, route)| route.prefix.as_str());
+        assert_eq!(found, expected, "{path}");
+    }
+}
