Changes cost their changed sections; replicas answer heartbeats while they replay their log

Change: a change reads only the sections that differ from the current text; the driver applies one entry a round.

--- a/crates/foxtailgauge-core/src/config.rs
+++ b/crates/foxtailgauge-core/src/config.rs
@@ -4,7 +4,7 @@
 use crate::ids::{RouteName, ServiceName, TeamName};
 use ini::Ini;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
 /// Shortest deadline that a route may set, in milliseconds.
@@ -209,24 +209,110 @@
             ConfigProblemKind::TooLarge,
         )]);
     }
-    let ini = Ini::load_from_str_noescape(text).map_err(|error| {
-        let line = error.line as u64;
-        vec![ConfigProblem::new(
-            "",
-            "",
-            ConfigProblemKind::Syntax { line },
-        )]
-    })?;
     let mut parser = Parser::new(team);
-    for (section, properties) in ini.iter() {
-        let pairs: Vec<(&str, &str)> = properties.iter().collect();
-        match section {
-            Some(section) => parser.section(section, &pairs),
-            None if pairs.is_empty() => {}
-            None => parser.push_problem("", pairs[0].0, ConfigProblemKind::UnknownSection),
+    parser.text(text)?;
+    parser.finish()
+}
+
+/// A parsed text, and the number of its sections that were read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParsedTeam {
+    /// The configuration.
+    pub config: TeamConfig,
+    /// Sections that were read; the others were taken from the base.
+    pub sections_read: usize,
+}
+
+/// Parses the text of one team like [`parse_team`], and takes host routes whose sections are the
+/// same in the text that `base` was parsed from.
+///
+/// Documents describe thousands of routes and change a few of them at a time, and every replica
+/// parses each of them.
+///
+/// # Errors
+///
+/// The same as [`parse_team`].
+pub fn parse_team_from(
+    team: &str,
+    text: &str,
+    base: Option<(&str, &TeamConfig)>,
+) -> Result<ParsedTeam, Vec<ConfigProblem>> {
+    let parsed = base.and_then(|(base_text, base)| parse_changed(team, text, base_text, base));
+    match parsed {
+        Some(parsed) => Ok(parsed),
+        None => Ok(ParsedTeam {
+            config: parse_team(team, text)?,
+            sections_read: blocks(text).count(),
+        }),
+    }
+}
+
+/// Parses only the sections that differ from the base. `None` if the texts cannot be compared by
+/// section or there is a problem; problems are reported by [`parse_team`], with their lines.
+fn parse_changed(team: &str, text: &str, base_text: &str, base: &TeamConfig) -> Option<ParsedTeam> {
+    // A quoted value may span lines that look like sections.
+    let is_quoted = |text: &str| text.contains(['"', '\'']);
+    if text.len() > MAX_TEXT_BYTES || is_quoted(text) || is_quoted(base_text) {
+        return None;
+    }
+    let mut base_blocks = HashMap::new();
+    for block in blocks(base_text) {
+        if base_blocks.insert(block.lines().next(), block).is_some() {
+            return None;
         }
     }
-    parser.finish()
+    let mut parser = Parser::new(team);
+    let mut changed = String::new();
+    let mut sections_read = 0;
+    for block in blocks(text) {
+        let heading = block.lines().next();
+        let is_same = base_blocks.get(&heading) == Some(&block);
+        // An indented heading starts a section too.
+        let is_heading = |line: &str| line.trim_start().starts_with('[');
+        if block.lines().skip(1).any(is_heading) {
+            return None;
+        }
+        let same_route = heading
+            .filter(|_| is_same)
+            .and_then(|heading| heading.strip_prefix("[host-routes/")?.strip_suffix(']'))
+            .and_then(|name| base.host_routes.get_key_value(&format!("{team}/{name}")));
+        match same_route {
+            Some((name, route)) => {
+                let earlier = parser
+                    .config
+                    .host_routes
+                    .insert(name.clone(), route.clone());
+                if earlier.is_some() {
+                    return None;
+                }
+            }
+            None => {
+                changed.push_str(block);
+                sections_read += 1;
+            }
+        }
+    }
+    parser.text(&changed).ok()?;
+    let config = parser.finish().ok()?;
+    Some(ParsedTeam {
+        config,
+        sections_read,
+    })
+}
+
+/// Parts of a text, each from a section's heading to the next one. What precedes the first heading
+/// belongs to the first part.
+fn blocks(text: &str) -> impl Iterator<Item = &str> {
+    let mut rest = text;
+    std::iter::from_fn(move || {
+        if rest.is_empty() {
+            return None;
+        }
+        let end = rest.find("\n[").map_or(rest.len(), |index| index + 1);
+        let (block, others) = rest.split_at(end);
+        rest = others;
+        Some(block)
+    })
 }
 
 struct Parser<'a> {
@@ -248,6 +334,27 @@
         self.problems.push(ConfigProblem::new(section, key, kind));
     }
 
+    /// Reads the sections of a text; fails if it is not valid INI.
+    fn text(&mut self, text: &str) -> Result<(), Vec<ConfigProblem>> {
+        let ini = Ini::load_from_str_noescape(text).map_err(|error| {
+            let line = error.line as u64;
+            vec![ConfigProblem::new(
+                "",
+                "",
+                ConfigProblemKind::Syntax { line },
+            )]
+        })?;
+        for (section, properties) in ini.iter() {
+            let pairs: Vec<(&str, &str)> = properties.iter().collect();
+            match section {
+                Some(section) => self.section(section, &pairs),
+                None if pairs.is_empty() => {}
+                None => self.push_problem("", pairs[0].0, ConfigProblemKind::UnknownSection),
+            }
+        }
+        Ok(())
+    }
+
     fn section(&mut self, section: &str, pairs: &[(&str, &str)]) {
         if section == "caller-limits" {
             return self.caller_limits(section, pairs);
--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -59,8 +59,8 @@
 pub use balance::{Balancer, CallHealth, Candidate, ServerKey};
 pub use caller_timeout::CallerTimeouts;
 pub use config::{
-    is_valid_name, parse_team, prefix_matches, ConfigProblem, ConfigProblemKind, Route, Service,
-    TeamConfig, DEFAULT_QUEUE_REQUESTS, MAX_TEXT_BYTES,
+    is_valid_name, parse_team, parse_team_from, prefix_matches, ConfigProblem, ConfigProblemKind,
+    ParsedTeam, Route, Service, TeamConfig, DEFAULT_QUEUE_REQUESTS, MAX_TEXT_BYTES,
 };
 pub use consensus::{
     HardState, Node, PersistedState, ProposeError, ReadReady, Ready, Role, HEARTBEAT_INTERVAL_MS,
--- a/crates/foxtailgauge-core/src/registry.rs
+++ b/crates/foxtailgauge-core/src/registry.rs
@@ -1,6 +1,6 @@
 //! Replicated state machine of the configuration: teams, revisions, cached answers and audit trail.
 
-use crate::config::{is_valid_name, parse_team, ConfigProblem, ConfigProblemKind, TeamConfig};
+use crate::config::{is_valid_name, parse_team_from, ConfigProblem, ConfigProblemKind, TeamConfig};
 use crate::fleet_check::check_fleet;
 use crate::ids::{ChangeId, ConfigVersion, Revision, TeamName, UnixMs};
 use crate::snapshot::Snapshot;
@@ -227,7 +227,9 @@
                 kind: ConfigProblemKind::BadName,
             }]);
         }
-        let config = parse_team(team, text)?;
+        let current_text = self.revision_record(team, None).map(|r| r.text.as_str());
+        let base = current_text.zip(self.parsed.get(team));
+        let config = parse_team_from(team, text, base)?.config;
         let mut teams = self.parsed.clone();
         teams.insert(team.to_owned(), config.clone());
         check_fleet(team, &teams)?;
--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -17,7 +17,7 @@
     encode, encode_compressed, Group, GroupStatus, SubmitReply, SubmitRequest,
 };
 use futures::channel::oneshot;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -208,6 +208,8 @@
     node: Node,
     store: GroupStore,
     state_machine: StateMachine,
+    /// Committed entries that are not applied yet.
+    unapplied: VecDeque<Entry>,
     /// Proposed commands that are not applied yet, by log index.
     pending_proposals: BTreeMap<LogIndex, PendingProposal>,
     /// Reads that wait for the confirmation of leadership, by read id.
@@ -248,6 +250,7 @@
             node,
             store,
             state_machine,
+            unapplied: VecDeque::new(),
             pending_proposals: BTreeMap::new(),
             pending_reads: HashMap::new(),
             status: Arc::new(Mutex::new(status)),
@@ -282,8 +285,12 @@
         }
     }
 
-    /// Time until the node's next tick, at most `MAX_IDLE_TIME`.
+    /// Time until the node's next tick, at most `MAX_IDLE_TIME`; zero while entries wait to be
+    /// applied.
     fn idle_time(&self) -> Duration {
+        if !self.unapplied.is_empty() {
+            return Duration::ZERO;
+        }
         let time_left_ms = self.node.next_tick_ms().saturating_sub(self.now_ms());
         Duration::from_millis(time_left_ms).min(MAX_IDLE_TIME)
     }
@@ -368,7 +375,10 @@
     }
 
     /// Processes the node's pending work: sends early messages, syncs the records, sends the
-    /// messages that depend on the sync, applies committed entries and replies to reads.
+    /// messages that depend on the sync, applies a committed entry and replies to reads.
+    ///
+    /// At most one entry is applied, so that heartbeats are sent and answered in between: applying
+    /// the log of a restarted replica takes longer than an election timeout.
     fn process_ready(&mut self) -> Result<(), Report<StoreError>> {
         let ready = self.node.ready();
         self.send(&ready.early_messages);
@@ -382,14 +392,18 @@
             emit!(self.shared.log, events::SNAPSHOT_INSTALLED,
                 "group" => self.group.as_str(), "index" => snapshot.index);
             self.is_unpublished = true;
+            self.unapplied.retain(|entry| entry.index > snapshot.index);
         }
         self.node.persisted(ready.last);
         self.send(&ready.messages);
-        for entry in self.node.take_committed() {
+        self.unapplied.extend(self.node.take_committed());
+        if let Some(entry) = self.unapplied.pop_front() {
             self.apply(&entry)?;
         }
-        self.publish();
-        self.reply_to_reads();
+        if self.unapplied.is_empty() {
+            self.publish();
+            self.reply_to_reads();
+        }
         Ok(())
     }
 
@@ -460,7 +474,7 @@
                 let _ = reply.send(SubmitReply::NotLeader { leader_addr: None });
             }
         }
-        // All committed entries are applied by now, so every confirmed read index is reached.
+        // All committed entries are applied, so every confirmed read index is reached.
         for ready in self.node.take_ready_reads() {
             if let Some((request, reply)) = self.pending_reads.remove(&ready.read) {
                 let _ = reply.send(self.read_reply(request));
@@ -489,7 +503,9 @@
     }
 
     fn compact(&mut self) -> Result<(), Report<StoreError>> {
-        if self.node.log().len() < self.state_machine.compaction_threshold() {
+        // The state machine must contain everything up to the index of the snapshot.
+        let is_behind = !self.unapplied.is_empty();
+        if is_behind || self.node.log().len() < self.state_machine.compaction_threshold() {
             return Ok(());
         }
         let index = self.node.applied();
