The link's wait counts in placement; its bound follows the target; link refusals press nobody

Placement sent requests to servers with idle slots and saturated links. Change: link refusals no longer count as pressure. Replies state the forecast wait for the link, which placement adds to the response time. The longest wait admitted is a quarter of the latency target, at least 100 ms. Tests: reply_link; forwarding::placement_chooses_by_expected_response_time_and_domain has a case with a saturated link.

--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -221,7 +221,7 @@
     }
 
     /// Expected time until the response to a request sent now: its wait in the queue behind
-    /// requests of all routes, then its own run. Without a current report, the mean load per slot
+    /// requests of all routes, its own run, then its wait for the link. Without a current report, the mean load per slot
     /// is assumed.
     fn expected_response_time(
         &self,
@@ -237,7 +237,9 @@
         };
         let queue_rounds = ((in_flight + 1.0 - slots) / slots).max(0.0);
         let contention = CONTENTION * (in_flight / slots).min(1.0);
+        let link_wait = self.current_report(now).map(|load| load.link_wait);
         self.mean_run_time().mul_f64(queue_rounds)
+            + link_wait.unwrap_or_default()
             + self.route_run_time(route).mul_f64(1.0 + contention)
     }
 }
--- a/crates/foxtailgauge-core/src/reply_link.rs
+++ b/crates/foxtailgauge-core/src/reply_link.rs
@@ -16,9 +16,11 @@
 const MIN_SHARE: f64 = 0.02;
 /// Window over which the traffic of the other groups is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
-/// Longest forecast wait for the link. Replies leave in the order in which they are computed, so
-/// any wait also delays the most urgent ones.
-const MAX_LINK_WAIT: Duration = Duration::from_millis(150);
+/// Longest forecast wait for the link, as a share of the latency target. Replies leave in the order
+/// in which they are computed, so any wait also delays the most urgent ones.
+const MAX_LINK_WAIT_SHARE: f64 = 0.25;
+/// Lower bound of the longest forecast wait: a few replies may be ready at the same time.
+const MIN_LINK_WAIT: Duration = Duration::from_millis(100);
 /// Shortest time after which a refused request may be retried.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Bytes of a reply's head between two daemons.
@@ -37,6 +39,8 @@
     pub rank: u64,
     /// Whether its caller is a request that already holds a slot elsewhere.
     pub is_nested: bool,
+    /// Latency target: time left until the response is late.
+    pub target: Duration,
     /// Expected time until the reply is ready: wait and run.
     pub time_to_reply: Duration,
 }
@@ -104,18 +108,14 @@
         request: &LinkRequest<'_>,
         now: Instant,
     ) -> Result<LinkReservation, Duration> {
-        let group = match request.is_nested {
-            true => NESTED_GROUP,
-            false => request.rank + 1,
-        };
-        let route_bytes = self.route_bytes.get(request.route).copied();
-        let bytes = HEAD_BYTES + route_bytes.unwrap_or(0.0);
-        let wait_s = self.pending_bytes(group, bytes, now) / self.rate_for(group, now)
-            - request.time_to_reply.as_secs_f64();
-        let excess_s = wait_s - MAX_LINK_WAIT.as_secs_f64();
-        if group != NESTED_GROUP && excess_s > 0.0 {
-            return Err(Duration::from_secs_f64(excess_s).max(MIN_RETRY_AFTER));
+        let group = group_of(request);
+        let wait = self.expected_wait(request, now);
+        let max_wait = request.target.mul_f64(MAX_LINK_WAIT_SHARE);
+        let excess = wait.saturating_sub(max_wait.max(MIN_LINK_WAIT));
+        if group != NESTED_GROUP && !excess.is_zero() {
+            return Err(excess.max(MIN_RETRY_AFTER));
         }
+        let bytes = self.expected_bytes(request.route);
         *self.reserved.entry(group).or_default() += bytes;
         self.admitted
             .entry(group)
@@ -124,6 +124,20 @@
         Ok(LinkReservation { group, bytes })
     }
 
+    /// Forecast time that the reply to a request would wait for the link.
+    pub fn expected_wait(&self, request: &LinkRequest<'_>, now: Instant) -> Duration {
+        let group = group_of(request);
+        let bytes = self.expected_bytes(request.route);
+        let transmitted_s = self.pending_bytes(group, bytes, now) / self.rate_for(group, now);
+        let wait_s = transmitted_s - request.time_to_reply.as_secs_f64();
+        Duration::from_secs_f64(wait_s.max(0.0))
+    }
+
+    fn expected_bytes(&self, route: &str) -> f64 {
+        let body_bytes = self.route_bytes.get(route).copied();
+        HEAD_BYTES + body_bytes.unwrap_or(0.0)
+    }
+
     /// Ends a reservation: its reply, with a body of this size, is handed to the link.
     pub fn sent(
         &mut self,
@@ -177,3 +191,10 @@
         (self.backlog_bytes - elapsed_s * rate).max(0.0)
     }
 }
+
+fn group_of(request: &LinkRequest<'_>) -> u64 {
+    match request.is_nested {
+        true => NESTED_GROUP,
+        false => request.rank + 1,
+    }
+}
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -95,6 +95,8 @@
     pub route_run: Duration,
     /// Rank with the largest refused share; nested requests do not count.
     pub pressure: Option<Pressure>,
+    /// Forecast wait of a reply of the requested route and rank for the link of the instance.
+    pub link_wait: Duration,
 }
 
 /// How often requests of a rank are refused for lack of capacity.
@@ -187,6 +189,7 @@
             slots: self.slots,
             mean_run: Duration::from_secs_f64(self.mean_run_s),
             route_run: self.run_time(route),
+            link_wait: Duration::ZERO,
         }
     }
 
@@ -247,13 +250,6 @@
         ArrivalDecision::Wait(key.ticket, until)
     }
 
-    /// Counts a request that was refused for another shortage of this instance, so that its
-    /// [pressure](WorkLoad::pressure) covers it.
-    pub fn count_refusal(&mut self, rank: u64) {
-        let share = self.refused_share.entry(rank).or_default();
-        *share += REFUSED_WEIGHT * (1.0 - *share);
-    }
-
     /// Forecast time until the end of a request of this route that arrives now and is served after
     /// all waiting ones.
     pub fn expected_time_to_end(&self, route: &str) -> Duration {
--- a/crates/foxtailgauge-core/tests/forwarding.rs
+++ b/crates/foxtailgauge-core/tests/forwarding.rs
@@ -172,6 +172,7 @@
         mean_run: ms(mean_run_ms),
         route_run: ms(mean_run_ms),
         pressure: None,
+        link_wait: Duration::ZERO,
     }
 }
 
@@ -226,6 +227,21 @@
             ],
             1,
         ),
+        (
+            "not the saturated link of an idle server",
+            vec![
+                (
+                    "a",
+                    WorkLoad {
+                        link_wait: ms(120),
+                        ..load(0, 0, 30)
+                    },
+                    Answered,
+                ),
+                ("a", load(9, 0, 60), Answered),
+            ],
+            1,
+        ),
         (
             "same domain while its forecast meets the target",
             vec![
--- a/crates/foxtailgauge-core/tests/reply_link.rs
+++ b/crates/foxtailgauge-core/tests/reply_link.rs
@@ -132,6 +132,7 @@
                     route: kind.route,
                     rank: kind.rank,
                     is_nested: kind.is_nested,
+                    target: Duration::from_secs_f64(kind.target_s),
                     time_to_reply: Duration::from_secs_f64(kind.run_s),
                 };
                 let reservation = match is_limited {
@@ -203,6 +204,7 @@
         route: "mesh/page",
         rank: 1,
         is_nested: false,
+        target: Duration::from_millis(100),
         time_to_reply: Duration::from_millis(10),
     };
     let first = link.admit(&request, now).unwrap();
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -357,24 +357,16 @@
         &self,
         request: &ForwardRequest,
     ) -> Result<Option<ReplyReservation<'_>>, HopReply> {
-        let Some(link) = &self.reply_link else {
-            return Ok(None);
-        };
         let hop = &request.hop;
-        let Some(server) = lock(&self.servers).get(&hop.server).cloned() else {
+        let server = lock(&self.servers).get(&hop.server).cloned();
+        let (Some(link), Some(server)) = (&self.reply_link, server) else {
             return Ok(None);
         };
-        let link_request = LinkRequest {
-            route: &hop.route,
-            rank: hop.rank,
-            is_nested: hop.is_nested,
-            time_to_reply: server.expected_time_to_end(&hop.route),
-        };
-        let now = Instant::now();
         let admitted = {
+            let now = Instant::now();
             let mut link = lock(link);
             link.observe_total(self.shared.metrics.link_bytes_sent(), now);
-            link.admit(&link_request, now)
+            link.admit(&link_request(hop, &server), now)
         };
         match admitted {
             Ok(reservation) => Ok(Some(ReplyReservation {
@@ -382,7 +374,6 @@
                 reservation: Some(reservation),
             })),
             Err(retry_after) => {
-                server.count_refusal(hop.rank);
                 self.log_refusal(request, "link", &server);
                 Err(HopReply {
                     end: HopEnd::Refused { retry_after },
@@ -393,6 +384,15 @@
         }
     }
 
+    /// Forecast wait of the next reply to a request like this one for the link of the instance.
+    fn link_wait(&self, hop: &HopRequest) -> Duration {
+        let server = lock(&self.servers).get(&hop.server).cloned();
+        let (Some(link), Some(server)) = (&self.reply_link, server) else {
+            return Duration::ZERO;
+        };
+        lock(link).expected_wait(&link_request(hop, &server), Instant::now())
+    }
+
     fn log_refusal(&self, request: &ForwardRequest, reason: &str, server: &ForwardServer) {
         let hop = &request.hop;
         emit!(self.shared.log, events::WORK_REFUSED,
@@ -592,22 +592,33 @@
             request: Request::from_parts(parts, body),
             deadline: now + Duration::from_millis(time_left_ms),
         };
+        let hop = request.hop.clone();
         let mut reply = match self.reserve_reply(&request) {
             Ok(reservation) => {
-                let route = request.hop.route.clone();
                 let reply = self.run(request).await;
                 if let Some(reservation) = reservation {
-                    reservation.end_with_reply(&route, &reply);
+                    reservation.end_with_reply(&hop.route, &reply);
                 }
                 reply
             }
             Err(refused) => without_response(refused.end, refused.load),
         };
+        reply.reply.load.link_wait = self.link_wait(&hop);
         reply.reply.elapsed = arrived.elapsed();
         encode(reply)
     }
 }
 
+fn link_request<'a>(hop: &'a HopRequest, server: &ForwardServer) -> LinkRequest<'a> {
+    LinkRequest {
+        route: &hop.route,
+        rank: hop.rank,
+        is_nested: hop.is_nested,
+        target: hop.target,
+        time_to_reply: server.expected_time_to_end(&hop.route),
+    }
+}
+
 fn without_response(end: HopEnd, load: WorkLoad) -> ForwardReply {
     ForwardReply {
         reply: HopReply {
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -148,11 +148,6 @@
         lock(&self.inner).queue.expected_time_to_end(route)
     }
 
-    /// Counts a request that was refused before it reached the queue.
-    pub(crate) fn count_refusal(&self, rank: u64) {
-        lock(&self.inner).queue.count_refusal(rank);
-    }
-
     /// Whether it accepts requests for a service.
     pub(crate) fn serves(&self, service: &str) -> bool {
         let inner = lock(&self.inner);
--- a/crates/foxtailgauge-daemon/src/hop.rs
+++ b/crates/foxtailgauge-daemon/src/hop.rs
@@ -2,8 +2,8 @@
 //!
 //! Requests and responses carry it in the same header. The value in a request is
 //! `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS`, in a response
-//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;ELAPSED_US;PRESSURE`, where
-//! the last field is empty or `RANK:PERMILLE`. `NESTED` and `REPEAT` are 0 or 1; `REPEAT` is 1 for
+//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;ELAPSED_US;PRESSURE;LINK_US`,
+//! where `PRESSURE` is empty or `RANK:PERMILLE`, and `LINK_US` may be missing. `NESTED` and `REPEAT` are 0 or 1; `REPEAT` is 1 for
 //! an idempotent route.
 
 use foxtailgauge_core::{Pressure, QueueRefusal, RouteName, WorkLoad};
@@ -119,14 +119,16 @@
             mean_run,
             route_run,
             pressure,
+            link_wait,
         } = self.load;
         let (mean_us, route_us) = (mean_run.as_micros(), route_run.as_micros());
         let pressure_field = pressure
             .map(|p| format!("{}:{}", p.rank, p.refused_permille))
             .unwrap_or_default();
         let elapsed_us = self.elapsed.as_micros();
+        let link_us = link_wait.as_micros();
         format!(
-            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{elapsed_us};{pressure_field}"
+            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{elapsed_us};{pressure_field};{link_us}"
         )
     }
 
@@ -141,6 +143,7 @@
             mean_run: Duration::from_micros(fields.next()?.parse().ok()?),
             route_run: Duration::from_micros(fields.next()?.parse().ok()?),
             pressure: None,
+            link_wait: Duration::ZERO,
         };
         let retry_after = Duration::from_millis(fields.next()?.parse().ok()?);
         let elapsed = Duration::from_micros(fields.next()?.parse().ok()?);
@@ -150,6 +153,9 @@
                 refused_permille: permille.parse().ok()?,
             });
         }
+        if let Some(link_us) = fields.next() {
+            load.link_wait = Duration::from_micros(link_us.parse().ok()?);
+        }
         let end = match end {
             "a" => HopEnd::Answered,
             "d" => HopEnd::Declined,
