A backend server is used once it is known to serve; tests of faults at the edges

Change: the first report of an unknown backend server is confirmed by its health check, which fails once it leaves, or by a further report at least half an interval later; until then its queue is closed. Tests: mesh_faults (new): server_that_left_stays_out_after_a_restart_of_its_daemon, seen failing before (200 in place of 503); rows of requests on one connection, a request behind a closing response, a second copy of an answer, a server that never answers, malformed bytes at every port, a daemon that stands still: these passed at first run, not seen failing. The tests of operations wait for a first response, as readiness no longer implies that a reported server was confirmed; their checks are unchanged.

--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -10,6 +10,7 @@
 use crate::http_pool::{connect, ExchangeError, HttpPool, PooledConnection, SendError};
 use crate::mesh_settings::MeshSettings;
 use crate::metrics::{Metrics, ServiceLabels};
+use crate::server_health;
 use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
     fingerprint, request_digest, Fingerprint, LinkRequest, LinkReservation, ReplyLink, RouteName,
@@ -38,6 +39,8 @@
 const LEASE_REPORT_INTERVALS: u32 = 8;
 /// Maximum number of fingerprints of completed requests kept. All are dropped when it is reached.
 const MAX_COMPLETED_FINGERPRINTS: usize = 16_384;
+/// Interval at which a new backend server is checked until it is known to serve.
+const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which leases of backend servers are checked.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -193,13 +196,15 @@
     }
 
     /// Applies a backend server's report and announces a changed state to the other daemons.
-    pub(crate) fn apply_report(&self, report: ServerReport) -> ReportOutcome {
+    pub(crate) fn apply_report(self: &Arc<Self>, report: ServerReport) -> ReportOutcome {
         let is_other = |service: &String| *service != report.service;
         if self.settings.service.as_ref().is_some_and(is_other) {
             return ReportOutcome::OtherService;
         }
         let service = format!("{}/{}", self.settings.workspace, report.service);
         let lease = self.settings.report_interval * LEASE_REPORT_INTERVALS;
+        let confirm_after = self.settings.report_interval / 2;
+        let mut unconfirmed = None;
         let has_changed = {
             let mut servers = lock(&self.servers);
             let is_stale = |s: &Arc<ForwardServer>| s.is_stale_report(&report);
@@ -209,14 +214,18 @@
             // A new process has replaced an earlier one at the same address.
             servers.retain(|name, s| *name == report.server || s.addr() != report.addr);
             match servers.get(&report.server) {
-                Some(server) => server.apply_report(&report, &service, lease),
+                Some(server) => server.apply_report(&report, &service, lease, confirm_after),
                 None => {
-                    let server = ForwardServer::new(&report, &service, lease);
-                    servers.insert(report.server.clone(), Arc::new(server));
+                    let server = Arc::new(ForwardServer::new(&report, &service, lease));
+                    servers.insert(report.server.clone(), Arc::clone(&server));
+                    unconfirmed = Some(server);
                     true
                 }
             }
         };
+        if let Some(server) = unconfirmed {
+            async_std::task::spawn(Arc::clone(self).confirm(server));
+        }
         if has_changed {
             self.pool.close_idle(&report.addr.to_string());
             emit!(self.shared.log, events::SERVER_REPORTED, "server" => &report.server,
@@ -227,6 +236,38 @@
         ReportOutcome::Accepted
     }
 
+    /// Confirms a backend server by its health check, until it is confirmed or removed.
+    async fn confirm(self: Arc<Self>, server: Arc<ForwardServer>) {
+        let is_current = |server: &Arc<ForwardServer>| {
+            let servers = lock(&self.servers);
+            let current = servers.get(server.name());
+            current.is_some_and(|current| Arc::ptr_eq(current, server))
+        };
+        while is_current(&server) && !server.is_confirmed() {
+            let changed = self.shared.changed.listen();
+            let health_path = self.shared.health_path(&server.entry().service);
+            // Without a configuration the path is not known yet.
+            let is_serving = match &health_path {
+                None => false,
+                Some(path) if path.is_empty() => true,
+                Some(path) => {
+                    let check = server_health::check(&self.pool, server.addr(), path);
+                    check.await.is_passed_by(server.name())
+                }
+            };
+            if is_serving {
+                if server.confirm() {
+                    self.publish();
+                }
+                return;
+            }
+            match health_path {
+                None => changed.await,
+                Some(_) => async_std::task::sleep(HEALTH_CHECK_INTERVAL).await,
+            }
+        }
+    }
+
     /// Marks a backend server as leaving, after which it receives no new requests. Returns whether
     /// it is known.
     pub(crate) fn mark_leaving(&self, server: &str) -> bool {
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -27,6 +27,10 @@
     /// not clear it.
     has_left: bool,
     is_reachable: bool,
+    /// Whether it is known to serve: its first report may have been sent before it left and have
+    /// arrived after this daemon restarted.
+    is_confirmed: bool,
+    first_report_at: Instant,
 }
 
 /// A backend server. All requests to it pass through its queue, so its load is known exactly.
@@ -105,12 +109,14 @@
     }
 
     fn is_open(&self) -> bool {
-        self.entry.state == ServerState::Ready && !self.has_left && self.is_reachable
+        let is_serving = self.entry.state == ServerState::Ready && !self.has_left;
+        is_serving && self.is_reachable && self.is_confirmed
     }
 }
 
 impl ForwardServer {
-    /// A backend server as described by its first report.
+    /// A backend server as described by its first report. It accepts no requests until it is
+    /// [confirmed](Self::confirm), or reports again.
     pub(crate) fn new(report: &ServerReport, service: &str, lease: Duration) -> Self {
         let mut inner = Inner {
             queue: WorkQueue::new(report.slots),
@@ -121,6 +127,8 @@
             lease_until: Instant::now() + lease,
             has_left: false,
             is_reachable: true,
+            is_confirmed: false,
+            first_report_at: Instant::now(),
         };
         inner.set_open();
         ForwardServer {
@@ -159,6 +167,22 @@
         lock(&self.inner).queue.in_flight()
     }
 
+    /// Opens the queue of a backend server that is known to serve; returns whether it was closed
+    /// for that reason.
+    pub(crate) fn confirm(self: &Arc<Self>) -> bool {
+        let mut inner = lock(&self.inner);
+        let was_confirmed = std::mem::replace(&mut inner.is_confirmed, true);
+        let refused = inner.set_open();
+        drop(inner);
+        self.notify(refused);
+        !was_confirmed
+    }
+
+    /// Whether it is known to serve.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        lock(&self.inner).is_confirmed
+    }
+
     /// Whether a report is stale: not newer than the last one, or from an earlier process at this
     /// address.
     pub(crate) fn is_stale_report(&self, report: &ServerReport) -> bool {
@@ -169,15 +193,19 @@
         inner.addr == report.addr && inner.sequence.0 > report.sequence.0
     }
 
-    /// Applies a newer report; returns whether the directory entry changed.
+    /// Applies a newer report; returns whether the directory entry changed. A report that arrives
+    /// `confirm_after` the first one or later confirms the backend server: after it left, it would
+    /// have sent none.
     pub(crate) fn apply_report(
         self: &Arc<Self>,
         report: &ServerReport,
         service: &str,
         lease: Duration,
+        confirm_after: Duration,
     ) -> bool {
         let mut inner = lock(&self.inner);
         let was_open = inner.is_open();
+        inner.is_confirmed |= inner.first_report_at.elapsed() >= confirm_after;
         let entry = directory_entry(report, service);
         // A restarted process is not leaving and has no state of the earlier one.
         let is_restart = report.sequence.0 > inner.sequence.0;
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -40,6 +40,7 @@
 mod replica;
 mod replica_client;
 mod route_view;
+mod server_health;
 mod settings;
 mod settings_files;
 mod shared;
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -196,6 +196,14 @@
         Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Path of a service's health check, empty if it has none; `None` without a configuration that
+    /// defines the service.
+    pub(crate) fn health_path(&self, service: &str) -> Option<String> {
+        let config = lock(&self.config);
+        let service = config.history.current().services.get(service)?;
+        Some(service.health_path.clone())
+    }
+
     /// Version and digest of the current configuration.
     pub(crate) fn current_version(&self) -> (ConfigVersion, Digest) {
         let config = lock(&self.config);
--- /dev/null
+++ b/crates/foxtailgauge-daemon/tests/mesh_faults.rs
@@ -0,0 +1,224 @@
+//! Plain HTTP through real daemons while backend servers, callers and daemons misbehave: rows of
+//! requests on one connection, answers that come twice or never, restarts, silence.
+
+mod mesh_support;
+
+use mesh_support::{
+    body, document, exchange, header, read_message, report, status, wait_for, Mesh, Script, Server,
+};
+use rustix::process::Signal;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Starts sidecars, of which the last one has a backend server beside it.
+fn start(sidecars: usize) -> (Mesh, Server) {
+    let mesh = Mesh::start(sidecars);
+    assert_eq!(mesh.put_document(0, &document(1)), 200);
+    let server = Server::start();
+    assert_eq!(mesh.report(sidecars, "i-1", &server.addr, "ready", 5), 200);
+    for n in 1..=sidecars {
+        wait_for("readiness", || mesh.is_ready(n).then_some(()));
+        wait_for("a response", || {
+            (status(&view(&mesh, n, "first")) == 200).then_some(())
+        });
+    }
+    server.clear_received();
+    (mesh, server)
+}
+
+fn request(method: &str, target: &str, id: &str) -> String {
+    format!(
+        "{method} {target} HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: {id}\r\n\
+         Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+fn view(mesh: &Mesh, n: usize, id: &str) -> String {
+    let text = request("GET", &format!("/view/{id}"), id);
+    exchange(&mesh.outbound_addr(n), &text).unwrap_or_default()
+}
+
+/// Sends requests at once on one connection and reads the responses to its end.
+fn send_row(mesh: &Mesh, ids: &[&str], after_sending: impl FnOnce()) -> Vec<String> {
+    let mut stream = TcpStream::connect(mesh.outbound_addr(1)).unwrap();
+    let timeout = Duration::from_secs(5);
+    stream.set_read_timeout(Some(timeout)).unwrap();
+    let row: String = ids
+        .iter()
+        .map(|id| request("GET", &format!("/view/{id}"), id))
+        .collect();
+    stream.write_all(row.as_bytes()).unwrap();
+    after_sending();
+    ids.iter()
+        .map_while(|_| read_message(&mut stream))
+        .collect()
+}
+
+#[test]
+fn responses_to_a_row_of_requests_come_in_order() {
+    let (mesh, server) = start(1);
+    for (script, expected) in [
+        (Script::Echo, 200),
+        (Script::Slow(50), 200),
+        (Script::Fail, 500),
+        (Script::Decline, 503),
+    ] {
+        server.set_script(script);
+        let ids = ["row-1", "row-2", "row-3"];
+        let responses = send_row(&mesh, &ids, || {});
+        assert_eq!(responses.len(), ids.len(), "{script:?}: {responses:?}");
+        for (id, response) in ids.iter().zip(&responses) {
+            assert_eq!(status(response), expected, "{script:?}: {response}");
+            if expected == 200 {
+                let line = format!("GET /view/{id} HTTP/1.1");
+                assert_eq!(body(response).lines().next(), Some(line.as_str()));
+            }
+        }
+    }
+}
+
+/// Callers send what stands behind a response that closes the connection again.
+#[test]
+fn request_behind_a_closing_response_is_not_passed_on() {
+    let (mesh, server) = start(1);
+    server.set_script(Script::Slow(300));
+    let responses = send_row(&mesh, &["row-1", "row-2"], || {
+        wait_for("the first request", || {
+            (server.received_count() > 0).then_some(())
+        });
+        mesh.terminate(1);
+    });
+    assert_eq!(responses.len(), 1, "{responses:?}");
+    assert_eq!(status(&responses[0]), 200, "{}", responses[0]);
+    assert_eq!(
+        header(&responses[0], "connection").as_deref(),
+        Some("close")
+    );
+    assert_eq!(server.received_count(), 1);
+}
+
+#[test]
+fn second_copy_of_an_answer_reaches_nobody() {
+    let (mesh, server) = start(1);
+    server.set_script(Script::Twice);
+    for n in 0..20 {
+        let id = format!("twice-{n}");
+        let response = view(&mesh, 1, &id);
+        let line = format!("GET /view/{id} HTTP/1.1");
+        match status(&response) {
+            200 => assert_eq!(body(&response).lines().next(), Some(line.as_str())),
+            // The copy arrived while the request was being sent.
+            502 => {}
+            _ => panic!("{response}"),
+        }
+        // Between 10 and 50 ms: before, at and after the second copy.
+        std::thread::sleep(Duration::from_millis(10 + 10 * (n % 5)));
+    }
+}
+
+#[test]
+fn server_that_never_answers_ends_its_request_in_time_and_its_connection() {
+    let (mesh, server) = start(1);
+    server.set_script(Script::Hang);
+    let started = Instant::now();
+    let commit = exchange(
+        &mesh.outbound_addr(1),
+        &request("POST", "/commit/1", "hang-1"),
+    );
+    assert_eq!(status(&commit.unwrap_or_default()), 504);
+    assert!(started.elapsed() < Duration::from_millis(1_500));
+    assert_eq!(server.received_count(), 1, "at most once");
+    server.set_script(Script::Echo);
+    assert_eq!(status(&view(&mesh, 1, "after")), 200);
+}
+
+/// A report sent before the backend server left arrives after its daemon has restarted.
+#[test]
+fn server_that_left_stays_out_after_a_restart_of_its_daemon() {
+    let (mut mesh, server) = start(2);
+    server.is_leaving.store(true, Ordering::Relaxed);
+    let leave =
+        "DELETE /foxtailgauge/instances/i-1 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    let left = exchange(&mesh.platform_addr(2), leave).unwrap_or_default();
+    assert_eq!(status(&left), 200);
+    wait_for("the other daemon to know", || {
+        (status(&view(&mesh, 1, "gone")) == 503).then_some(())
+    });
+    mesh.kill(2);
+    mesh.start_daemon(2, false);
+    wait_for("readiness", || mesh.is_ready(2).then_some(()));
+    server.clear_received();
+    report(&mesh.platform_addr(2), "i-1", &server.addr, "ready", 4);
+    std::thread::sleep(Duration::from_millis(500));
+    for n in [1, 2] {
+        assert_eq!(status(&view(&mesh, n, "again")), 503, "through daemon {n}");
+    }
+    assert_eq!(server.received_count(), 0);
+}
+
+#[test]
+fn malformed_bytes_at_any_port_leave_the_daemon_up() {
+    let (mut mesh, _server) = start(1);
+    let inputs: [&[u8]; 5] = [
+        b"\0\0\0\0",
+        b"\xff\xff\xff\xff\xff\xff\xff\xff",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"PUT /foxtailgauge/instances/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n\xff{\"",
+        &[7; 70_000],
+    ];
+    let addrs = |mesh: &Mesh, n: usize| {
+        let platform = mesh.platform_addr(n);
+        let (ip, platform_port) = platform.split_once(':').unwrap();
+        let first: u16 = platform_port.parse::<u16>().unwrap() - 7;
+        (first..first + 9)
+            .map(|port| format!("{ip}:{port}"))
+            .collect::<Vec<_>>()
+    };
+    for n in [0, 1] {
+        for addr in addrs(&mesh, n) {
+            for input in inputs {
+                if let Ok(mut stream) = TcpStream::connect(&addr) {
+                    // The daemon may close the connection at the first byte.
+                    let _ = stream.write_all(input);
+                }
+            }
+        }
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(!mesh.has_exited(0) && !mesh.has_exited(1));
+    assert_eq!(status(&view(&mesh, 1, "after")), 200);
+}
+
+/// A daemon that stands still for a while keeps its running request: it is not run elsewhere.
+#[test]
+fn request_at_a_daemon_that_stands_still_is_not_run_again() {
+    let (mesh, server) = start(2);
+    let second = Server::start();
+    assert_eq!(mesh.report(1, "i-2", &second.addr, "ready", 1), 200);
+    server.set_script(Script::Slow(200));
+    second.set_script(Script::Decline);
+    let addr = mesh.outbound_addr(1);
+    let caller =
+        std::thread::spawn(move || exchange(&addr, &request("POST", "/commit/1", "still")));
+    wait_for("the run", || (server.received_count() > 0).then_some(()));
+    mesh.signal(2, Signal::STOP);
+    second.set_script(Script::Echo);
+    let response = caller.join().unwrap().unwrap_or_default();
+    mesh.signal(2, Signal::CONT);
+    assert!(
+        matches!(status(&response), 502 | 504),
+        "the outcome is unknown: {response}"
+    );
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(server.received_count(), 1);
+    let runs = second
+        .received
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|a| a.is_started)
+        .count();
+    assert_eq!(runs, 0, "not run at the other server");
+}
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -10,6 +10,7 @@
 use std::net::{IpAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -43,6 +44,10 @@
     Crash,
     /// Responds 503 without stating that it did not run the request.
     BareUnavailable,
+    /// Never responds, and reads nothing more on the connection.
+    Hang,
+    /// Responds like `Echo`, and once more on the same connection after 30 ms.
+    Twice,
 }
 
 /// A request that reached a backend server.
@@ -60,6 +65,8 @@
     pub addr: String,
     pub script: Arc<Mutex<Script>>,
     pub received: Arc<Mutex<Vec<Arrival>>>,
+    /// Whether it fails health checks, which it does not record.
+    pub is_leaving: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -68,7 +75,9 @@
         let addr = listener.local_addr().expect("invalid address").to_string();
         let script = Arc::new(Mutex::new(Script::Echo));
         let received = Arc::new(Mutex::new(Vec::new()));
+        let is_leaving = Arc::new(AtomicBool::new(false));
         let (shared_script, shared_received) = (Arc::clone(&script), Arc::clone(&received));
+        let shared_is_leaving = Arc::clone(&is_leaving);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if shared_received
@@ -80,13 +89,15 @@
                     return;
                 }
                 let (script, received) = (Arc::clone(&shared_script), Arc::clone(&shared_received));
-                std::thread::spawn(move || serve(stream, &script, &received));
+                let is_leaving = Arc::clone(&shared_is_leaving);
+                std::thread::spawn(move || serve(stream, &script, &received, &is_leaving));
             }
         });
         Server {
             addr,
             script,
             received,
+            is_leaving,
         }
     }
 
@@ -104,8 +115,22 @@
     }
 }
 
-fn serve(mut stream: TcpStream, script: &Mutex<Script>, received: &Mutex<Vec<Arrival>>) {
+fn serve(
+    mut stream: TcpStream,
+    script: &Mutex<Script>,
+    received: &Mutex<Vec<Arrival>>,
+    is_leaving: &AtomicBool,
+) {
     while let Some(request) = read_message(&mut stream) {
+        if request.starts_with("GET /health ") {
+            let status = match is_leaving.load(Ordering::Relaxed) {
+                true => "503 Leaving",
+                false => "200 OK",
+            };
+            // The peer may have closed the connection.
+            let _ = stream.write_all(format_response(status, "", "", "").as_bytes());
+            continue;
+        }
         let id = header(&request, "attempt-id").unwrap_or_default();
         let script = *script.lock().expect("script");
         received.lock().expect("received requests").push(Arrival {
@@ -117,7 +142,13 @@
             std::thread::sleep(Duration::from_millis(ms));
         }
         let response = match script {
-            Script::Echo | Script::Slow(_) => format_response("200 OK", &id, "", &request),
+            Script::Echo | Script::Slow(_) | Script::Twice => {
+                format_response("200 OK", &id, "", &request)
+            }
+            Script::Hang => {
+                std::thread::sleep(WAIT_TIMEOUT);
+                return;
+            }
             Script::Empty => format_response("200 OK", &id, "", ""),
             Script::Decline => format_response("503 No", &id, "Not-Executed: 1\r\n", ""),
             Script::Fail => format_response("500 Failed", &id, "", "failed"),
@@ -143,6 +174,11 @@
         if stream.write_all(response.as_bytes()).is_err() {
             return;
         }
+        if script == Script::Twice {
+            std::thread::sleep(Duration::from_millis(30));
+            // The peer may have closed the connection.
+            let _ = stream.write_all(response.as_bytes());
+        }
     }
 }
 
--- a/crates/foxtailgauge-daemon/tests/operations.rs
+++ b/crates/foxtailgauge-daemon/tests/operations.rs
@@ -11,6 +11,9 @@
     let server = Server::start();
     assert_eq!(mesh.report(1, "i-0", &server.addr, "ready", 1), 200);
     wait_for("readiness", || mesh.is_ready(1).then_some(()));
+    wait_for("a response", || {
+        (send(&mesh, "GET", "/view/1", "first") == 200).then_some(())
+    });
     (mesh, server)
 }
 
