Checks of a change copy nothing; callers of a daemon without a configuration return when it has one

Cause: after a restart of all daemons replicas still needed 0.75 s from the election to the version in force, two thirds of it to copy all routes of all teams for each check; callers refused for lack of a configuration came back after 0.1 s, were refused again and gave up, although the configuration came a second later. Change: check_fleet compares the changed configuration with the current ones in place. Retry-After without a configuration is 0.8 s and jitter. Tests: mesh::daemon_without_configuration_answers_unavailable states the bound, seen failing with 0.1 s by its figure; registry and translate pass unchanged in what they check.

--- a/crates/foxtailgauge-core/src/fleet_check.rs
+++ b/crates/foxtailgauge-core/src/fleet_check.rs
@@ -4,9 +4,13 @@
 use crate::ids::{RouteName, TeamName};
 use std::collections::{BTreeMap, HashMap};
 
+/// Configurations of all teams, by name: the changed one as it would be, the others as they are.
+type Teams<'a> = Vec<(&'a str, &'a TeamConfig)>;
+
 /// Validates the configurations of all teams together.
 ///
-/// `changed_team` is the team whose new text is validated. Problems refer to sections of its text.
+/// `changed` is the new configuration of `changed_team`; `current` holds those in force. Problems
+/// refer to sections of the changed team's text.
 ///
 /// # Errors
 ///
@@ -14,11 +18,19 @@
 /// another one, and the first problem of each of its routes.
 pub fn check_fleet(
     changed_team: &str,
-    teams: &BTreeMap<TeamName, TeamConfig>,
+    changed: &TeamConfig,
+    current: &BTreeMap<TeamName, TeamConfig>,
 ) -> Result<(), Vec<ConfigProblem>> {
+    let mut teams: Teams<'_> = current
+        .iter()
+        .map(|(team, config)| (team.as_str(), config))
+        .filter(|(team, _)| *team != changed_team)
+        .collect();
+    teams.push((changed_team, changed));
+    teams.sort_unstable_by_key(|(team, _)| *team);
     let mut problems = Vec::new();
-    let is_defined = |service: &str| teams.values().any(|t| t.services.contains_key(service));
-    for (team, config) in teams {
+    let is_defined = |service: &str| teams.iter().any(|(_, t)| t.services.contains_key(service));
+    for (team, config) in &teams {
         for (name, route) in &config.routes {
             if is_defined(&route.service) {
                 continue;
@@ -41,10 +53,9 @@
             }
         }
     }
-    problems.extend(host_route_clashes(changed_team, teams));
-    let own = teams.get(changed_team).cloned().unwrap_or_default();
-    for (name, route) in &own.routes {
-        problems.extend(find_route_problem(changed_team, name, route, teams));
+    problems.extend(host_route_clashes(changed_team, changed, &teams));
+    for (name, route) in &changed.routes {
+        problems.extend(find_route_problem(changed_team, name, route, &teams));
     }
     if problems.is_empty() {
         Ok(())
@@ -56,16 +67,16 @@
 /// Problems of the changed team's host routes that have the host and prefix of another host route.
 fn host_route_clashes(
     changed_team: &str,
-    teams: &BTreeMap<TeamName, TeamConfig>,
+    changed: &TeamConfig,
+    teams: &Teams<'_>,
 ) -> Vec<ConfigProblem> {
     let mut owners: HashMap<(&str, &str), &RouteName> = HashMap::new();
     let others = teams.iter().filter(|(team, _)| *team != changed_team);
     for (name, route) in others.flat_map(|(_, config)| &config.host_routes) {
         owners.insert((&route.host, &route.prefix), name);
     }
-    let own = teams.get(changed_team).map(|config| &config.host_routes);
     let mut problems = Vec::new();
-    for (name, route) in own.into_iter().flatten() {
+    for (name, route) in &changed.host_routes {
         if let Some(with) = owners.insert((&route.host, &route.prefix), name) {
             let kind = ConfigProblemKind::RouteClash { with: with.clone() };
             let section = section_of("host-routes", name);
@@ -108,13 +119,15 @@
     changed_team: &str,
     name: &str,
     route: &Route,
-    teams: &BTreeMap<TeamName, TeamConfig>,
+    teams: &Teams<'_>,
 ) -> Option<ConfigProblem> {
     let section = section_of("routes", name);
     for (team, config) in teams {
         for (other_name, other) in &config.routes {
-            if team != changed_team && is_nested(&route.prefix, &other.prefix) {
-                let kind = ConfigProblemKind::ForeignPath { team: team.clone() };
+            if *team != changed_team && is_nested(&route.prefix, &other.prefix) {
+                let kind = ConfigProblemKind::ForeignPath {
+                    team: (*team).to_owned(),
+                };
                 return Some(ConfigProblem::new(&section, "prefix", kind));
             }
             let has_common_calls = other_name != name
--- a/crates/foxtailgauge-core/src/registry.rs
+++ b/crates/foxtailgauge-core/src/registry.rs
@@ -230,9 +230,7 @@
         let current_text = self.revision_record(team, None).map(|r| r.text.as_str());
         let base = current_text.zip(self.parsed.get(team));
         let config = parse_team_from(team, text, base)?.config;
-        let mut teams = self.parsed.clone();
-        teams.insert(team.to_owned(), config.clone());
-        check_fleet(team, &teams)?;
+        check_fleet(team, &config, &self.parsed)?;
         Ok(config)
     }
 
--- a/crates/foxtailgauge-daemon/src/forward_refusal.rs
+++ b/crates/foxtailgauge-daemon/src/forward_refusal.rs
@@ -7,8 +7,11 @@
 use hyper::{Response, StatusCode};
 use std::time::{Duration, Instant};
 
-/// Retry delay if the daemon has no configuration yet or is stopping; another daemon can respond.
+/// Retry delay if the daemon is stopping; another daemon can respond.
 const OTHER_DAEMON_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Retry delay if the daemon has no configuration yet. After the whole fleet restarted, replicas need
+/// about a second until they serve one; a caller that comes back earlier is refused again.
+const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(800);
 /// Retry delay if no backend server accepts requests.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Largest jitter, as a share of the retry delay, so that callers do not retry all at once.
@@ -107,7 +110,8 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            Refusal::NoConfiguration | Refusal::Stopping => Some(OTHER_DAEMON_RETRY_AFTER),
+            Refusal::NoConfiguration => Some(NO_CONFIGURATION_RETRY_AFTER),
+            Refusal::Stopping => Some(OTHER_DAEMON_RETRY_AFTER),
             Refusal::NoServer => Some(NO_SERVER_RETRY_AFTER),
             Refusal::Overloaded { retry_after } | Refusal::Quarantined { retry_after } => {
                 Some(*retry_after)
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -503,6 +503,11 @@
         exchange(&mesh.outbound_addr(1), &request("GET", "/view/1", "", ""))
     });
     assert_eq!(status(&response), 503);
-    assert!(header(&response, "retry-after").is_some());
+    let retry_after = header(&response, "retry-after").unwrap_or_default();
+    let retry_after_s: f64 = retry_after.parse().unwrap();
+    assert!(
+        (0.8..=1.2).contains(&retry_after_s),
+        "a restarted fleet has no configuration earlier: {retry_after_s}"
+    );
     assert!(!mesh.is_ready(1));
 }
