--- a/crates/foxtailgauge-daemon/tests/mesh_faults.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_faults.rs
@@ -222,3 +222,58 @@
         .count();
     assert_eq!(runs, 0, "not run at the other server");
 }
+
+/// Number of routes of a document, and of documents in the log, that take longer to apply than an
+/// election timeout if each is read completely.
+const LARGE_DOCUMENT_ROUTES: usize = 1_200;
+const LOGGED_DOCUMENTS: u64 = 10;
+
+fn large_document(version: u64) -> serde_json::Value {
+    let mut large = document(version);
+    let rules = &mut large["listeners"][0]["rule_set"];
+    let template = rules[0].clone();
+    for n in 0..LARGE_DOCUMENT_ROUTES {
+        let mut rule = template.clone();
+        rule["name"] = format!("idle-{n}").into();
+        rule["match"]["path_prefix"] = format!("/idle-{n}/").into();
+        rules.as_array_mut().expect("a list").push(rule);
+    }
+    large["listeners"][0]["rule_set"][2]["action"]["timeout_ms"] = (1_000 + version).into();
+    large
+}
+
+/// All replicas restart and apply the documents of their logs.
+#[test]
+fn restarted_replicas_keep_their_first_leader() {
+    let topology = mesh_support::Topology {
+        replicas: 3,
+        sidecars: 0,
+        domains: 3,
+        has_links: false,
+    };
+    let mut mesh = Mesh::start_with(topology);
+    for version in 1..=LOGGED_DOCUMENTS {
+        assert_eq!(
+            mesh.put_document(version - 1, &large_document(version)),
+            200
+        );
+    }
+    let elections = |mesh: &Mesh| -> usize {
+        let lines = (0..3).flat_map(|n| mesh.grep(n, "\"event\":2103"));
+        lines
+            .filter(|line| line["role"] == "Leader" && line["group"] == "config")
+            .count()
+    };
+    let before = elections(&mesh);
+    (0..3).for_each(|n| mesh.kill(n));
+    (0..3).for_each(|n| mesh.start_daemon(n, false));
+    let read = "GET /foxtailgauge/config HTTP/1.1\r\nHost: x\r\n\r\n";
+    for n in 0..3 {
+        wait_for("the document", || {
+            let response = exchange(&mesh.platform_addr(n), read)?;
+            (status(&response) == 200).then_some(())
+        });
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(elections(&mesh) - before, 1);
+}
