An even group removes a replaced voter after 3 s, so that it bears the next loss

Change: an even group removes a voter after the 3 s after which a learner replaces one, in place of 15 s. VoterStatus::Failed is gone.

--- a/crates/foxtailgauge-core/src/membership.rs
+++ b/crates/foxtailgauge-core/src/membership.rs
@@ -94,7 +94,8 @@
     /// replaced by the learner that waits: such a voter is removed first, so that no quorum depends
     /// on it. While a voter is only unresponsive, the promotion is deferred until the voter either
     /// responds or becomes replaceable. Each change concerns one voter, so that old and new quorums
-    /// intersect. Without a caught-up learner, a failed voter is removed from an even group.
+    /// intersect. Without a caught-up learner, a replaceable voter is removed from an even group: its
+    /// replacement votes already, and until it is removed the group tolerates one loss less.
     pub fn next_change(
         &self,
         is_caught_up: impl Fn(ReplicaId) -> bool,
@@ -102,12 +103,12 @@
     ) -> Option<Self> {
         let learners = self.members.iter().filter(|(_, m)| !m.is_voter);
         let Some((id, learner)) = learners.into_iter().find(|(id, _)| is_caught_up(**id)) else {
-            return self.without_failed_voter(status);
+            return self.without_replaced_voter(status);
         };
         let voters = || self.members.iter().filter(|(_, m)| m.is_voter);
         let replaced = voters()
             .find(|(_, m)| m.control_addr == learner.control_addr)
-            .or_else(|| voters().find(|(id, _)| status(**id) >= VoterStatus::Replaceable));
+            .or_else(|| voters().find(|(id, _)| status(**id) == VoterStatus::Replaceable));
         let mut next = self.clone();
         match replaced {
             Some((old, _)) => {
@@ -119,16 +120,17 @@
         Some(next)
     }
 
-    /// Removes a failed voter if the number of voters is even, since that makes the quorum smaller.
-    fn without_failed_voter(&self, status: impl Fn(ReplicaId) -> VoterStatus) -> Option<Self> {
+    /// Removes a replaceable voter if the number of voters is even, since that makes the quorum
+    /// smaller. A voter that comes back joins again.
+    fn without_replaced_voter(&self, status: impl Fn(ReplicaId) -> VoterStatus) -> Option<Self> {
         if self.voters().count() % 2 != 0 {
             return None;
         }
-        let failed = self
+        let replaced = self
             .voters()
-            .find(|id| status(*id) == VoterStatus::Failed)?;
+            .find(|id| status(*id) == VoterStatus::Replaceable)?;
         let mut next = self.clone();
-        next.members.remove(&failed);
+        next.members.remove(&replaced);
         Some(next)
     }
 }
@@ -140,8 +142,7 @@
     Responsive,
     /// Had no contact within that time, but may come back shortly.
     Unresponsive,
-    /// Without contact long enough to be replaced by a caught-up learner.
+    /// Without contact long enough to be replaced by a caught-up learner, or removed from an even
+    /// group.
     Replaceable,
-    /// Without contact long enough to be removed from an even group without a replacement.
-    Failed,
 }
--- a/crates/foxtailgauge-core/src/replication.rs
+++ b/crates/foxtailgauge-core/src/replication.rs
@@ -13,12 +13,10 @@
 const MAX_IN_FLIGHT_ENTRIES: u64 = 4096;
 /// Time after which an unacknowledged snapshot is sent again, in milliseconds.
 const SNAPSHOT_RETRY_MS: u64 = 5_000;
-/// Time without contact after which a voter is replaced by a caught-up learner, in milliseconds:
-/// longer than a restart, shorter than the time within which the group must tolerate the next loss.
+/// Time without contact after which a voter is replaced by a caught-up learner, or removed from an
+/// even group, in milliseconds: longer than a restart, shorter than the time within which the group
+/// must tolerate the next loss.
 const REPLACEABLE_VOTER_MS: u64 = 3_000;
-/// Time without contact after which an even group removes a voter, in milliseconds: longer than
-/// network partitions that heal by themselves.
-const FAILED_VOTER_MS: u64 = 15_000;
 /// Number of entries by which a learner may lag and still count as caught up.
 const CAUGHT_UP_ENTRIES: u64 = 64;
 
@@ -310,7 +308,6 @@
             })
         };
         let status = |id: ReplicaId| match self.now_ms.saturating_sub(self.contact_ms(id)) {
-            elapsed_ms if elapsed_ms >= FAILED_VOTER_MS => VoterStatus::Failed,
             elapsed_ms if elapsed_ms >= REPLACEABLE_VOTER_MS => VoterStatus::Replaceable,
             elapsed_ms if elapsed_ms >= MIN_ELECTION_TIMEOUT_MS => VoterStatus::Unresponsive,
             _ => VoterStatus::Responsive,
