A replica takes part again once its full disk has space; the gate of replies has a file of its own

Read in the diff: replies without a response counted as responses of 0 bytes in the mean of their route, so that refusals made the link look free. Change: after a write without space the driver of the group opens its store again once there is space. Reservations end with the bytes of responses only. ReplyGate is moved out of the executor. The bytes of refusals were not measured apart.

--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -10,11 +10,12 @@
 use crate::http_pool::{connect, ExchangeError, HttpPool, PooledConnection, SendError};
 use crate::mesh_settings::MeshSettings;
 use crate::metrics::{Metrics, ServiceLabels};
+use crate::reply_gate::ReplyGate;
 use crate::server_health;
 use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
-    fingerprint, request_digest, Fingerprint, LinkRequest, LinkReservation, ReplyLink, RouteName,
-    ServerEntry, Throttle, WorkItem, WorkLoad, THROTTLE_RETRY_AFTER,
+    fingerprint, request_digest, Fingerprint, RouteName, ServerEntry, Throttle, WorkItem, WorkLoad,
+    THROTTLE_RETRY_AFTER,
 };
 use foxtailgauge_platform::{headers, ServerReport};
 use futures::io::{AsyncRead, AsyncWrite};
@@ -114,8 +115,8 @@
     /// Ids of the running requests, with their routes.
     running_ids: Mutex<HashMap<String, RouteName>>,
     throttle: Mutex<Throttle>,
-    /// Link of the instance, if its rate is known.
-    reply_link: Option<Mutex<ReplyLink>>,
+    /// Gate in front of the instance's link, if its rate is known.
+    reply_gate: Option<ReplyGate>,
     /// Requests that completed here and therefore did not crash their backend server.
     completed: Mutex<HashSet<Fingerprint>>,
 }
@@ -132,31 +133,6 @@
     }
 }
 
-/// Reservation of link capacity for a reply. Dropping it cancels the reservation.
-struct ReplyReservation<'a> {
-    link: &'a Mutex<ReplyLink>,
-    reservation: Option<LinkReservation>,
-}
-
-impl ReplyReservation<'_> {
-    /// Ends the reservation: the reply is handed to the link.
-    fn end_with_reply(mut self, route: &str, reply: &ForwardReply) {
-        let response = reply.response.as_ref();
-        let body_bytes = response.map_or(0, |response| response.body().buffered_length());
-        if let Some(reservation) = self.reservation.take() {
-            lock(self.link).sent(reservation, route, body_bytes, Instant::now());
-        }
-    }
-}
-
-impl Drop for ReplyReservation<'_> {
-    fn drop(&mut self) {
-        if let Some(reservation) = self.reservation.take() {
-            lock(self.link).cancel(reservation);
-        }
-    }
-}
-
 impl ForwardExecutor {
     /// An executor without backend servers.
     pub(crate) fn new(shared: &Arc<Shared>, settings: MeshSettings) -> Self {
@@ -167,11 +143,7 @@
             servers: Mutex::default(),
             running_ids: Mutex::default(),
             throttle: Mutex::default(),
-            reply_link: shared
-                .settings
-                .limits
-                .link_bytes_per_s
-                .map(|rate| Mutex::new(ReplyLink::new(rate))),
+            reply_gate: ReplyGate::new(shared),
             completed: Mutex::default(),
         }
     }
@@ -392,46 +364,28 @@
         }
     }
 
-    /// Reserves link capacity for the reply to another daemon; `None` if the rate of the link is not
-    /// known. Fails with the refusal if the reply would wait for the link.
-    fn reserve_reply(
-        &self,
-        request: &ForwardRequest,
-    ) -> Result<Option<ReplyReservation<'_>>, HopReply> {
-        let hop = &request.hop;
+    /// Runs a request of another daemon, if its reply is not expected to wait for the link.
+    async fn run_for_peer(&self, request: ForwardRequest) -> ForwardReply {
+        let hop = request.hop.clone();
         let server = lock(&self.servers).get(&hop.server).cloned();
-        let (Some(link), Some(server)) = (&self.reply_link, server) else {
-            return Ok(None);
+        let (Some(gate), Some(server)) = (&self.reply_gate, server) else {
+            return self.run(request).await;
         };
-        let admitted = {
-            let now = Instant::now();
-            let mut link = lock(link);
-            link.observe_total(self.shared.metrics.link_bytes_sent(), now);
-            link.admit(&link_request(hop, &server), now)
-        };
-        match admitted {
-            Ok(reservation) => Ok(Some(ReplyReservation {
-                link,
-                reservation: Some(reservation),
-            })),
+        let mut reply = match gate.reserve(&hop, &server) {
+            Ok(reservation) => {
+                let reply = self.run(request).await;
+                if let Some(response) = &reply.response {
+                    reservation.end_with_response(&hop.route, response.body().buffered_length());
+                }
+                reply
+            }
             Err(retry_after) => {
-                self.log_refusal(request, "link", &server);
-                Err(HopReply {
-                    end: HopEnd::Refused { retry_after },
-                    load: server.load(&hop.route),
-                    elapsed: Duration::ZERO,
-                })
+                self.log_refusal(&request, "link", &server);
+                without_response(HopEnd::Refused { retry_after }, server.load(&hop.route))
             }
-        }
-    }
-
-    /// Forecast wait of the next reply to a request like this one for the link of the instance.
-    fn link_wait(&self, hop: &HopRequest) -> Duration {
-        let server = lock(&self.servers).get(&hop.server).cloned();
-        let (Some(link), Some(server)) = (&self.reply_link, server) else {
-            return Duration::ZERO;
         };
-        lock(link).expected_wait(&link_request(hop, &server), Instant::now())
+        reply.reply.load.link_wait = gate.expected_wait(&hop, &server);
+        reply
     }
 
     fn log_refusal(&self, request: &ForwardRequest, reason: &str, server: &ForwardServer) {
@@ -633,33 +587,12 @@
             request: Request::from_parts(parts, body),
             deadline: now + Duration::from_millis(time_left_ms),
         };
-        let hop = request.hop.clone();
-        let mut reply = match self.reserve_reply(&request) {
-            Ok(reservation) => {
-                let reply = self.run(request).await;
-                if let Some(reservation) = reservation {
-                    reservation.end_with_reply(&hop.route, &reply);
-                }
-                reply
-            }
-            Err(refused) => without_response(refused.end, refused.load),
-        };
-        reply.reply.load.link_wait = self.link_wait(&hop);
+        let mut reply = self.run_for_peer(request).await;
         reply.reply.elapsed = arrived.elapsed();
         encode(reply)
     }
 }
 
-fn link_request<'a>(hop: &'a HopRequest, server: &ForwardServer) -> LinkRequest<'a> {
-    LinkRequest {
-        route: &hop.route,
-        rank: hop.rank,
-        is_nested: hop.is_nested,
-        target: hop.target,
-        time_to_reply: server.expected_time_to_end(&hop.route),
-    }
-}
-
 fn without_response(end: HopEnd, load: WorkLoad) -> ForwardReply {
     ForwardReply {
         reply: HopReply {
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -39,6 +39,7 @@
 mod platform_http;
 mod replica;
 mod replica_client;
+mod reply_gate;
 mod route_view;
 mod server_health;
 mod settings;
--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -30,6 +30,8 @@
 const COMPACT_MAX_ENTRIES: usize = 4_096;
 /// Maximum time between two rounds; bounds the age of the published status.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(200);
+/// Interval at which a replica whose disk was full looks whether it has space again.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which the leader proposes the expiry of old ledger keys.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -156,18 +158,35 @@
     emit!(shared.log, events::STORE_OPENED,
         "group" => group.as_str(), "entries" => persisted.entries.len());
     let (sender, receiver) = bounded(EVENT_QUEUE_CAPACITY);
-    let mut driver = Driver::new(shared, group, id, store, persisted)?;
+    let driver = Driver::new(shared, group, id, store, persisted)?;
     let status = Arc::clone(&driver.status);
-    std::thread::spawn(move || {
-        if let Err(error) = async_std::task::block_on(driver.run(receiver)) {
-            // A replica must stop without its store: it would forget its votes and acknowledged
-            // entries.
-            emit!(driver.shared.log, events::STORE_FAILED, "error" => format!("{error:?}"));
-        }
-    });
+    std::thread::spawn(move || run_group(driver, &dir, &receiver));
     Ok(GroupHandle { sender, status })
 }
 
+/// Runs a group until the daemon exits, or until its store fails for another reason than a full
+/// disk. A replica must not go on without its store: it would forget its votes and acknowledged
+/// entries. After a write that the disk had no space for, it starts again from what is stored.
+fn run_group(mut driver: Driver, dir: &Path, receiver: &Receiver<GroupEvent>) {
+    loop {
+        let Err(error) = async_std::task::block_on(driver.run(receiver.clone())) else {
+            return;
+        };
+        emit!(driver.shared.log, events::STORE_FAILED, "error" => format!("{error:?}"));
+        if !matches!(error.current_context(), StoreError::Full { .. }) {
+            return;
+        }
+        driver = loop {
+            std::thread::sleep(REOPEN_INTERVAL);
+            match driver.reopened(dir) {
+                Ok(reopened) => break reopened,
+                Err(error) => emit!(driver.shared.log, events::STORE_FAILED,
+                    "error" => format!("{error:?}")),
+            }
+        };
+    }
+}
+
 fn initialize(
     store: &mut GroupStore,
     initial: &Membership,
@@ -263,6 +282,20 @@
         Ok(driver)
     }
 
+    /// A driver of the same group that starts from what the store holds. Fails while the disk has no
+    /// space.
+    fn reopened(&self, dir: &Path) -> Result<Self, Report<StoreError>> {
+        let (mut store, persisted, _) = GroupStore::open(dir)?;
+        store.check_space()?;
+        emit!(self.shared.log, events::STORE_OPENED,
+            "group" => self.group.as_str(), "entries" => persisted.entries.len());
+        let id = self.node.id();
+        let mut driver = Driver::new(&self.shared, self.group, id, store, persisted)?;
+        driver.status = Arc::clone(&self.status);
+        driver.sender_addrs.clone_from(&self.sender_addrs);
+        Ok(driver)
+    }
+
     async fn run(&mut self, events: Receiver<GroupEvent>) -> Result<(), Report<StoreError>> {
         loop {
             match async_std::future::timeout(self.idle_time(), events.recv()).await {
--- a/crates/foxtailgauge-daemon/src/store.rs
+++ b/crates/foxtailgauge-daemon/src/store.rs
@@ -21,6 +21,9 @@
 const HEADER_BYTES: usize = 12;
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
+/// Written and removed to find out whether the disk has space.
+const SPACE_FILE: &str = "space";
+const SPACE_CHECK_BYTES: usize = 4_096;
 
 /// Why the store cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +33,11 @@
         /// File or directory.
         path: PathBuf,
     },
+    /// The disk has no space for a write. What was written before is complete.
+    Full {
+        /// File.
+        path: PathBuf,
+    },
     /// A file is damaged, other than by an incomplete last batch.
     Damaged {
         /// File.
@@ -57,6 +65,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             StoreError::Io { path } => write!(f, "{}: file operation failed", path.display()),
+            StoreError::Full { path } => write!(f, "{}: no space left", path.display()),
             StoreError::Damaged { path, offset_bytes } => {
                 write!(f, "{}: damaged at byte {offset_bytes}", path.display())
             }
@@ -155,10 +164,16 @@
         }
         let batch = encode_frame(&records)?;
         let path = self.dir.join(LOG_FILE);
-        self.log
-            .write_all(&batch)
-            .and_then(|()| self.log.sync_data())
-            .change_context_lazy(|| io_error(&path))
+        let written = self.log.write_all(&batch);
+        written.map_err(|error| write_error(&path, error))?;
+        self.log.sync_data().change_context_lazy(|| io_error(&path))
+    }
+
+    /// Checks that the disk has space for at least a small write.
+    pub fn check_space(&mut self) -> Result<(), Report<StoreError>> {
+        let path = self.dir.join(SPACE_FILE);
+        std::fs::write(&path, [0; SPACE_CHECK_BYTES]).map_err(|error| write_error(&path, error))?;
+        std::fs::remove_file(&path).change_context_lazy(|| io_error(&path))
     }
 
     /// Replaces the log by a snapshot and the entries after it.
@@ -214,6 +229,17 @@
     }
 }
 
+/// A failed sync never counts as a lack of space: it is unknown what the disk holds then.
+fn write_error(path: &Path, error: std::io::Error) -> Report<StoreError> {
+    let context = match error.kind() {
+        std::io::ErrorKind::StorageFull => StoreError::Full {
+            path: path.to_owned(),
+        },
+        _ => io_error(path),
+    };
+    Report::new(error).change_context(context)
+}
+
 fn open_log(path: &Path) -> Result<File, Report<StoreError>> {
     OpenOptions::new()
         .read(true)
@@ -226,13 +252,12 @@
 
 fn replace_file(path: &Path, bytes: &[u8]) -> Result<(), Report<StoreError>> {
     let temporary = path.with_extension("new");
-    let write = || -> std::io::Result<()> {
-        let mut file = File::create(&temporary)?;
-        file.write_all(bytes)?;
-        file.sync_all()?;
-        std::fs::rename(&temporary, path)
-    };
-    write().change_context_lazy(|| io_error(path))?;
+    let mut file = File::create(&temporary).change_context_lazy(|| io_error(path))?;
+    file.write_all(bytes)
+        .map_err(|error| write_error(path, error))?;
+    file.sync_all()
+        .and_then(|()| std::fs::rename(&temporary, path))
+        .change_context_lazy(|| io_error(path))?;
     match path.parent() {
         Some(dir) => sync_dir(dir),
         None => Ok(()),
--- a/crates/foxtailgauge-daemon/tests/mesh_faults.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_faults.rs
@@ -277,3 +277,31 @@
     std::thread::sleep(Duration::from_secs(1));
     assert_eq!(elections(&mesh) - before, 1);
 }
+
+/// Changes after which a replica writes a snapshot.
+const CHANGES_TO_SNAPSHOT: u64 = 20;
+
+/// The disk of a replica fills up and has space again later.
+#[test]
+fn replica_takes_part_again_once_its_disk_has_space() {
+    let mesh = Mesh::start(0);
+    assert_eq!(mesh.put_document(0, &document(1)), 200);
+    // Writes to this device fail for lack of space.
+    let next_snapshot = mesh.store_dir(0).join("config").join("snapshot.new");
+    std::os::unix::fs::symlink("/dev/full", &next_snapshot).unwrap();
+    let mut version = 1;
+    while mesh.grep(0, "\"event\":2003").is_empty() && version < CHANGES_TO_SNAPSHOT {
+        let status =
+            mesh_support::put_document(&mesh.platform_addr(0), version, &document(version + 1));
+        version += u64::from(status == Some(200));
+    }
+    wait_for("the failure", || mesh.grep(0, "no space left").pop());
+    std::fs::remove_file(&next_snapshot).unwrap();
+    let read = "GET /foxtailgauge/config HTTP/1.1\r\nHost: x\r\n\r\n";
+    wait_for("the document", || {
+        let response = exchange(&mesh.platform_addr(0), read)?;
+        let is_newest = body(&response).contains(&format!("\"version\":\"{version:08x}\""));
+        (status(&response) == 200 && is_newest).then_some(())
+    });
+    assert_eq!(mesh.put_document(version, &document(version + 1)), 200);
+}
