--- a/crates/foxtailgauge-core/src/reply_link.rs
+++ b/crates/foxtailgauge-core/src/reply_link.rs
@@ -14,11 +14,14 @@
 const USABLE_SHARE: f64 = 0.95;
 /// Lower bound of the share that is left for a group of requests, so that its forecast is finite.
 const MIN_SHARE: f64 = 0.02;
+/// Share of a group's requests that is admitted in any case, as a multiple of the share of all
+/// requests, so that no rank starves behind more urgent ones.
+const MIN_RELATIVE_ADMISSION: f64 = 0.28;
 /// Window over which the traffic of the other groups is averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Longest forecast wait for the link, as a share of the latency target. Replies leave in the order
 /// in which they are computed, so any wait also delays the most urgent ones.
-const MAX_LINK_WAIT_SHARE: f64 = 0.25;
+const MAX_LINK_WAIT_SHARE: f64 = 0.35;
 /// Lower bound of the longest forecast wait: a few replies may be ready at the same time.
 const MIN_LINK_WAIT: Duration = Duration::from_millis(100);
 /// Shortest time after which a refused request may be retried.
@@ -66,6 +69,8 @@
     reserved: BTreeMap<u64, f64>,
     /// Recently admitted bytes by group.
     admitted: BTreeMap<u64, DecayingSum>,
+    /// Recent requests by group, and those of them that were admitted.
+    counts: BTreeMap<u64, (DecayingSum, DecayingSum)>,
     /// Recent bytes that are not replies, such as responses to callers on this instance.
     other_traffic: DecayingSum,
     /// Total of all bytes sent, as last observed.
@@ -84,6 +89,7 @@
             backlog_at: None,
             reserved: BTreeMap::new(),
             admitted: BTreeMap::new(),
+            counts: BTreeMap::new(),
             other_traffic: DecayingSum::new(RATE_WINDOW),
             total_sent: 0,
             replies_since_total: 0.0,
@@ -112,9 +118,16 @@
         let wait = self.expected_wait(request, now);
         let max_wait = request.target.mul_f64(MAX_LINK_WAIT_SHARE);
         let excess = wait.saturating_sub(max_wait.max(MIN_LINK_WAIT));
-        if group != NESTED_GROUP && !excess.is_zero() {
+        let is_starved = self.is_starved(group, now);
+        let is_admitted = group == NESTED_GROUP || excess.is_zero() || is_starved;
+        let new_sum = || DecayingSum::new(RATE_WINDOW);
+        let counts = self.counts.entry(group);
+        let (all, admitted) = counts.or_insert_with(|| (new_sum(), new_sum()));
+        all.add(1.0, now);
+        if !is_admitted {
             return Err(excess.max(MIN_RETRY_AFTER));
         }
+        admitted.add(1.0, now);
         let bytes = self.expected_bytes(request.route);
         *self.reserved.entry(group).or_default() += bytes;
         self.admitted
@@ -133,6 +146,21 @@
         Duration::from_secs_f64(wait_s.max(0.0))
     }
 
+    /// Whether a group is admitted much less often than all requests.
+    fn is_starved(&self, group: u64, now: Instant) -> bool {
+        let share_of = |(all, admitted): (f64, f64)| admitted / all.max(1.0);
+        let values =
+            |(all, admitted): &(DecayingSum, DecayingSum)| (all.value(now), admitted.value(now));
+        let Some(own) = self.counts.get(&group).map(values) else {
+            return false;
+        };
+        let sum = |(all, admitted), (other_all, other_admitted)| {
+            (all + other_all, admitted + other_admitted)
+        };
+        let total = self.counts.values().map(values).fold((0.0, 0.0), sum);
+        share_of(own) < MIN_RELATIVE_ADMISSION * share_of(total)
+    }
+
     fn expected_bytes(&self, route: &str) -> f64 {
         let body_bytes = self.route_bytes.get(route).copied();
         HEAD_BYTES + body_bytes.unwrap_or(0.0)
--- a/crates/foxtailgauge-core/tests/reply_link.rs
+++ b/crates/foxtailgauge-core/tests/reply_link.rs
@@ -178,6 +178,15 @@
         );
         // The others leave 30 KB/s to it, of the 129 KB/s that it would need.
         assert!(status.share_in_target() > 0.1, "seed {seed}: {status:?}");
+        // No rank starves: it is served at least a quarter as often as all requests.
+        let kinds = [dispatch, status, lookup];
+        let served: u32 = kinds.iter().map(|kind| kind.in_target).sum();
+        let all: u32 = kinds.iter().map(|kind| kind.all).sum();
+        let share_of_all = f64::from(served) / f64::from(all);
+        assert!(
+            status.share_in_target() > share_of_all / 4.0,
+            "seed {seed}: {status:?} of {share_of_all}"
+        );
         assert_eq!(
             lookup.refused, 0,
             "seed {seed}: nested requests are admitted"
