--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -410,7 +410,7 @@
     /// Processes the node's pending work: sends early messages, syncs the records, sends the
     /// messages that depend on the sync, applies a committed entry and replies to reads.
     ///
-    /// At most one entry is applied, so that heartbeats are sent and answered in between: applying
+    /// At most one change of the configuration is applied, so that heartbeats are sent and answered in between: applying
     /// the log of a restarted replica takes longer than an election timeout.
     fn process_ready(&mut self) -> Result<(), Report<StoreError>> {
         let ready = self.node.ready();
@@ -430,8 +430,12 @@
         self.node.persisted(ready.last);
         self.send(&ready.messages);
         self.unapplied.extend(self.node.take_committed());
-        if let Some(entry) = self.unapplied.pop_front() {
+        while let Some(entry) = self.unapplied.pop_front() {
             self.apply(&entry)?;
+            // Records of the ledger are cheap to apply.
+            if self.group == Group::Config {
+                break;
+            }
         }
         if self.unapplied.is_empty() {
             self.publish();
