--- a/crates/foxtailgauge-daemon/src/replica.rs
+++ b/crates/foxtailgauge-daemon/src/replica.rs
@@ -231,7 +231,7 @@
     unapplied: VecDeque<Entry>,
     /// Proposed commands that are not applied yet, by log index.
     pending_proposals: BTreeMap<LogIndex, PendingProposal>,
-    /// Reads that wait for the confirmation of leadership, by read id.
+    /// Reads that wait until leadership is verified, by read id.
     pending_reads: HashMap<u64, (SubmitRequest, oneshot::Sender<SubmitReply>)>,
     status: Arc<Mutex<StatusCell>>,
     /// Control address of each replica that has sent a message; used for replicas that are not in
