--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -47,6 +47,7 @@
 mod replication;
 mod reply_link;
 mod retry;
+mod server_notice;
 mod snapshot;
 mod subscriber_table;
 mod sync;
@@ -93,6 +94,7 @@
 pub use registry::{AuditEntry, Change, ChangeAnswer, Document, Registry, RevisionRecord};
 pub use reply_link::{LinkRequest, LinkReservation, ReplyLink};
 pub use retry::RetryBudget;
+pub use server_notice::{RequestRate, ServerNotice};
 pub use snapshot::{Delta, Snapshot, SnapshotError, SnapshotHistory, Update};
 pub use subscriber_table::SubscriberTable;
 pub use sync::{
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -12,6 +12,7 @@
 use crate::metrics::{Metrics, ServiceLabels};
 use crate::reply_gate::ReplyGate;
 use crate::server_health;
+use crate::server_notice;
 use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
     fingerprint, request_digest, Fingerprint, RouteName, ServerEntry, Throttle, WorkItem, WorkLoad,
@@ -300,7 +301,7 @@
     /// Updates the metrics of slots and queues.
     pub(crate) fn update_load_metrics(&self) {
         let servers: Vec<Arc<ForwardServer>> = lock(&self.servers).values().cloned().collect();
-        let loads = servers.iter().map(|s| (s.name(), s.load("")));
+        let loads = servers.iter().map(|s| (s.name(), s.load(""), s.notice()));
         self.shared.metrics.set_server_loads(loads);
     }
 
@@ -429,6 +430,8 @@
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             // Another process has taken the address: send nothing there until the next report.
             self.mark_unreachable(server);
+        } else {
+            server_notice::apply(&self.shared.log, server, response.headers());
         }
         let (parts, body) = response.into_parts();
         match ForwardBody::read(body).await {
@@ -533,6 +536,7 @@
         };
         loop {
             set_time_left(request.headers_mut(), deadline);
+            self.shared.metrics.record_sent(server.name());
             match connection.send(request).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(SendError::NotSent(not_sent)) if may_reconnect => {
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -2,8 +2,8 @@
 
 use crate::shared::lock;
 use foxtailgauge_core::{
-    ArrivalDecision, QueueAction, QueueRefusal, RouteName, ServerEntry, ServerState, Ticket,
-    WorkItem, WorkLoad, WorkQueue,
+    ArrivalDecision, QueueAction, QueueRefusal, RouteName, ServerEntry, ServerNotice, ServerState,
+    Ticket, WorkItem, WorkLoad, WorkQueue,
 };
 use foxtailgauge_platform::ServerReport;
 use futures::channel::oneshot;
@@ -31,6 +31,8 @@
     /// arrived after this daemon restarted.
     is_confirmed: bool,
     first_report_at: Instant,
+    /// What its last response stated.
+    notice: ServerNotice,
 }
 
 /// A backend server. All requests to it pass through its queue, so its load is known exactly.
@@ -129,6 +131,7 @@
             is_reachable: true,
             is_confirmed: false,
             first_report_at: Instant::now(),
+            notice: ServerNotice::default(),
         };
         inner.set_open();
         ForwardServer {
@@ -156,6 +159,16 @@
         lock(&self.inner).queue.expected_time_to_end(route)
     }
 
+    /// What its last response stated.
+    pub(crate) fn notice(&self) -> ServerNotice {
+        lock(&self.inner).notice
+    }
+
+    /// Records what a response stated; returns the previous statement.
+    pub(crate) fn record_notice(&self, notice: ServerNotice) -> ServerNotice {
+        std::mem::replace(&mut lock(&self.inner).notice, notice)
+    }
+
     /// Whether it accepts requests for a service.
     pub(crate) fn serves(&self, service: &str) -> bool {
         let inner = lock(&self.inner);
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -42,6 +42,7 @@
 mod reply_gate;
 mod route_view;
 mod server_health;
+mod server_notice;
 mod settings;
 mod settings_files;
 mod shared;
--- a/crates/foxtailgauge-daemon/src/metrics.rs
+++ b/crates/foxtailgauge-daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of one daemon.
 
 use crate::meter::ByteCounters;
-use foxtailgauge_core::WorkLoad;
+use foxtailgauge_core::{ServerNotice, WorkLoad};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -78,6 +78,9 @@
     pub(crate) slots: Family<ServerLabels, Gauge>,
     pub(crate) slots_used: Family<ServerLabels, Gauge>,
     pub(crate) queued: Family<ServerLabels, Gauge>,
+    pub(crate) rate_limit: Family<ServerLabels, Gauge<f64, AtomicU64>>,
+    /// Requests sent, whatever became of them; health checks are not among them.
+    pub(crate) server_requests: Family<ServerLabels, Counter>,
     pub(crate) retries: Counter,
     pub(crate) retries_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     pub(crate) majority_age_seconds: Gauge<f64, AtomicU64>,
@@ -110,6 +113,8 @@
             slots: Family::default(),
             slots_used: Family::default(),
             queued: Family::default(),
+            rate_limit: Family::default(),
+            server_requests: Family::default(),
             retries: Counter::default(),
             retries_left: Family::default(),
             majority_age_seconds: Gauge::default(),
@@ -246,6 +251,16 @@
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        registry.register(
+            "rate_limit",
+            "Requests per second that a backend server beside the daemon accepts, if it states it",
+            self.rate_limit.clone(),
+        );
+        registry.register(
+            "server_requests",
+            "Requests sent to a backend server beside the daemon",
+            self.server_requests.clone(),
+        );
         registry.register(
             "retries_left",
             "Retries that the budget of a service holds",
@@ -274,14 +289,21 @@
 
     /// Sets the load gauges of the colocated backend servers and removes those of servers not
     /// listed.
-    pub(crate) fn set_server_loads<'a>(&self, loads: impl Iterator<Item = (&'a str, WorkLoad)>) {
+    pub(crate) fn set_server_loads<'a>(
+        &self,
+        loads: impl Iterator<Item = (&'a str, WorkLoad, ServerNotice)>,
+    ) {
         for gauge in [&self.slots, &self.slots_used, &self.queued] {
             gauge.clear();
         }
-        for (server, load) in loads {
+        self.rate_limit.clear();
+        for (server, load, notice) in loads {
             let labels = ServerLabels {
                 server: server.to_owned(),
             };
+            if let Some(rate) = notice.rate_limit {
+                self.rate_limit.get_or_create(&labels).set(rate.per_s());
+            }
             let gauges = [
                 (&self.slots, load.slots),
                 (&self.slots_used, load.running),
@@ -293,6 +315,14 @@
         }
     }
 
+    /// Counts a request sent to a backend server.
+    pub(crate) fn record_sent(&self, server: &str) {
+        let labels = ServerLabels {
+            server: server.to_owned(),
+        };
+        self.server_requests.get_or_create(&labels).inc();
+    }
+
     /// Bytes sent over the instance's link, to other daemons and to callers.
     pub(crate) fn link_bytes_sent(&self) -> u64 {
         let counters = [
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/server_notice.rs
@@ -0,0 +1,31 @@
+//! Reads and logs what a backend server states about itself in its responses.
+
+use crate::emit;
+use crate::events;
+use crate::forward_executor::header;
+use crate::forward_server::ForwardServer;
+use foxtailgauge_core::{RequestRate, ServerNotice};
+use foxtailgauge_platform::{headers, is_leaving_value, parse_rate_limit};
+use hyper::header::HeaderMap;
+use slog::Logger;
+
+/// Records the statements in the head of a response. A rate limit that cannot be read leaves the
+/// previous one in force.
+pub(crate) fn apply(log: &Logger, server: &ForwardServer, response: &HeaderMap) {
+    let rate_limit = header(response, headers::RATE_LIMIT).map(parse_rate_limit);
+    let rate_limit = rate_limit.transpose().unwrap_or_else(|error| {
+        emit!(log, events::SERVER_NOTICE_IGNORED, "server" => server.name(),
+            "error" => error.to_string());
+        server.notice().rate_limit
+    });
+    let notice = ServerNotice {
+        rate_limit,
+        is_leaving: header(response, headers::LEAVING).is_some_and(is_leaving_value),
+    };
+    let previous = server.record_notice(notice);
+    if previous.rate_limit != rate_limit {
+        emit!(log, events::SERVER_RATE_LIMIT, "server" => server.name(),
+            "limit_per_s" => rate_limit.map(RequestRate::per_s),
+            "previous_per_s" => previous.rate_limit.map(RequestRate::per_s));
+    }
+}
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -448,6 +448,40 @@
     assert_slots_used(0);
 }
 
+#[test]
+fn rate_limit_of_a_server_is_logged_and_exported() {
+    let (mesh, servers) = start_pair();
+    servers[0].set_extra_headers("Server-Limit: 12.5\r\n");
+    assert_eq!(status(&get(&mesh, "/view/1")), 200);
+    // Log lines are written by a thread of their own.
+    let nth_line = |event: &str, n: usize| {
+        let text = format!("\"event\":{event}");
+        wait_for("a log line", || mesh.grep(1, &text).into_iter().nth(n))
+    };
+    let named = nth_line("4204", 0);
+    assert_eq!(named["server"], "i-0");
+    assert_eq!(named["limit_per_s"], 12.5);
+    let text = metrics(&mesh, 1);
+    assert!(
+        text.contains("foxtailgauge_rate_limit{server=\"i-0\"} 12.5\n"),
+        "{text}"
+    );
+    assert!(
+        text.contains("foxtailgauge_server_requests_total{server=\"i-0\"}"),
+        "{text}"
+    );
+    // A value that cannot be read changes nothing.
+    servers[0].set_extra_headers("Server-Limit: few\r\n");
+    assert_eq!(status(&get(&mesh, "/view/2")), 200);
+    nth_line("4205", 0);
+    assert!(metrics(&mesh, 1).contains("foxtailgauge_rate_limit{server=\"i-0\"} 12.5\n"));
+    servers[0].set_extra_headers("");
+    assert_eq!(status(&get(&mesh, "/view/3")), 200);
+    let ended = nth_line("4204", 1);
+    assert_eq!(ended["previous_per_s"], 12.5);
+    assert!(!metrics(&mesh, 1).contains("foxtailgauge_rate_limit{server=\"i-0\"}"));
+}
+
 /// Bytes available for the head of a request or a response: half of a link of 1.55 Mbit/s, at 60
 /// requests per second with responses of 1,500 bytes.
 const MAX_HEAD_BYTES: u64 = 1_550_000 / 8 / 2 / 60 - 1_500;
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -67,6 +67,8 @@
     pub received: Arc<Mutex<Vec<Arrival>>>,
     /// Whether it fails health checks, which it does not record.
     pub is_leaving: Arc<AtomicBool>,
+    /// Headers that it adds to its responses, each with its line end.
+    pub extra_headers: Arc<Mutex<String>>,
 }
 
 impl Server {
@@ -78,6 +80,8 @@
         let is_leaving = Arc::new(AtomicBool::new(false));
         let (shared_script, shared_received) = (Arc::clone(&script), Arc::clone(&received));
         let shared_is_leaving = Arc::clone(&is_leaving);
+        let extra_headers = Arc::new(Mutex::new(String::new()));
+        let shared_extra_headers = Arc::clone(&extra_headers);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if shared_received
@@ -90,7 +94,10 @@
                 }
                 let (script, received) = (Arc::clone(&shared_script), Arc::clone(&shared_received));
                 let is_leaving = Arc::clone(&shared_is_leaving);
-                std::thread::spawn(move || serve(stream, &script, &received, &is_leaving));
+                let extra_headers = Arc::clone(&shared_extra_headers);
+                std::thread::spawn(move || {
+                    serve(stream, &script, &received, &is_leaving, &extra_headers)
+                });
             }
         });
         Server {
@@ -98,9 +105,14 @@
             script,
             received,
             is_leaving,
+            extra_headers,
         }
     }
 
+    pub fn set_extra_headers(&self, headers: &str) {
+        *self.extra_headers.lock().expect("extra headers") = headers.to_owned();
+    }
+
     pub fn set_script(&self, script: Script) {
         *self.script.lock().expect("script") = script;
     }
@@ -120,15 +132,17 @@
     script: &Mutex<Script>,
     received: &Mutex<Vec<Arrival>>,
     is_leaving: &AtomicBool,
+    extra_headers: &Mutex<String>,
 ) {
     while let Some(request) = read_message(&mut stream) {
+        let extra = extra_headers.lock().expect("extra headers").clone();
         if request.starts_with("GET /health ") {
             let status = match is_leaving.load(Ordering::Relaxed) {
                 true => "503 Leaving",
                 false => "200 OK",
             };
             // The peer may have closed the connection.
-            let _ = stream.write_all(format_response(status, "", "", "").as_bytes());
+            let _ = stream.write_all(format_response(status, "", &extra, "").as_bytes());
             continue;
         }
         let id = header(&request, "attempt-id").unwrap_or_default();
@@ -143,15 +157,17 @@
         }
         let response = match script {
             Script::Echo | Script::Slow(_) | Script::Twice => {
-                format_response("200 OK", &id, "", &request)
+                format_response("200 OK", &id, &extra, &request)
             }
             Script::Hang => {
                 std::thread::sleep(WAIT_TIMEOUT);
                 return;
             }
-            Script::Empty => format_response("200 OK", &id, "", ""),
-            Script::Decline => format_response("503 No", &id, "Not-Executed: 1\r\n", ""),
-            Script::Fail => format_response("500 Failed", &id, "", "failed"),
+            Script::Empty => format_response("200 OK", &id, &extra, ""),
+            Script::Decline => {
+                format_response("503 No", &id, &format!("Not-Executed: 1\r\n{extra}"), "")
+            }
+            Script::Fail => format_response("500 Failed", &id, &extra, "failed"),
             Script::MismatchedId => format_response("200 OK", "another", "", "not yours"),
             Script::BareUnavailable => format_response("503 No", &id, "", "ran"),
             Script::Truncate => {
