--- /dev/null
+++ b/crates/foxtailgauge-daemon/tests/server_notices.rs
@@ -0,0 +1,152 @@
+//! What backend servers state about themselves holds for all daemons together.
+
+mod mesh_support;
+
+use mesh_support::{document, exchange, status, wait_for, Mesh, Script, Server};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Sidecars that callers use: the one beside the first server, and one without a server, which
+/// sends to both.
+const GATEWAYS: [usize; 2] = [1, 3];
+/// Callers on each of them.
+const CALLERS: usize = 6;
+/// Window of the users' rule on rate limits.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests allowed in addition to one and a half times the limit.
+const SLACK: f64 = 5.0;
+
+/// One replica and three sidecars; the first two have a colocated backend server.
+fn start_pair() -> (Mesh, [Server; 2]) {
+    let mesh = Mesh::start(3);
+    assert_eq!(mesh.put_document(0, &document(1)), 200);
+    let servers = [Server::start(), Server::start()];
+    for (n, server) in servers.iter().enumerate() {
+        server.set_script(Script::Slow(20));
+        assert_eq!(
+            mesh.report(n + 1, &format!("i-{n}"), &server.addr, "ready", 1),
+            200
+        );
+    }
+    for n in GATEWAYS {
+        wait_for("readiness", || mesh.is_ready(n).then_some(()));
+        // A daemon knows a server once requests succeed without the other.
+        for (declining, other) in [(0, 1), (1, 0)] {
+            servers[declining].set_script(Script::Decline);
+            wait_for("a response of the other server", || {
+                servers[other].clear_received();
+                let is_served = status(&view(&mesh.outbound_addr(n), "warm")) == 200;
+                (is_served && servers[other].received_count() > 0).then_some(())
+            });
+            servers[declining].set_script(Script::Slow(20));
+        }
+    }
+    servers.iter().for_each(Server::clear_received);
+    (mesh, servers)
+}
+
+fn view(outbound: &str, id: &str) -> String {
+    let text = format!(
+        "GET /view/{id} HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: {id}\r\n\
+         Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n"
+    );
+    exchange(outbound, &text).unwrap_or_default()
+}
+
+/// Callers on the gateways who call again at once, or shortly after a refusal.
+struct Load {
+    is_stopped: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(mesh: &Mesh) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let served = Arc::new(AtomicUsize::new(0));
+        let caller = |n: usize| {
+            let outbound = mesh.outbound_addr(GATEWAYS[n % 2]);
+            let (is_stopped, served) = (Arc::clone(&is_stopped), Arc::clone(&served));
+            std::thread::spawn(move || {
+                let mut calls = 0;
+                while !is_stopped.load(Ordering::Relaxed) {
+                    calls += 1;
+                    match status(&view(&outbound, &format!("c{n}-{calls}"))) {
+                        200 => drop(served.fetch_add(1, Ordering::Relaxed)),
+                        _ => std::thread::sleep(Duration::from_millis(20)),
+                    }
+                }
+            })
+        };
+        let callers = (0..2 * CALLERS).map(caller).collect();
+        Load {
+            is_stopped,
+            served,
+            callers,
+        }
+    }
+
+    fn served(&self) -> usize {
+        self.served.load(Ordering::Relaxed)
+    }
+
+    fn stop(self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            caller.join().expect("caller");
+        }
+    }
+}
+
+/// Times at which requests of callers reached a server.
+fn arrivals(server: &Server) -> Vec<Instant> {
+    let received = server.received.lock().expect("received requests");
+    received.iter().map(|arrival| arrival.at).collect()
+}
+
+/// Largest number of arrivals in any window that begins at or after `from`.
+fn most_in_a_window(arrivals: &[Instant], from: Instant) -> usize {
+    let later: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
+    let in_window = |n: usize| later[n..].partition_point(|at| *at < later[n] + WINDOW);
+    (0..later.len()).map(in_window).max().unwrap_or(0)
+}
+
+fn allowed(limit_per_s: f64) -> f64 {
+    1.5 * limit_per_s * WINDOW.as_secs_f64() + SLACK
+}
+
+/// Callers of two daemons press while one of two servers names a limit below its slots.
+#[test]
+fn server_receives_no_more_requests_than_it_named_from_all_daemons_together() {
+    const LIMIT_PER_S: f64 = 8.0;
+    let (mesh, servers) = start_pair();
+    let load = Load::start(&mesh);
+    std::thread::sleep(Duration::from_secs(1));
+    servers[0].set_extra_headers(&format!("Server-Limit: {LIMIT_PER_S}\r\n"));
+    let from = Instant::now() + Duration::from_millis(500);
+    std::thread::sleep(Duration::from_secs(6));
+    let limited = arrivals(&servers[0]);
+    servers[0].set_extra_headers("");
+    let (ended, served) = (limited.len(), load.served());
+    std::thread::sleep(Duration::from_secs(2));
+    let after = servers[0].received_count() - ended;
+    load.stop();
+    let most = most_in_a_window(&limited, from);
+    assert!(
+        most as f64 <= allowed(LIMIT_PER_S),
+        "{most} requests in 4 s, allowed {}",
+        allowed(LIMIT_PER_S)
+    );
+    let in_force = limited.iter().filter(|at| **at >= from).count();
+    assert!(
+        in_force as f64 >= LIMIT_PER_S * 5.5 / 2.0,
+        "{in_force}: starved"
+    );
+    assert!(served > 200, "{served}: the other server has room");
+    assert!(
+        after as f64 > LIMIT_PER_S * 2.0 * 2.0,
+        "{after}: the limit has ended"
+    );
+}
