A backend server receives no more requests than it states

Hypotheses 2 and 3 are ruled out by the code: nothing applied it anywhere, and every send takes a slot of the one queue.

All requests to a backend server pass the queue of its daemon, so the rate is kept there, once for all daemons: core's rate_limit paces the starts (burst of 250 ms), a request that cannot start in time is refused at once with the wait as Retry-After, and the wait goes to the gateways in the reply (field RATE_US), which place elsewhere. Only a response to a request sent after the last statement ends it. A stated zero still gets one request in 2 s, as only a response can end it.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -43,6 +43,7 @@
 mod message;
 mod placement;
 mod quarantine;
+mod rate_limit;
 mod registry;
 mod replication;
 mod reply_link;
--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -221,8 +221,8 @@
     }
 
     /// Expected time until the response to a request sent now: its wait in the queue behind
-    /// requests of all routes, its own run, then its wait for the link. Without a current report, the mean load per slot
-    /// is assumed.
+    /// requests of all routes and for its turn at a limited rate, its own run, then its wait for the
+    /// link. Without a current report, the mean load per slot is assumed.
     fn expected_response_time(
         &self,
         slots: u32,
@@ -237,9 +237,11 @@
         };
         let queue_rounds = ((in_flight + 1.0 - slots) / slots).max(0.0);
         let contention = CONTENTION * (in_flight / slots).min(1.0);
-        let link_wait = self.current_report(now).map(|load| load.link_wait);
-        self.mean_run_time().mul_f64(queue_rounds)
-            + link_wait.unwrap_or_default()
+        let (rate_wait, link_wait) = self
+            .current_report(now)
+            .map_or_else(Default::default, |load| (load.rate_wait, load.link_wait));
+        self.mean_run_time().mul_f64(queue_rounds).max(rate_wait)
+            + link_wait
             + self.route_run_time(route).mul_f64(1.0 + contention)
     }
 }
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -7,6 +7,8 @@
 
 use crate::decaying_sum::DecayingSum;
 use crate::ids::RouteName;
+use crate::rate_limit::RateLimit;
+use crate::server_notice::RequestRate;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -26,6 +28,8 @@
 /// Largest share of the slots that overtaking work is assumed to use; a share of 1 would make every
 /// forecast wait infinite.
 const MAX_OVERTAKING_SHARE: f64 = 0.95;
+/// Lower bound of the slots that a limited rate is assumed to fill, so that forecasts remain finite.
+const MIN_USABLE_SLOTS: f64 = 0.001;
 /// Shortest time after which a refused request may be retried.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -97,6 +101,9 @@
     pub pressure: Option<Pressure>,
     /// Forecast wait of a reply of the requested route and rank for the link of the instance.
     pub link_wait: Duration,
+    /// Forecast wait of a request that arrives now for its turn at the rate that the backend server
+    /// states; zero without a stated rate.
+    pub rate_wait: Duration,
 }
 
 /// How often requests of a rank are refused for lack of capacity.
@@ -128,11 +135,12 @@
 /// The queue in front of one backend server.
 ///
 /// Invariants: `running <= slots`, except after slots were withdrawn while requests run; no request
-/// waits while a slot is free.
+/// waits while a slot is free and the rate limit permits a start.
 #[derive(Debug)]
 pub struct WorkQueue {
     slots: u32,
     running: u32,
+    rate_limit: RateLimit,
     is_open: bool,
     next_ticket: Ticket,
     waiting: BTreeMap<QueueKey, WaitingRequest>,
@@ -153,6 +161,7 @@
         WorkQueue {
             slots: slots.max(1),
             running: 0,
+            rate_limit: RateLimit::default(),
             is_open: true,
             next_ticket: 0,
             waiting: BTreeMap::new(),
@@ -175,7 +184,7 @@
     }
 
     /// Load of the backend server, with the mean run time of `route`.
-    pub fn load(&self, route: &str) -> WorkLoad {
+    pub fn load(&self, route: &str, now: Instant) -> WorkLoad {
         let pressures = self.refused_share.iter().map(|(rank, share)| Pressure {
             rank: *rank,
             refused_permille: (share * 1_000.0) as u32,
@@ -190,6 +199,7 @@
             mean_run: Duration::from_secs_f64(self.mean_run_s),
             route_run: self.run_time(route),
             link_wait: Duration::ZERO,
+            rate_wait: self.rate_wait(self.waiting_count(), now),
         }
     }
 
@@ -198,6 +208,27 @@
         self.slots = slots.max(1);
     }
 
+    /// Limits the rate of starts, or removes the limit.
+    pub fn set_rate_limit(&mut self, rate: Option<RequestRate>, now: Instant) {
+        self.rate_limit.set_rate(rate, now);
+    }
+
+    /// When the rate limit permits the next start; `None` if no request waits for it.
+    /// [`WorkQueue::next_action`] must be called again then.
+    pub fn next_start(&self, now: Instant) -> Option<Instant> {
+        let is_limited = self.running < self.slots && !self.waiting.is_empty();
+        is_limited.then(|| self.rate_limit.next_start(now))?
+    }
+
+    /// Forecast wait for a start at the limited rate behind `ahead` others.
+    fn rate_wait(&self, ahead: u32, now: Instant) -> Duration {
+        let Some(interval) = self.rate_limit.interval() else {
+            return Duration::ZERO;
+        };
+        let next_start = self.rate_limit.next_start(now).unwrap_or(now);
+        next_start.duration_since(now) + interval * ahead
+    }
+
     /// Opens or closes the queue for new requests; closing it refuses all waiting requests.
     pub fn set_open(&mut self, is_open: bool) -> Vec<QueueAction> {
         self.is_open = is_open;
@@ -219,7 +250,8 @@
         let run = self.run_time(&item.route).mul_f64(FORECAST_RUN_TIME_FACTOR);
         let can_meet_target = now + run < item.target;
         let key = self.queue_key(&item, can_meet_target);
-        if self.running < self.slots && self.waiting.is_empty() {
+        let may_start = self.running < self.slots && self.rate_limit.next_start(now).is_none();
+        if may_start && self.waiting.is_empty() {
             self.running += 1;
             self.record_outcome(&item, 0.0);
             self.record_start(&item.route, &key, now);
@@ -252,9 +284,10 @@
 
     /// Forecast time until the end of a request of this route that arrives now and is served after
     /// all waiting ones.
-    pub fn expected_time_to_end(&self, route: &str) -> Duration {
+    pub fn expected_time_to_end(&self, route: &str, now: Instant) -> Duration {
         let waiting = f64::from(self.waiting_count()) / f64::from(self.slots);
-        Duration::from_secs_f64(self.mean_run_s * waiting) + self.run_time(route)
+        let slot_wait = Duration::from_secs_f64(self.mean_run_s * waiting);
+        slot_wait.max(self.rate_wait(self.waiting_count(), now)) + self.run_time(route)
     }
 
     /// Records the end of a run. `run_time` is a sample for the means; pass `None` if the request
@@ -302,6 +335,9 @@
         if now + run > waiting.item.deadline {
             return Some(self.refuse(&key));
         }
+        if self.rate_limit.next_start(now).is_some() {
+            return None;
+        }
         let (_, waiting) = self.waiting.pop_first()?;
         self.record_outcome(&waiting.item, 0.0);
         self.record_start(&waiting.item.route, &key, now);
@@ -318,6 +354,7 @@
     }
 
     fn record_start(&mut self, route: &str, key: &QueueKey, now: Instant) {
+        self.rate_limit.record_start(now);
         let run_s = self.run_time(route).as_secs_f64();
         self.recent_work
             .entry(key.group)
@@ -325,12 +362,23 @@
             .add(run_s, now);
     }
 
+    /// Slots that requests can keep in use: at a limited rate, those that its requests fill.
+    fn usable_slots(&self) -> f64 {
+        let slots = f64::from(self.slots);
+        let interval = self.rate_limit.interval();
+        interval
+            .map_or(slots, |interval| {
+                slots.min(self.mean_run_s / interval.as_secs_f64())
+            })
+            .max(MIN_USABLE_SLOTS)
+    }
+
     /// Slots available to a request with this key: those not used by work of the groups ahead of
     /// it, which is served first even if it arrives later.
     fn available_slots(&self, key: &QueueKey, now: Instant) -> f64 {
         let groups_ahead = self.recent_work.range(..key.group);
         let slots_used: f64 = groups_ahead.map(|(_, recent)| recent.per_s(now)).sum();
-        let slots = f64::from(self.slots);
+        let slots = self.usable_slots();
         let overtaking_share = slots_used / slots;
         slots * (1.0 - overtaking_share.min(MAX_OVERTAKING_SHARE))
     }
@@ -388,6 +436,8 @@
             .map(|(_, waiting)| self.run_time(&waiting.item.route).as_secs_f64())
             .sum();
         let first_free_s = self.mean_run_s / 2.0;
-        Duration::from_secs_f64((work_ahead_s + first_free_s) / self.available_slots(key, now))
+        let slot_wait =
+            Duration::from_secs_f64((work_ahead_s + first_free_s) / self.available_slots(key, now));
+        slot_wait.max(self.rate_wait(0, now))
     }
 }
--- a/crates/foxtailgauge-core/tests/forwarding.rs
+++ b/crates/foxtailgauge-core/tests/forwarding.rs
@@ -173,6 +173,7 @@
         route_run: ms(mean_run_ms),
         pressure: None,
         link_wait: Duration::ZERO,
+        rate_wait: Duration::ZERO,
     }
 }
 
@@ -227,6 +228,21 @@
             ],
             1,
         ),
+        (
+            "not an idle server that limits its rate",
+            vec![
+                (
+                    "a",
+                    WorkLoad {
+                        rate_wait: ms(120),
+                        ..load(0, 0, 30)
+                    },
+                    Answered,
+                ),
+                ("a", load(9, 0, 60), Answered),
+            ],
+            1,
+        ),
         (
             "not the saturated link of an idle server",
             vec![
--- a/crates/foxtailgauge-core/tests/placement.rs
+++ b/crates/foxtailgauge-core/tests/placement.rs
@@ -335,7 +335,7 @@
             .candidates
             .iter()
             .position(|c| c.key.daemon == daemon)
-            .map(|n| self.servers[n].queue.load(kind.route));
+            .map(|n| self.servers[n].queue.load(kind.route, now));
         let placement_request = PlacementRequest {
             route: kind.route,
             target,
@@ -445,7 +445,7 @@
             server,
             ..
         } = self.requests[request];
-        let load = self.servers[server].queue.load(kind.route);
+        let load = self.servers[server].queue.load(kind.route, now);
         let health = match is_answered {
             true => AttemptHealth::Answered,
             false => AttemptHealth::Refused,
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -409,6 +409,7 @@
         let id = request.request.headers().get(headers::ATTEMPT_ID).cloned();
         let name = request.hop.server.clone();
         let fingerprint = request.fingerprint;
+        let sent_at = Instant::now();
         let (connection, response) = match self.send(server, request).await {
             Ok(sent) => sent,
             Err(error) => {
@@ -431,7 +432,7 @@
             // Another process has taken the address: send nothing there until the next report.
             self.mark_unreachable(server);
         } else {
-            server_notice::apply(&self.shared.log, server, response.headers());
+            server_notice::apply(&self.shared.log, server, response.headers(), sent_at);
         }
         let (parts, body) = response.into_parts();
         match ForwardBody::read(body).await {
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -31,8 +31,12 @@
     /// arrived after this daemon restarted.
     is_confirmed: bool,
     first_report_at: Instant,
-    /// What its last response stated.
+    /// What its responses state.
     notice: ServerNotice,
+    /// When a response last stated a rate limit.
+    rate_limited_at: Option<Instant>,
+    /// Whether a task will advance the queue once the rate limit permits the next start.
+    has_timer: bool,
 }
 
 /// A backend server. All requests to it pass through its queue, so its load is known exactly.
@@ -132,6 +136,8 @@
             is_confirmed: false,
             first_report_at: Instant::now(),
             notice: ServerNotice::default(),
+            rate_limited_at: None,
+            has_timer: false,
         };
         inner.set_open();
         ForwardServer {
@@ -151,22 +157,42 @@
 
     /// Its load, with the run time of a route.
     pub(crate) fn load(&self, route: &str) -> WorkLoad {
-        lock(&self.inner).queue.load(route)
+        lock(&self.inner).queue.load(route, Instant::now())
     }
 
     /// Forecast time until the end of a request of this route that arrives now.
     pub(crate) fn expected_time_to_end(&self, route: &str) -> Duration {
-        lock(&self.inner).queue.expected_time_to_end(route)
+        let inner = lock(&self.inner);
+        inner.queue.expected_time_to_end(route, Instant::now())
     }
 
-    /// What its last response stated.
+    /// What its responses state.
     pub(crate) fn notice(&self) -> ServerNotice {
         lock(&self.inner).notice
     }
 
-    /// Records what a response stated; returns the previous statement.
-    pub(crate) fn record_notice(&self, notice: ServerNotice) -> ServerNotice {
-        std::mem::replace(&mut lock(&self.inner).notice, notice)
+    /// Applies what the response to a request sent at `sent_at` states; returns the statements
+    /// before and after. Responses may arrive out of order: only one to a request that was sent after the
+    /// rate limit was last stated ends it.
+    pub(crate) fn apply_notice(
+        self: &Arc<Self>,
+        mut notice: ServerNotice,
+        sent_at: Instant,
+    ) -> (ServerNotice, ServerNotice) {
+        let now = Instant::now();
+        let mut inner = lock(&self.inner);
+        let is_stated_later = inner.rate_limited_at.is_some_and(|at| at > sent_at);
+        match notice.rate_limit {
+            Some(_) => inner.rate_limited_at = Some(now),
+            None if is_stated_later => notice.rate_limit = inner.notice.rate_limit,
+            None => {}
+        }
+        let previous = std::mem::replace(&mut inner.notice, notice);
+        if previous.rate_limit != notice.rate_limit {
+            inner.queue.set_rate_limit(notice.rate_limit, now);
+            self.advance_queue(inner);
+        }
+        (previous, notice)
     }
 
     /// Whether it accepts requests for a service.
@@ -224,6 +250,9 @@
         let is_restart = report.sequence.0 > inner.sequence.0;
         if is_restart {
             inner.has_left = false;
+            inner.notice = ServerNotice::default();
+            inner.rate_limited_at = None;
+            inner.queue.set_rate_limit(None, Instant::now());
         }
         inner.has_left |= report.state == ServerState::Leaving;
         inner.is_reachable = true;
@@ -264,10 +293,28 @@
     /// request may drop its slot at once, which takes the lock again.
     fn advance_queue(self: &Arc<Self>, mut inner: MutexGuard<'_, Inner>) {
         let actions = inner.actions();
+        self.start_timer(&mut inner);
         drop(inner);
         self.notify(actions);
     }
 
+    /// Starts a task that advances the queue when the rate limit permits the next start, if a
+    /// request waits for it.
+    fn start_timer(self: &Arc<Self>, inner: &mut Inner) {
+        let now = Instant::now();
+        let Some(next_start) = inner.queue.next_start(now).filter(|_| !inner.has_timer) else {
+            return;
+        };
+        inner.has_timer = true;
+        let server = Arc::clone(self);
+        async_std::task::spawn(async move {
+            async_std::task::sleep(next_start.saturating_duration_since(now)).await;
+            let mut inner = lock(&server.inner);
+            inner.has_timer = false;
+            server.advance_queue(inner);
+        });
+    }
+
     fn notify(self: &Arc<Self>, actions: Vec<(SlotSender, QueueAction)>) {
         for (sender, action) in actions {
             let outcome = match action {
@@ -308,6 +355,7 @@
                 ArrivalDecision::Wait(ticket, wait_until) => {
                     let (sender, receiver) = oneshot::channel();
                     inner.slot_senders.insert(ticket, sender);
+                    self.start_timer(&mut inner);
                     let server = Arc::clone(self);
                     (receiver, QueuePosition { server, ticket }, wait_until)
                 }
--- a/crates/foxtailgauge-daemon/src/hop.rs
+++ b/crates/foxtailgauge-daemon/src/hop.rs
@@ -2,9 +2,9 @@
 //!
 //! Requests and responses carry it in the same header. The value in a request is
 //! `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS`, in a response
-//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;ELAPSED_US;PRESSURE;LINK_US`,
-//! where `PRESSURE` is empty or `RANK:PERMILLE`, and `LINK_US` may be missing. `NESTED` and `REPEAT` are 0 or 1; `REPEAT` is 1 for
-//! an idempotent route.
+//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;ELAPSED_US;PRESSURE;LINK_US;RATE_US`,
+//! where `PRESSURE` is empty or `RANK:PERMILLE`, and `LINK_US` and `RATE_US` may be missing.
+//! `NESTED` and `REPEAT` are 0 or 1; `REPEAT` is 1 for an idempotent route.
 
 use foxtailgauge_core::{Pressure, QueueRefusal, RouteName, WorkLoad};
 use std::time::Duration;
@@ -120,6 +120,7 @@
             route_run,
             pressure,
             link_wait,
+            rate_wait,
         } = self.load;
         let (mean_us, route_us) = (mean_run.as_micros(), route_run.as_micros());
         let pressure_field = pressure
@@ -127,8 +128,12 @@
             .unwrap_or_default();
         let elapsed_us = self.elapsed.as_micros();
         let link_us = link_wait.as_micros();
+        let rate_field = match rate_wait.as_micros() {
+            0 => String::new(),
+            rate_us => format!(";{rate_us}"),
+        };
         format!(
-            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{elapsed_us};{pressure_field};{link_us}"
+            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{elapsed_us};{pressure_field};{link_us}{rate_field}"
         )
     }
 
@@ -144,6 +149,7 @@
             route_run: Duration::from_micros(fields.next()?.parse().ok()?),
             pressure: None,
             link_wait: Duration::ZERO,
+            rate_wait: Duration::ZERO,
         };
         let retry_after = Duration::from_millis(fields.next()?.parse().ok()?);
         let elapsed = Duration::from_micros(fields.next()?.parse().ok()?);
@@ -156,6 +162,9 @@
         if let Some(link_us) = fields.next() {
             load.link_wait = Duration::from_micros(link_us.parse().ok()?);
         }
+        if let Some(rate_us) = fields.next() {
+            load.rate_wait = Duration::from_micros(rate_us.parse().ok()?);
+        }
         let end = match end {
             "a" => HopEnd::Answered,
             "d" => HopEnd::Declined,
--- a/crates/foxtailgauge-daemon/src/server_notice.rs
+++ b/crates/foxtailgauge-daemon/src/server_notice.rs
@@ -8,10 +8,17 @@
 use foxtailgauge_platform::{headers, is_leaving_value, parse_rate_limit};
 use hyper::header::HeaderMap;
 use slog::Logger;
+use std::sync::Arc;
+use std::time::Instant;
 
-/// Records the statements in the head of a response. A rate limit that cannot be read leaves the
-/// previous one in force.
-pub(crate) fn apply(log: &Logger, server: &ForwardServer, response: &HeaderMap) {
+/// Applies the statements in the head of the response to a request sent at `sent_at`. A rate limit
+/// that cannot be read leaves the previous one in force.
+pub(crate) fn apply(
+    log: &Logger,
+    server: &Arc<ForwardServer>,
+    response: &HeaderMap,
+    sent_at: Instant,
+) {
     let rate_limit = header(response, headers::RATE_LIMIT).map(parse_rate_limit);
     let rate_limit = rate_limit.transpose().unwrap_or_else(|error| {
         emit!(log, events::SERVER_NOTICE_IGNORED, "server" => server.name(),
@@ -22,10 +29,10 @@
         rate_limit,
         is_leaving: header(response, headers::LEAVING).is_some_and(is_leaving_value),
     };
-    let previous = server.record_notice(notice);
-    if previous.rate_limit != rate_limit {
+    let (previous, current) = server.apply_notice(notice, sent_at);
+    if previous.rate_limit != current.rate_limit {
         emit!(log, events::SERVER_RATE_LIMIT, "server" => server.name(),
-            "limit_per_s" => rate_limit.map(RequestRate::per_s),
+            "limit_per_s" => current.rate_limit.map(RequestRate::per_s),
             "previous_per_s" => previous.rate_limit.map(RequestRate::per_s));
     }
 }
