A backend server that states in a response that it leaves receives no more requests

Cause: the statement was not read; only reports and deregistrations closed the queue, so requests went on while those were late. The first response that states it closes the queue of the server's daemon, through which all requests pass, and the directory entry; only a new process of the server opens it again.

--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -432,7 +432,10 @@
             // Another process has taken the address: send nothing there until the next report.
             self.mark_unreachable(server);
         } else {
-            server_notice::apply(&self.shared.log, server, response.headers(), sent_at);
+            let log = &self.shared.log;
+            if server_notice::apply(log, server, response.headers(), sent_at) {
+                self.mark_leaving(&name);
+            }
         }
         let (parts, body) = response.into_parts();
         match ForwardBody::read(body).await {
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -172,8 +172,8 @@
     }
 
     /// Applies what the response to a request sent at `sent_at` states; returns the statements
-    /// before and after. Responses may arrive out of order: only one to a request that was sent after the
-    /// rate limit was last stated ends it.
+    /// before and after. Responses may arrive out of order: only one to a request that was sent
+    /// after the rate limit was last stated ends it, and none revokes that the process leaves.
     pub(crate) fn apply_notice(
         self: &Arc<Self>,
         mut notice: ServerNotice,
@@ -187,6 +187,7 @@
             None if is_stated_later => notice.rate_limit = inner.notice.rate_limit,
             None => {}
         }
+        notice.is_leaving |= inner.notice.is_leaving;
         let previous = std::mem::replace(&mut inner.notice, notice);
         if previous.rate_limit != notice.rate_limit {
             inner.queue.set_rate_limit(notice.rate_limit, now);
--- a/crates/foxtailgauge-daemon/src/server_notice.rs
+++ b/crates/foxtailgauge-daemon/src/server_notice.rs
@@ -12,13 +12,14 @@
 use std::time::Instant;
 
 /// Applies the statements in the head of the response to a request sent at `sent_at`. A rate limit
-/// that cannot be read leaves the previous one in force.
+/// that cannot be read leaves the previous one in force. Returns whether the backend server states
+/// for the first time that it is leaving.
 pub(crate) fn apply(
     log: &Logger,
     server: &Arc<ForwardServer>,
     response: &HeaderMap,
     sent_at: Instant,
-) {
+) -> bool {
     let rate_limit = header(response, headers::RATE_LIMIT).map(parse_rate_limit);
     let rate_limit = rate_limit.transpose().unwrap_or_else(|error| {
         emit!(log, events::SERVER_NOTICE_IGNORED, "server" => server.name(),
@@ -35,4 +36,5 @@
             "limit_per_s" => current.rate_limit.map(RequestRate::per_s),
             "previous_per_s" => previous.rate_limit.map(RequestRate::per_s));
     }
+    current.is_leaving && !previous.is_leaving
 }
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -559,9 +559,22 @@
 
 /// Reports a backend server once; returns the status, or 0 without a response.
 pub fn report(platform: &str, server: &str, addr: &str, state: &str, sequence: u64) -> u16 {
+    report_process(platform, server, addr, state, (1, sequence), 4)
+}
+
+/// Reports a backend server whose process started at `sequence.0`.
+pub fn report_process(
+    platform: &str,
+    server: &str,
+    addr: &str,
+    state: &str,
+    sequence: (u64, u64),
+    slots: u32,
+) -> u16 {
+    let (born, sequence) = sequence;
     let body = serde_json::json!({
-        "address": addr, "born": 1,
-        "info": {"service": "viewer", "version": "v1", "zone": "z", "capacity": 4},
+        "address": addr, "born": born,
+        "info": {"service": "viewer", "version": "v1", "zone": "z", "capacity": slots},
         "status": {"state": state, "sequence": sequence, "warmup_left_ms": 0},
     })
     .to_string();
--- a/crates/foxtailgauge-daemon/tests/server_notices.rs
+++ b/crates/foxtailgauge-daemon/tests/server_notices.rs
@@ -2,7 +2,7 @@
 
 mod mesh_support;
 
-use mesh_support::{document, exchange, status, wait_for, Mesh, Script, Server};
+use mesh_support::{document, exchange, report_process, status, wait_for, Mesh, Script, Server};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -150,3 +150,35 @@
         "{after}: the limit has ended"
     );
 }
+
+/// Its check-ins still say that it is ready: they were sent before, or are late.
+#[test]
+fn server_that_leaves_in_a_response_receives_no_more_requests() {
+    let (mesh, servers) = start_pair();
+    let load = Load::start(&mesh);
+    std::thread::sleep(Duration::from_millis(500));
+    servers[0].set_extra_headers("Server-Leaving: 1\r\n");
+    std::thread::sleep(Duration::from_millis(500));
+    servers[0].clear_received();
+    let served = load.served();
+    for sequence in 2..4 {
+        assert_eq!(
+            mesh.report(1, "i-0", &servers[0].addr, "ready", sequence),
+            200
+        );
+        std::thread::sleep(Duration::from_millis(700));
+    }
+    assert_eq!(servers[0].received_count(), 0, "requests after it left");
+    assert!(load.served() > served + 50, "the other server has room");
+    // A new process at the same address does not leave.
+    servers[0].set_extra_headers("");
+    let platform = mesh.platform_addr(1);
+    assert_eq!(
+        report_process(&platform, "i-0", &servers[0].addr, "ready", (2, 1), 4),
+        200
+    );
+    wait_for("requests to the new process", || {
+        (servers[0].received_count() > 0).then_some(())
+    });
+    load.stop();
+}
