Statements of a backend server survive a restart of its daemon

Gateways that had delivered a response with Server-Leaving sent on to it (1 request after it left, as a late report confirmed it), and a server that takes 1 request a second received 14 in 4 s of 11 allowed after the restart (40 slots). A health check answered 200 with the statement confirmed a leaving server.

Gateways keep the statements of the responses that they deliver (core DeliveredNotices, 120 s) and send them along with requests; the daemon adopts them for the same process until a response shows the current limit, leaving for good. A health check that states leaving fails. The fields are optional and at the end: older daemons ignore them.

server_that_left_in_a_response_stays_out_after_a_restart_of_its_daemon, stated_rate_holds_after_a_restart_of_the_daemon and health_check_that_states_leaving_confirms_no_server failed before, as above, and pass.

--- a/crates/foxtailgauge-core/src/server_notice.rs
+++ b/crates/foxtailgauge-core/src/server_notice.rs
@@ -1,5 +1,14 @@
 //! What a backend server states about itself in its responses.
 
+use crate::balance::ServerKey;
+use crate::ids::UnixMs;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Time for which a gateway keeps a statement after the last response with it: longer than a daemon
+/// takes to restart, and than a leaving backend server takes to end.
+const NOTICE_TTL: Duration = Duration::from_secs(120);
+
 /// Requests per second, in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestRate(u64);
@@ -11,6 +20,16 @@
         is_rate.then_some(RequestRate((per_s * 1_000.0) as u64))
     }
 
+    /// A rate in thousandths of a request per second.
+    pub fn from_milli(milli: u64) -> Self {
+        RequestRate(milli)
+    }
+
+    /// Thousandths of a request per second.
+    pub fn milli(self) -> u64 {
+        self.0
+    }
+
     /// Requests per second.
     pub fn per_s(self) -> f64 {
         self.0 as f64 / 1_000.0
@@ -25,3 +44,42 @@
     /// Whether it is leaving.
     pub is_leaving: bool,
 }
+
+/// Statements of one process of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessNotice {
+    /// Start of the process; a later process has stated nothing yet.
+    pub started_ms: UnixMs,
+    /// Its statements.
+    pub notice: ServerNotice,
+}
+
+/// Statements in the responses that a gateway has delivered. It sends them along with its requests,
+/// as the daemon of a backend server forgets them when it restarts.
+#[derive(Debug, Default)]
+pub struct DeliveredNotices {
+    by_server: HashMap<ServerKey, (ProcessNotice, Instant)>,
+}
+
+impl DeliveredNotices {
+    /// Records the statements that came with a response; `None` if there were none.
+    pub fn record(&mut self, server: &ServerKey, notice: Option<ProcessNotice>, now: Instant) {
+        match notice {
+            None => drop(self.by_server.remove(server)),
+            Some(notice) => {
+                self.by_server.retain(|_, (_, at)| is_current(*at, now));
+                self.by_server.insert(server.clone(), (notice, now));
+            }
+        }
+    }
+
+    /// Statements last recorded for a backend server.
+    pub fn get(&self, server: &ServerKey, now: Instant) -> Option<ProcessNotice> {
+        let (notice, at) = self.by_server.get(server)?;
+        is_current(*at, now).then_some(*notice)
+    }
+}
+
+fn is_current(recorded_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(recorded_at) < NOTICE_TTL
+}
--- a/crates/foxtailgauge-daemon/src/forward_attempt.rs
+++ b/crates/foxtailgauge-daemon/src/forward_attempt.rs
@@ -82,6 +82,7 @@
             end,
             load,
             elapsed: Duration::ZERO,
+            notice: None,
         },
         response: None,
     }
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -316,6 +316,16 @@
         let Some(server) = server else {
             return without_response(HopEnd::Closed, WorkLoad::default());
         };
+        let known = request.hop.notice;
+        if known.is_some_and(|known| server.adopt_notice(&known)) {
+            self.mark_leaving(server.name());
+        }
+        let mut reply = self.run_on(&server, request).await;
+        reply.reply.notice = server.process_notice();
+        reply
+    }
+
+    async fn run_on(&self, server: &Arc<ForwardServer>, request: ForwardRequest) -> ForwardReply {
         let now = Instant::now();
         let admits = request.hop.is_nested
             || lock(&self.throttle).admits(
@@ -325,7 +335,7 @@
                 now,
             );
         if !admits {
-            self.log_refusal(&request, "throttled", &server);
+            self.log_refusal(&request, "throttled", server);
             let retry_after = THROTTLE_RETRY_AFTER;
             let load = server.load(&request.hop.route);
             return without_response(HopEnd::Refused { retry_after }, load);
@@ -341,15 +351,15 @@
         let slot = match server.acquire_slot(item).await {
             Ok(slot) => slot,
             Err(refused) => {
-                self.log_refusal(&request, &format!("{refused:?}"), &server);
+                self.log_refusal(&request, &format!("{refused:?}"), server);
                 return without_response(refused.into(), server.load(&route));
             }
         };
         let time_left = request.deadline.saturating_duration_since(Instant::now());
         let id = attempt_id(request.request.headers());
         let _running_id = self.running_id(id, &route);
-        let times = RunTimes::new(&self.shared, &server, now);
-        let exchange = self.exchange(&server, request, slot);
+        let times = RunTimes::new(&self.shared, server, now);
+        let exchange = self.exchange(server, request, slot);
         let outcome = async_std::future::timeout(time_left, exchange).await;
         times.finish();
         match outcome {
@@ -358,6 +368,7 @@
                     end,
                     load: server.load(&route),
                     elapsed: Duration::ZERO,
+                    notice: None,
                 },
                 response,
             },
@@ -607,6 +618,7 @@
             end,
             load,
             elapsed: Duration::ZERO,
+            notice: None,
         },
         response: None,
     }
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -27,8 +27,9 @@
 use crate::socket;
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
-    AttemptEnd, Attempts, CallerTimeouts, Candidate, Fingerprint, HostRoute, NextAction,
-    PlacementRequest, RetryBudget, RouteName, ServerKey, ServiceName, SuspectVerdict, UnixMs,
+    AttemptEnd, Attempts, CallerTimeouts, Candidate, DeliveredNotices, Fingerprint, HostRoute,
+    NextAction, PlacementRequest, RetryBudget, RouteName, ServerKey, ServiceName, SuspectVerdict,
+    UnixMs,
 };
 use foxtailgauge_platform::headers;
 use hyper::body::Incoming;
@@ -63,6 +64,7 @@
     settings: MeshSettings,
     peers: HopConnections,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    notices: Mutex<DeliveredNotices>,
     caller_timeouts: Mutex<CallerTimeouts>,
 }
 
@@ -105,6 +107,7 @@
             settings,
             peers: HopConnections::new(identity),
             budgets: Mutex::default(),
+            notices: Mutex::default(),
             caller_timeouts: Mutex::default(),
         }
     }
@@ -459,6 +462,7 @@
             is_nested: call.parent_route.is_some(),
             is_idempotent: call.route.idempotent,
             target: call.target.saturating_sub(elapsed + call.elapsed_before),
+            notice: lock(&self.notices).get(&candidate.key, now),
         };
         let guard = AttemptGuard::new(&self.shared, &candidate.key, call.route_name);
         let fingerprint = fingerprint_of(&parts, &body);
@@ -479,6 +483,9 @@
             let transit_time = elapsed.saturating_sub(reply.reply.elapsed);
             (reply, Some(transit_time))
         };
+        if matches!(reply.reply.end, HopEnd::Answered | HopEnd::Declined) {
+            lock(&self.notices).record(&candidate.key, reply.reply.notice, Instant::now());
+        }
         guard.finish(&reply, transit_time, sent_bytes);
         if let Some(parent) = &call.parent_route {
             self.executor
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -2,8 +2,8 @@
 
 use crate::shared::lock;
 use foxtailgauge_core::{
-    ArrivalDecision, QueueAction, QueueRefusal, RouteName, ServerEntry, ServerNotice, ServerState,
-    Ticket, WorkItem, WorkLoad, WorkQueue,
+    ArrivalDecision, ProcessNotice, QueueAction, QueueRefusal, RouteName, ServerEntry,
+    ServerNotice, ServerState, Ticket, WorkItem, WorkLoad, WorkQueue,
 };
 use foxtailgauge_platform::ServerReport;
 use futures::channel::oneshot;
@@ -35,6 +35,8 @@
     notice: ServerNotice,
     /// When a response last stated a rate limit.
     rate_limited_at: Option<Instant>,
+    /// Whether a response has shown what its process states.
+    has_responded: bool,
     /// Whether a task will advance the queue once the rate limit permits the next start.
     has_timer: bool,
 }
@@ -137,6 +139,7 @@
             first_report_at: Instant::now(),
             notice: ServerNotice::default(),
             rate_limited_at: None,
+            has_responded: false,
             has_timer: false,
         };
         inner.set_open();
@@ -171,6 +174,36 @@
         lock(&self.inner).notice
     }
 
+    /// What its process states, if anything.
+    pub(crate) fn process_notice(&self) -> Option<ProcessNotice> {
+        let inner = lock(&self.inner);
+        let has_statement = inner.notice != ServerNotice::default();
+        has_statement.then_some(ProcessNotice {
+            started_ms: inner.sequence.0,
+            notice: inner.notice,
+        })
+    }
+
+    /// Adopts what a gateway knows from earlier responses of the same process, which this daemon
+    /// does not know after a restart; returns whether the process leaves. The rate limit is adopted
+    /// until a response shows the current one.
+    pub(crate) fn adopt_notice(self: &Arc<Self>, known: &ProcessNotice) -> bool {
+        let now = Instant::now();
+        let mut inner = lock(&self.inner);
+        if inner.sequence.0 != known.started_ms {
+            return false;
+        }
+        let is_leaving = known.notice.is_leaving && !inner.notice.is_leaving;
+        inner.notice.is_leaving |= known.notice.is_leaving;
+        if !inner.has_responded && inner.notice.rate_limit != known.notice.rate_limit {
+            inner.notice.rate_limit = known.notice.rate_limit;
+            inner.rate_limited_at = Some(now);
+            inner.queue.set_rate_limit(known.notice.rate_limit, now);
+            self.advance_queue(inner);
+        }
+        is_leaving
+    }
+
     /// Applies what the response to a request sent at `sent_at` states; returns the statements
     /// before and after. Responses may arrive out of order: only one to a request that was sent
     /// after the rate limit was last stated ends it, and none revokes that the process leaves.
@@ -181,6 +214,7 @@
     ) -> (ServerNotice, ServerNotice) {
         let now = Instant::now();
         let mut inner = lock(&self.inner);
+        inner.has_responded = true;
         let is_stated_later = inner.rate_limited_at.is_some_and(|at| at > sent_at);
         match notice.rate_limit {
             Some(_) => inner.rate_limited_at = Some(now),
@@ -253,6 +287,7 @@
             inner.has_left = false;
             inner.notice = ServerNotice::default();
             inner.rate_limited_at = None;
+            inner.has_responded = false;
             inner.queue.set_rate_limit(None, Instant::now());
         }
         inner.has_left |= report.state == ServerState::Leaving;
--- a/crates/foxtailgauge-daemon/src/hop.rs
+++ b/crates/foxtailgauge-daemon/src/hop.rs
@@ -1,12 +1,15 @@
 //! Metadata that two daemons exchange along with a forwarded HTTP message.
 //!
 //! Requests and responses carry it in the same header. The value in a request is
-//! `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS`, in a response
-//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;ELAPSED_US;PRESSURE;LINK_US;RATE_US`,
-//! where `PRESSURE` is empty or `RANK:PERMILLE`, and `LINK_US` and `RATE_US` may be missing.
-//! `NESTED` and `REPEAT` are 0 or 1; `REPEAT` is 1 for an idempotent route.
+//! `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS;NOTICE`, in a response
+//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;ELAPSED_US;PRESSURE;LINK_US;RATE_US;NOTICE`,
+//! where `PRESSURE` is empty or `RANK:PERMILLE`, and fields from `LINK_US` on may be missing.
+//! `NOTICE` is `STARTED_MS:LEAVING:RATE_MILLI`, the last part empty without a stated rate.
+//! `NESTED`, `REPEAT` and `LEAVING` are 0 or 1; `REPEAT` is 1 for an idempotent route.
 
-use foxtailgauge_core::{Pressure, QueueRefusal, RouteName, WorkLoad};
+use foxtailgauge_core::{
+    Pressure, ProcessNotice, QueueRefusal, RequestRate, RouteName, ServerNotice, WorkLoad,
+};
 use std::time::Duration;
 
 /// Header of requests and responses between daemons; never sent to callers or backend servers.
@@ -27,6 +30,8 @@
     pub(crate) is_idempotent: bool,
     /// Latency target: time left until the response is late.
     pub(crate) target: Duration,
+    /// What the backend server stated in the last response that the gateway delivered.
+    pub(crate) notice: Option<ProcessNotice>,
 }
 
 /// How an attempt ended at the executor.
@@ -59,6 +64,8 @@
     pub(crate) load: WorkLoad,
     /// Time from the arrival of the complete request to this reply.
     pub(crate) elapsed: Duration,
+    /// What the backend server states, if anything.
+    pub(crate) notice: Option<ProcessNotice>,
 }
 
 impl From<QueueRefusal> for HopEnd {
@@ -70,6 +77,35 @@
     }
 }
 
+/// Encodes the last field of a header; it is absent without a notice.
+fn encode_notice(notice: Option<ProcessNotice>) -> String {
+    let Some(ProcessNotice { started_ms, notice }) = notice else {
+        return String::new();
+    };
+    let leaving_flag = u8::from(notice.is_leaving);
+    let rate_milli = notice.rate_limit.map(|rate| rate.milli().to_string());
+    let rate_milli = rate_milli.unwrap_or_default();
+    format!(";{started_ms}:{leaving_flag}:{rate_milli}")
+}
+
+/// Parses the last field of a header; `None` if it is absent or malformed.
+fn parse_notice(field: Option<&str>) -> Option<ProcessNotice> {
+    let mut parts = field?.split(':');
+    let started_ms = parts.next()?.parse().ok()?;
+    let is_leaving = parts.next()? == "1";
+    let rate_limit = match parts.next()? {
+        "" => None,
+        rate_milli => Some(RequestRate::from_milli(rate_milli.parse().ok()?)),
+    };
+    Some(ProcessNotice {
+        started_ms,
+        notice: ServerNotice {
+            rate_limit,
+            is_leaving,
+        },
+    })
+}
+
 impl HopRequest {
     /// Encodes the header's value.
     pub(crate) fn encode(&self) -> String {
@@ -80,11 +116,13 @@
             is_nested,
             is_idempotent,
             target,
+            notice,
         } = self;
         let nested_flag = u8::from(*is_nested);
         let repeat_flag = u8::from(*is_idempotent);
         let target_ms = target.as_millis();
-        format!("{server};{route};{rank};{nested_flag};{repeat_flag};{target_ms}")
+        let notice_field = encode_notice(*notice);
+        format!("{server};{route};{rank};{nested_flag};{repeat_flag};{target_ms}{notice_field}")
     }
 
     /// Parses the header's value; `None` if it is malformed.
@@ -97,6 +135,7 @@
             is_nested: fields.next()? == "1",
             is_idempotent: fields.next()? == "1",
             target: Duration::from_millis(fields.next()?.parse().ok()?),
+            notice: parse_notice(fields.next()),
         })
     }
 }
@@ -128,12 +167,13 @@
             .unwrap_or_default();
         let elapsed_us = self.elapsed.as_micros();
         let link_us = link_wait.as_micros();
+        let notice_field = encode_notice(self.notice);
         let rate_field = match rate_wait.as_micros() {
-            0 => String::new(),
+            0 if notice_field.is_empty() => String::new(),
             rate_us => format!(";{rate_us}"),
         };
         format!(
-            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{elapsed_us};{pressure_field};{link_us}{rate_field}"
+            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{elapsed_us};{pressure_field};{link_us}{rate_field}{notice_field}"
         )
     }
 
@@ -174,6 +214,11 @@
             "b" => HopEnd::Broken,
             _ => return None,
         };
-        Some(HopReply { end, load, elapsed })
+        Some(HopReply {
+            end,
+            load,
+            elapsed,
+            notice: parse_notice(fields.next()),
+        })
     }
 }
--- a/crates/foxtailgauge-daemon/src/server_health.rs
+++ b/crates/foxtailgauge-daemon/src/server_health.rs
@@ -1,8 +1,9 @@
 //! Health check of the colocated backend server.
 
 use crate::forward_body::ForwardBody;
+use crate::forward_executor::header;
 use crate::http_pool::{connect, HttpPool};
-use foxtailgauge_platform::headers;
+use foxtailgauge_platform::{headers, is_leaving_value};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use std::net::SocketAddr;
@@ -50,10 +51,10 @@
     let request = request.body(ForwardBody::default()).ok()?;
     let mut connection = pool.open(&addr, connect(&addr), TIMEOUT).await.ok()?;
     let response = connection.send(request).await.ok()?;
-    let name = response.headers().get(headers::SERVER_NAME);
-    let name = name.and_then(|name| name.to_str().ok());
+    let is_leaving = header(response.headers(), headers::LEAVING).is_some_and(is_leaving_value);
+    let name = header(response.headers(), headers::SERVER_NAME);
     Some(match response.status() {
-        StatusCode::OK => HealthAnswer::Passed {
+        StatusCode::OK if !is_leaving => HealthAnswer::Passed {
             server: name.map(str::to_owned),
         },
         _ => HealthAnswer::Failed,
--- a/crates/foxtailgauge-daemon/tests/server_notices.rs
+++ b/crates/foxtailgauge-daemon/tests/server_notices.rs
@@ -20,13 +20,18 @@
 
 /// One replica and three sidecars; the first two have a colocated backend server.
 fn start_pair() -> (Mesh, [Server; 2]) {
+    start_pair_with_slots(4)
+}
+
+fn start_pair_with_slots(slots: u32) -> (Mesh, [Server; 2]) {
     let mesh = Mesh::start(3);
     assert_eq!(mesh.put_document(0, &document(1)), 200);
     let servers = [Server::start(), Server::start()];
     for (n, server) in servers.iter().enumerate() {
         server.set_script(Script::Slow(20));
+        let (platform, name) = (mesh.platform_addr(n + 1), format!("i-{n}"));
         assert_eq!(
-            mesh.report(n + 1, &format!("i-{n}"), &server.addr, "ready", 1),
+            report_process(&platform, &name, &server.addr, "ready", (1, 1), slots),
             200
         );
     }
@@ -64,10 +69,14 @@
 
 impl Load {
     fn start(mesh: &Mesh) -> Self {
+        Self::start_at(mesh, GATEWAYS)
+    }
+
+    fn start_at(mesh: &Mesh, gateways: [usize; 2]) -> Self {
         let is_stopped = Arc::new(AtomicBool::new(false));
         let served = Arc::new(AtomicUsize::new(0));
         let caller = |n: usize| {
-            let outbound = mesh.outbound_addr(GATEWAYS[n % 2]);
+            let outbound = mesh.outbound_addr(gateways[n % 2]);
             let (is_stopped, served) = (Arc::clone(&is_stopped), Arc::clone(&served));
             std::thread::spawn(move || {
                 let mut calls = 0;
@@ -182,3 +191,78 @@
     });
     load.stop();
 }
+
+/// Kills and starts the daemon beside the first server, and reports the server as ready again: by a
+/// report sent before, and by another half an interval later, as if it went on to serve.
+fn restart_first_daemon(mesh: &mut Mesh, server: &Server, slots: u32) {
+    mesh.kill(1);
+    mesh.start_daemon(1, false);
+    wait_for("readiness", || mesh.is_ready(1).then_some(()));
+    for sequence in 10..12 {
+        let platform = mesh.platform_addr(1);
+        assert_eq!(
+            report_process(
+                &platform,
+                "i-0",
+                &server.addr,
+                "ready",
+                (1, sequence),
+                slots
+            ),
+            200
+        );
+        std::thread::sleep(Duration::from_millis(700));
+    }
+}
+
+#[test]
+fn server_that_left_in_a_response_stays_out_after_a_restart_of_its_daemon() {
+    let (mut mesh, servers) = start_pair();
+    servers[0].set_extra_headers("Server-Leaving: 1\r\n");
+    let load = Load::start_at(&mesh, [3, 3]);
+    wait_for("its response", || {
+        (servers[0].received_count() > 0).then_some(())
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    servers[0].clear_received();
+    restart_first_daemon(&mut mesh, &servers[0], 4);
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(servers[0].received_count(), 0, "requests after it left");
+    load.stop();
+}
+
+#[test]
+fn stated_rate_holds_after_a_restart_of_the_daemon() {
+    const SLOTS: u32 = 40;
+    let (mut mesh, servers) = start_pair_with_slots(SLOTS);
+    servers[0].set_extra_headers("Server-Limit: 1\r\n");
+    // The gateway has no other server to use, so all callers press on this one.
+    servers[1].set_script(Script::Decline);
+    let load = Load::start_at(&mesh, [3, 3]);
+    std::thread::sleep(Duration::from_secs(1));
+    let from = Instant::now();
+    servers[0].set_script(Script::Slow(400));
+    restart_first_daemon(&mut mesh, &servers[0], SLOTS);
+    std::thread::sleep(Duration::from_secs(3));
+    load.stop();
+    let most = most_in_a_window(&arrivals(&servers[0]), from);
+    assert!(most as f64 <= allowed(1.0), "{most} of {}", allowed(1.0));
+}
+
+/// The daemon that was restarted has delivered no response of the server since.
+#[test]
+fn health_check_that_states_leaving_confirms_no_server() {
+    let (mut mesh, servers) = start_pair();
+    servers[0].set_extra_headers("Server-Leaving: 1\r\n");
+    mesh.kill(1);
+    mesh.start_daemon(1, false);
+    wait_for("readiness", || mesh.is_ready(1).then_some(()));
+    let addr = &servers[0].addr;
+    assert_eq!(mesh.report(1, "i-0", addr, "ready", 10), 200);
+    std::thread::sleep(Duration::from_secs(1));
+    servers[0].clear_received();
+    wait_for("a response of the other server", || {
+        (status(&view(&mesh.outbound_addr(1), "v")) == 200).then_some(())
+    });
+    assert_eq!(servers[0].received_count(), 0);
+}
