A response head without end costs a backend server's connection, and no more

Cause: hyper skips interim responses without a limit, and while they arrive it neither yields nor notices that the request was given up: the connection stayed open and read on after the caller had its 504 (closed connections not seen in 30 s). Reads before the body of a response are limited to 256 KB (wire read_limit); beyond, the connection fails at once and the outcome is unknown.

heads_without_end_cost_one_request_and_little_memory failed before for interim responses; lines and headers without end were bounded by hyper already.

--- a/crates/foxtailgauge-daemon/src/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/http_pool.rs
@@ -4,6 +4,7 @@
 use crate::shared::lock;
 use crate::socket;
 use async_std::net::TcpStream;
+use foxtailgauge_wire::{LimitedStream, ReadLimit, MAX_RESPONSE_HEAD_BYTES};
 use futures::io::{AsyncRead, AsyncWrite};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -41,12 +42,15 @@
 
 struct IdleConnection {
     sender: SendRequest<ForwardBody>,
+    read_limit: ReadLimit,
     since: Instant,
 }
 
 /// A connection taken from the pool or newly opened, for one request at a time.
 pub(crate) struct PooledConnection {
     sender: SendRequest<ForwardBody>,
+    /// Limits the bytes before the body of each response.
+    read_limit: ReadLimit,
     addr: String,
 }
 
@@ -70,6 +74,7 @@
             if connection.sender.is_ready() {
                 return Some(PooledConnection {
                     sender: connection.sender,
+                    read_limit: connection.read_limit,
                     addr: addr.to_owned(),
                 });
             }
@@ -88,11 +93,12 @@
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
         let opening = async {
-            let stream = stream.await?;
+            let (stream, read_limit) = LimitedStream::new(stream.await?);
             let handshake = http1::handshake(FuturesIo::new(stream)).await;
-            handshake.map_err(io::Error::other)
+            let (sender, connection) = handshake.map_err(io::Error::other)?;
+            Ok((sender, connection, read_limit))
         };
-        let (sender, connection) = async_std::future::timeout(timeout, opening)
+        let (sender, connection, read_limit) = async_std::future::timeout(timeout, opening)
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
             .map_err(ExchangeError::NotSent)?;
@@ -102,6 +108,7 @@
         });
         Ok(PooledConnection {
             sender,
+            read_limit,
             addr: addr.to_owned(),
         })
     }
@@ -118,6 +125,7 @@
         }
         connections.push(IdleConnection {
             sender: connection.sender,
+            read_limit: connection.read_limit,
             since: Instant::now(),
         });
     }
@@ -135,8 +143,12 @@
         &mut self,
         request: Request<ForwardBody>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.read_limit.set(MAX_RESPONSE_HEAD_BYTES);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.read_limit.remove();
+                Ok(response)
+            }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::NotSent(Box::new(request))),
                 None => Err(SendError::Broken(error.into_error())),
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -48,6 +48,41 @@
     Hang,
     /// Responds like `Echo`, and once more on the same connection after 30 ms.
     Twice,
+    /// Sends bytes until the peer closes the connection.
+    Endless(Endless),
+}
+
+/// Bytes that a backend server sends without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// No response: bytes without a line end.
+    Line,
+    /// Header lines.
+    Headers,
+    /// Interim responses.
+    Interim,
+    /// A chunked body.
+    Chunks,
+    /// A body that would end with the connection.
+    Body,
+}
+
+impl Endless {
+    /// First bytes, with the id of the request, and the bytes that follow again and again.
+    fn parts(self, id: &str) -> (String, String) {
+        let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n");
+        let filler = "x".repeat(1 << 10);
+        match self {
+            Endless::Line => (String::new(), filler),
+            Endless::Headers => (head, format!("X-Filler: {filler}\r\n")),
+            Endless::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(40)),
+            Endless::Chunks => (
+                head + "Transfer-Encoding: chunked\r\n\r\n",
+                format!("400\r\n{filler}\r\n"),
+            ),
+            Endless::Body => (head + "\r\n", filler),
+        }
+    }
 }
 
 /// A request that reached a backend server.
@@ -69,6 +104,8 @@
     pub is_leaving: Arc<AtomicBool>,
     /// Headers that it adds to its responses, each with its line end.
     pub extra_headers: Arc<Mutex<String>>,
+    /// When the peer closed connections on which bytes were sent without end.
+    pub closed: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Server {
@@ -82,6 +119,8 @@
         let shared_is_leaving = Arc::clone(&is_leaving);
         let extra_headers = Arc::new(Mutex::new(String::new()));
         let shared_extra_headers = Arc::clone(&extra_headers);
+        let closed = Arc::new(Mutex::new(Vec::new()));
+        let shared_closed = Arc::clone(&closed);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if shared_received
@@ -95,8 +134,16 @@
                 let (script, received) = (Arc::clone(&shared_script), Arc::clone(&shared_received));
                 let is_leaving = Arc::clone(&shared_is_leaving);
                 let extra_headers = Arc::clone(&shared_extra_headers);
+                let closed = Arc::clone(&shared_closed);
                 std::thread::spawn(move || {
-                    serve(stream, &script, &received, &is_leaving, &extra_headers)
+                    serve(
+                        stream,
+                        &script,
+                        &received,
+                        &is_leaving,
+                        &extra_headers,
+                        &closed,
+                    )
                 });
             }
         });
@@ -106,6 +153,7 @@
             received,
             is_leaving,
             extra_headers,
+            closed,
         }
     }
 
@@ -133,6 +181,7 @@
     received: &Mutex<Vec<Arrival>>,
     is_leaving: &AtomicBool,
     extra_headers: &Mutex<String>,
+    closed: &Mutex<Vec<Instant>>,
 ) {
     while let Some(request) = read_message(&mut stream) {
         let extra = extra_headers.lock().expect("extra headers").clone();
@@ -186,6 +235,18 @@
                 return;
             }
             Script::Break => return,
+            Script::Endless(kind) => {
+                let (first, next) = kind.parts(&id);
+                let mut is_open = stream.write_all(first.as_bytes()).is_ok();
+                while is_open {
+                    is_open = stream.write_all(next.as_bytes()).is_ok();
+                }
+                closed
+                    .lock()
+                    .expect("closed connections")
+                    .push(Instant::now());
+                return;
+            }
         };
         if stream.write_all(response.as_bytes()).is_err() {
             return;
@@ -488,6 +549,16 @@
             .collect()
     }
 
+    /// Resident memory of a running daemon, in kilobytes.
+    pub fn memory_kb(&self, n: usize) -> u64 {
+        let child = self.children[n].as_ref().expect("daemon is not running");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("cannot read the status of the daemon");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        kb.expect("no memory in the status of the daemon")
+    }
+
     /// Sends a signal to a running daemon.
     pub fn signal(&self, n: usize, signal: Signal) {
         let child = self.children[n].as_ref().expect("daemon is not running");
--- a/crates/foxtailgauge-wire/src/lib.rs
+++ b/crates/foxtailgauge-wire/src/lib.rs
@@ -18,10 +18,12 @@
 pub mod foxtailgauge_capnp;
 pub mod handshake;
 pub mod http;
+mod read_limit;
 mod submit;
 
 pub use call::{BackendResponse, CallReply, CallRequest, Cause, Outcome};
 pub use codec::{decode, encode, encode_compressed, CodecError};
+pub use read_limit::{LimitedStream, ReadLimit, MAX_RESPONSE_HEAD_BYTES};
 pub use submit::{
     DomainStatus, FleetStatus, FormationState, Group, GroupStatus, SubmitReply, SubmitRequest,
 };
