A streamed response ends at the caller's deadline or the route's timeout

Cause: once the head and 64 KB were there, a response was forwarded for as long as the backend server sent, past the deadline and the timeout of the route; four such responses held all slots of the server. The gateway ends a streamed body at the earlier of the two (the caller sees a connection that breaks off, never a complete response; event 4405), and the daemon of the server a second after the deadline, so that a gateway that is cut off does not keep a slot. Bodies of up to 64 KB are read before their head is passed on and are not affected.

bodies_without_end_are_ended_at_the_deadline failed before (the response goes on after three deadlines) and passes.

--- a/crates/foxtailgauge-daemon/src/forward_body.rs
+++ b/crates/foxtailgauge-daemon/src/forward_body.rs
@@ -1,12 +1,14 @@
 //! Bodies forwarded by a daemon: small ones are buffered, larger ones are streamed.
 
 use bytes::{Bytes, BytesMut};
+use futures::future::{BoxFuture, FutureExt};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::any::Any;
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 /// Bytes of a body that are buffered before it is forwarded. A body within this limit can be sent
 /// again.
@@ -21,6 +23,13 @@
     guard: Option<Box<dyn Any + Send>>,
     /// Bytes that may still be forwarded; more are an error, [`BodyError::TooLarge`].
     limit: Option<u64>,
+    deadline: Option<BodyDeadline>,
+}
+
+/// End of the time in which a streamed body may be forwarded.
+struct BodyDeadline {
+    timer: BoxFuture<'static, ()>,
+    on_expiry: Option<Box<dyn FnOnce() + Send>>,
 }
 
 impl fmt::Debug for ForwardBody {
@@ -37,6 +46,8 @@
     Broken(hyper::Error),
     /// The body exceeds its limit.
     TooLarge,
+    /// The body was not complete at its deadline.
+    TimedOut,
 }
 
 impl fmt::Display for BodyError {
@@ -44,6 +55,7 @@
         match self {
             BodyError::Broken(error) => write!(f, "body ended early: {error}"),
             BodyError::TooLarge => write!(f, "body exceeds the size limit"),
+            BodyError::TimedOut => write!(f, "body is not complete at its deadline"),
         }
     }
 }
@@ -107,6 +119,32 @@
         self.guard = Some(Box::new(guard));
     }
 
+    /// Makes a streamed body fail with [`BodyError::TimedOut`] at the deadline, after `on_expiry`.
+    pub(crate) fn set_deadline(&mut self, at: Instant, on_expiry: impl FnOnce() + Send + 'static) {
+        if self.rest.is_some() {
+            let time_left = at.saturating_duration_since(Instant::now());
+            self.deadline = Some(BodyDeadline {
+                timer: async_std::task::sleep(time_left).boxed(),
+                on_expiry: Some(Box::new(on_expiry)),
+            });
+        }
+    }
+
+    /// Whether the deadline has passed; registers the task for it otherwise.
+    fn is_expired(&mut self, cx: &mut Context<'_>) -> bool {
+        let Some(deadline) = self.deadline.as_mut() else {
+            return false;
+        };
+        // A completed timer must not be polled again.
+        if deadline.on_expiry.is_some() && deadline.timer.poll_unpin(cx).is_pending() {
+            return false;
+        }
+        if let Some(on_expiry) = deadline.on_expiry.take() {
+            on_expiry();
+        }
+        true
+    }
+
     /// Makes the body fail with [`BodyError::TooLarge`] beyond `limit` bytes.
     pub(crate) fn set_limit(&mut self, limit: u64) {
         self.limit = Some(limit);
@@ -129,6 +167,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.rest.is_some() && self.is_expired(cx) {
+            return Poll::Ready(Some(Err(BodyError::TimedOut)));
+        }
         let data = if self.head.is_empty() {
             let Some(rest) = self.rest.as_mut() else {
                 self.guard = None;
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -35,6 +35,9 @@
 const MAX_IDLE_TIME: Duration = Duration::from_millis(800);
 /// Idle time after which a connection is not reused for a request that is not idempotent.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(250);
+/// Time after the deadline of a request at which its streamed response is ended, so that a gateway
+/// that no longer reads it does not keep a slot.
+const BODY_GRACE: Duration = Duration::from_secs(1);
 /// Separates the id of a request from the suffix that a backend server appends for nested calls.
 const ID_SEPARATOR: char = '.';
 /// Lease of a backend server, in report intervals: it is removed after missing that many reports.
@@ -420,7 +423,7 @@
         let id = request.request.headers().get(headers::ATTEMPT_ID).cloned();
         let name = request.hop.server.clone();
         let fingerprint = request.fingerprint;
-        let sent_at = Instant::now();
+        let (deadline, sent_at) = (request.deadline, Instant::now());
         let (connection, response) = match self.send(server, request).await {
             Ok(sent) => sent,
             Err(error) => {
@@ -462,6 +465,8 @@
                     self.pool.release(connection);
                 } else {
                     body.attach_guard((slot, connection));
+                    // The gateway logs that it ended the response, unless it is cut off.
+                    body.set_deadline(deadline + BODY_GRACE, || {});
                 }
                 let end = if is_declined {
                     HopEnd::Declined
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -90,6 +90,8 @@
     /// Latency target of the route, counted from the caller's first try.
     target: Duration,
     deadline: Instant,
+    /// When a response must be complete: at the caller's deadline or the timeout of the route.
+    response_end: Instant,
     parts: Parts,
 }
 
@@ -263,6 +265,7 @@
             started,
             target: Duration::from_millis(route.latency_ms),
             deadline: started + response_timeout(time_left, route),
+            response_end: started + time_left.min(Duration::from_millis(route.timeout_ms)),
             parts: self.forwarded_parts(parts),
         };
         let body = read_body(body, limits.body_bytes, call.deadline).await?;
@@ -402,6 +405,12 @@
         }
         strip_hop_by_hop(response.headers_mut());
         response.headers_mut().remove(HOP_HEADER);
+        let (log, id) = (self.shared.log.clone(), call.id.clone());
+        response
+            .body_mut()
+            .set_deadline(call.response_end, move || {
+                emit!(log, events::BODY_TIMED_OUT, "request" => id);
+            });
         Ok(response)
     }
 
--- a/crates/foxtailgauge-daemon/src/forward_request.rs
+++ b/crates/foxtailgauge-daemon/src/forward_request.rs
@@ -65,7 +65,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLarge)) => return Err(Refusal::BodyTooLarge),
         Ok(Err(BodyError::Broken(_))) => return Err(Refusal::MalformedBody),
-        Err(_) => return Err(Refusal::SlowBody),
+        Ok(Err(BodyError::TimedOut)) | Err(_) => return Err(Refusal::SlowBody),
     };
     if body
         .bytes()
--- a/crates/foxtailgauge-daemon/tests/endless_answers.rs
+++ b/crates/foxtailgauge-daemon/tests/endless_answers.rs
@@ -84,6 +84,11 @@
     check(&[Endless::Line, Endless::Headers, Endless::Interim]);
 }
 
+#[test]
+fn bodies_without_end_are_ended_at_the_deadline() {
+    check(&[Endless::Chunks, Endless::Body]);
+}
+
 fn check(kinds: &[Endless]) {
     let (mesh, server) = start();
     let idle_kb = [1, 2].map(|n| mesh.memory_kb(n));
