--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -3,14 +3,17 @@
 
 use crate::emit;
 use crate::events;
-use crate::forward_body::{BodyError, ForwardBody};
+use crate::forward_body::ForwardBody;
+use crate::forward_headers::{
+    attempt_id, header, header_text, millis_until, set_time_left, strip_hop_by_hop,
+};
 use crate::forward_server::{ForwardServer, SlotGuard};
 use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
 use crate::hop_connection;
 use crate::http_pool::{connect, ExchangeError, HttpPool, PooledConnection, SendError};
 use crate::mesh_settings::MeshSettings;
-use crate::metrics::{Metrics, ServiceLabels};
 use crate::reply_gate::ReplyGate;
+use crate::run_times::RunTimes;
 use crate::server_health;
 use crate::server_notice;
 use crate::shared::{lock, Shared};
@@ -21,7 +24,7 @@
 use foxtailgauge_platform::{headers, ServerReport};
 use futures::io::{AsyncRead, AsyncWrite};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Version};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -78,38 +81,6 @@
     OtherService,
 }
 
-/// Records the queueing time and the run time of a request.
-struct RunTimes<'a> {
-    metrics: &'a Metrics,
-    labels: ServiceLabels,
-    started: Instant,
-}
-
-impl<'a> RunTimes<'a> {
-    /// Records the queueing time, which began at `waiting_since`, and starts the run timer.
-    fn new(shared: &'a Shared, server: &ForwardServer, waiting_since: Instant) -> Self {
-        let metrics = &shared.metrics;
-        let labels = ServiceLabels {
-            service: server.entry().service,
-        };
-        let started = Instant::now();
-        let waited = started.saturating_duration_since(waiting_since);
-        let queue_seconds = metrics.queue_seconds.get_or_create(&labels);
-        queue_seconds.observe(waited.as_secs_f64());
-        drop(queue_seconds);
-        RunTimes {
-            metrics,
-            labels,
-            started,
-        }
-    }
-
-    fn finish(self) {
-        let run_seconds = self.metrics.run_seconds.get_or_create(&self.labels);
-        run_seconds.observe(self.started.elapsed().as_secs_f64());
-    }
-}
-
 /// The colocated backend servers that accept forwarded requests.
 pub(crate) struct ForwardExecutor {
     shared: Arc<Shared>,
@@ -478,7 +449,7 @@
             Err(error) => {
                 emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
                     "request" => header_text(id.as_ref()), "server" => name,
-                    "error" => body_error_text(&error));
+                    "error" => error.to_string());
                 (HopEnd::Broken, None)
             }
         }
@@ -635,7 +606,7 @@
         *empty.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         empty
     });
-    crate::forward_headers::strip_hop_by_hop(response.headers_mut());
+    strip_hop_by_hop(response.headers_mut());
     if let Ok(value) = HeaderValue::from_str(&reply.reply.encode()) {
         response.headers_mut().insert(HOP_HEADER, value);
     }
@@ -651,35 +622,3 @@
     let digest = request_digest(parts.method.as_str(), target, body.bytes()?);
     Some(fingerprint(&digest))
 }
-
-/// Sets the header with the time left until the deadline, in milliseconds.
-pub(crate) fn set_time_left(headers: &mut HeaderMap, deadline: Instant) {
-    headers.insert(
-        headers::REMAINING_TIME_MS,
-        HeaderValue::from(millis_until(deadline)),
-    );
-}
-
-fn millis_until(deadline: Instant) -> u64 {
-    let time_left = deadline.saturating_duration_since(Instant::now());
-    u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// A header's value as text; `None` if it is absent or not visible ASCII.
-pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-/// The request's id; empty if it is absent or not visible ASCII.
-pub(crate) fn attempt_id(headers: &HeaderMap) -> String {
-    header_text(headers.get(headers::ATTEMPT_ID))
-}
-
-fn header_text(value: Option<&HeaderValue>) -> String {
-    let text = value.and_then(|value| value.to_str().ok());
-    text.unwrap_or_default().to_owned()
-}
-
-fn body_error_text(error: &BodyError) -> String {
-    error.to_string()
-}
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -6,11 +6,8 @@
 use crate::events;
 use crate::forward_attempt::{attempt_end, reply_without_response, AttemptGuard};
 use crate::forward_body::ForwardBody;
-use crate::forward_executor::{
-    attempt_id, fingerprint_of, header, set_time_left, ForwardExecutor, ForwardReply,
-    ForwardRequest,
-};
-use crate::forward_headers::strip_hop_by_hop;
+use crate::forward_executor::{fingerprint_of, ForwardExecutor, ForwardReply, ForwardRequest};
+use crate::forward_headers::{attempt_id, header, set_time_left, strip_hop_by_hop};
 use crate::forward_refusal::{refusal_response, Refusal};
 use crate::forward_request::{
     check_head, implies_not_executed, next_body, read_body, response_timeout,
--- a/crates/foxtailgauge-daemon/src/forward_headers.rs
+++ b/crates/foxtailgauge-daemon/src/forward_headers.rs
@@ -1,6 +1,8 @@
 //! Headers of forwarded messages.
 
-use hyper::header::{self, HeaderMap, HeaderName};
+use foxtailgauge_platform::headers::{ATTEMPT_ID, REMAINING_TIME_MS};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use std::time::Instant;
 
 /// Hop-by-hop headers. `Content-Length` is among them because it is set anew with the body.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -33,3 +35,30 @@
     headers.remove(KEEP_ALIVE);
     headers.remove(PROXY_CONNECTION);
 }
+
+/// Sets the header with the time left until the deadline, in milliseconds.
+pub(crate) fn set_time_left(headers: &mut HeaderMap, deadline: Instant) {
+    headers.insert(REMAINING_TIME_MS, HeaderValue::from(millis_until(deadline)));
+}
+
+/// Milliseconds until the deadline; 0 after it.
+pub(crate) fn millis_until(deadline: Instant) -> u64 {
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// A header's value as text; `None` if it is absent or not visible ASCII.
+pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The request's id; empty if it is absent or not visible ASCII.
+pub(crate) fn attempt_id(headers: &HeaderMap) -> String {
+    header_text(headers.get(ATTEMPT_ID))
+}
+
+/// A header's value as text; empty if it is absent or not visible ASCII.
+pub(crate) fn header_text(value: Option<&HeaderValue>) -> String {
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -41,6 +41,7 @@
 mod replica_client;
 mod reply_gate;
 mod route_view;
+mod run_times;
 mod server_health;
 mod server_notice;
 mod settings;
--- a/crates/foxtailgauge-daemon/src/server_health.rs
+++ b/crates/foxtailgauge-daemon/src/server_health.rs
@@ -1,7 +1,7 @@
 //! Health check of the colocated backend server.
 
 use crate::forward_body::ForwardBody;
-use crate::forward_executor::header;
+use crate::forward_headers::header;
 use crate::http_pool::{connect, HttpPool};
 use foxtailgauge_platform::{headers, is_leaving_value};
 use hyper::header::HOST;
--- a/crates/foxtailgauge-daemon/src/server_notice.rs
+++ b/crates/foxtailgauge-daemon/src/server_notice.rs
@@ -2,7 +2,7 @@
 
 use crate::emit;
 use crate::events;
-use crate::forward_executor::header;
+use crate::forward_headers::header;
 use crate::forward_server::ForwardServer;
 use foxtailgauge_core::{RequestRate, ServerNotice};
 use foxtailgauge_platform::{headers, is_leaving_value, parse_rate_limit};
