A response that states no length does not pass for an empty one

Callers of the product's own interface got a success with an empty body if the backend server's response ended with its connection: async-h1 reads no such body. It is unknown now: the rest may be missing.

body_without_a_length_is_not_taken_for_an_empty_one failed before (an empty body and a success) and passes.

--- a/crates/foxtailgauge-wire/src/http.rs
+++ b/crates/foxtailgauge-wire/src/http.rs
@@ -9,6 +9,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+/// Statuses of responses without a body, whatever their headers.
+const BODILESS_STATUSES: [u16; 2] = [204, 304];
 /// Maximum size of a chunked body on the wire, as a multiple of its data: chunks of one byte.
 const MAX_CHUNK_OVERHEAD: usize = 6;
 
@@ -65,8 +67,8 @@
     BadRequest,
     /// The connection could not be opened. Nothing was sent.
     Connect(std::io::Error),
-    /// The connection failed, or the response was not valid HTTP. The request may have been
-    /// received.
+    /// The connection failed, or the response was not valid HTTP or states no length of its body.
+    /// The request may have been received.
     Broken,
     /// The response exceeds the size limit. The request was executed.
     TooLarge,
@@ -116,6 +118,7 @@
         request: HttpRequest<'_>,
         max_response_bytes: usize,
     ) -> Result<HttpResponse, HttpError> {
+        let is_head = request.method == "HEAD";
         let message = build_request(self.addr, request)?;
         // The connection is reusable only after a complete exchange.
         self.is_reusable = false;
@@ -126,7 +129,6 @@
             .map_err(|_| HttpError::Broken)?;
         let chunked_bytes = max_response_bytes.saturating_mul(MAX_CHUNK_OVERHEAD);
         read_limit.set(chunked_bytes.saturating_add(MAX_RESPONSE_HEAD_BYTES));
-        // A body without either header ends with the connection, which is then not reusable.
         let is_delimited = response.header("content-length").is_some()
             || response.header("transfer-encoding").is_some();
         let is_keep_alive = response
@@ -134,6 +136,11 @@
             .is_none_or(|values| !values.as_str().eq_ignore_ascii_case("close"));
         let headers = end_to_end_headers(response.iter());
         let status = u16::from(response.status());
+        // async-h1 reads no body that ends with the connection, so it must not pass for an empty one.
+        let has_no_body = is_head || BODILESS_STATUSES.contains(&status);
+        if !is_delimited && !has_no_body {
+            return Err(HttpError::Broken);
+        }
         let mut body = Vec::new();
         let read_limit = max_response_bytes as u64 + 1;
         let read = response
--- a/crates/foxtailgauge-wire/tests/http.rs
+++ b/crates/foxtailgauge-wire/tests/http.rs
@@ -77,3 +77,35 @@
         assert!(taken < MAX_TAKEN_BYTES, "{name}: took {taken} bytes");
     }
 }
+
+/// Such a body ends with the connection, and one that is reset is not complete.
+#[test]
+fn body_without_a_length_is_not_taken_for_an_empty_one() {
+    let response = "HTTP/1.1 200 OK\r\n\r\npart";
+    let outcome = block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("no free port");
+        let addr = listener.local_addr().expect("invalid address");
+        spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("no connection");
+            let _ = stream.read(&mut [0; 1_024]).await.expect("no request");
+            stream
+                .write_all(response.as_bytes())
+                .await
+                .expect("no peer");
+        });
+        let request = HttpRequest {
+            method: "GET",
+            target: "/",
+            headers: &[],
+            body: b"",
+        };
+        fetch(addr, request, MAX_BODY_BYTES).await
+    });
+    let body = outcome.map(|response| response.body);
+    assert!(
+        matches!(&body, Err(HttpError::Broken)) || matches!(&body, Ok(bytes) if bytes == b"part"),
+        "{body:?}"
+    );
+}
