A success without its backend server's proof is not delivered as one

Such a response counts as broken: unknown on a route that may run once, tried elsewhere on one that may repeat.

outcomes_of_a_non_idempotent_request_are_reported, with the case Unproved, failed before (200) and passes.

--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -413,6 +413,13 @@
                 "request" => header_text(id.as_ref()), "server" => name);
             return (HopEnd::Broken, None);
         }
+        let has_proof = response.headers().contains_key(headers::SERVER_PROOF);
+        if response.status().is_success() && !has_proof {
+            emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
+                "request" => header_text(id.as_ref()), "server" => name,
+                "error" => "success without the proof of the backend server");
+            return (HopEnd::Broken, None);
+        }
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             // Another process has taken the address: send nothing there until the next report.
             self.mark_unreachable(server);
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -48,6 +48,8 @@
     Hang,
     /// Responds like `Echo`, and once more on the same connection after 30 ms.
     Twice,
+    /// Responds like `Echo`, without the proof that a backend server made the response.
+    Unproved,
     /// Sends bytes until the peer closes the connection.
     Endless(Endless),
 }
@@ -208,6 +210,8 @@
             Script::Echo | Script::Slow(_) | Script::Twice => {
                 format_response("200 OK", &id, &extra, &request)
             }
+            Script::Unproved => format_response("200 OK", &id, &extra, &request)
+                .replace("Server-Seal: seal\r\n", ""),
             Script::Hang => {
                 std::thread::sleep(WAIT_TIMEOUT);
                 return;
