--- a/crates/foxtailgauge-bench/tests/plan.rs
+++ b/crates/foxtailgauge-bench/tests/plan.rs
@@ -1,8 +1,9 @@
 //! Ports of planned fleets.
 
 use foxtailgauge_bench::plan::{self, Deployment, PlanArguments};
+use foxtailgauge_bench::ports::{free_ports, BLOCK_PORTS};
 use foxtailgauge_bench::relay::RelayPlan;
-use std::net::TcpListener;
+use std::net::{IpAddr, Ipv4Addr, TcpListener};
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -50,3 +51,50 @@
     });
     failures.collect()
 }
+
+/// Number of processes that allocate ports at the same time.
+const ALLOCATORS: usize = 40;
+/// Set in such a process.
+const ALLOCATOR: &str = "FOXTAILGAUGE_TEST_ALLOCATOR";
+
+/// Guards against test processes that take each other's ports. Started again by itself, the test
+/// allocates blocks and prints them.
+#[test]
+fn processes_allocate_different_ports() {
+    let allocate = || free_ports(&[IpAddr::from(Ipv4Addr::LOCALHOST)], BLOCK_PORTS / 2);
+    if std::env::var_os(ALLOCATOR).is_some() {
+        for _ in 0..6 {
+            println!("first={}", allocate().expect("no free ports"));
+        }
+        // The ports remain allocated until all processes have theirs.
+        std::thread::sleep(std::time::Duration::from_secs(1));
+        return;
+    }
+    let program = std::env::current_exe().expect("no path of the test");
+    let start = |_| {
+        Command::new(&program)
+            .args([
+                "--exact",
+                "processes_allocate_different_ports",
+                "--nocapture",
+            ])
+            .env(ALLOCATOR, "1")
+            .stdout(std::process::Stdio::piped())
+            .spawn()
+            .expect("cannot start the test again")
+    };
+    let children: Vec<_> = (0..ALLOCATORS).map(start).collect();
+    let mut firsts: Vec<u16> = Vec::new();
+    for child in children {
+        let output = child.wait_with_output().expect("no output");
+        let text = String::from_utf8_lossy(&output.stdout);
+        let lines = text.lines().filter_map(|line| line.split_once("first="));
+        firsts.extend(lines.filter_map(|(_, port)| port.trim().parse::<u16>().ok()));
+    }
+    assert_eq!(firsts.len(), 6 * ALLOCATORS);
+    firsts.sort_unstable();
+    let overlaps = firsts
+        .windows(2)
+        .filter(|pair| pair[1] - pair[0] < BLOCK_PORTS / 2);
+    assert_eq!(overlaps.count(), 0, "{firsts:?}");
+}
