One word for what a backend server says about itself: statement

The code said notice, the docs and log lines statement. Renamed, with the files and the test file server_statements; no other change. The tests of the renamed parts pass.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -48,7 +48,7 @@
 mod replication;
 mod reply_link;
 mod retry;
-mod server_notice;
+mod server_statement;
 mod snapshot;
 mod subscriber_table;
 mod sync;
@@ -95,7 +95,7 @@
 pub use registry::{AuditEntry, Change, ChangeAnswer, Document, Registry, RevisionRecord};
 pub use reply_link::{LinkRequest, LinkReservation, ReplyLink};
 pub use retry::RetryBudget;
-pub use server_notice::{DeliveredNotices, ProcessNotice, RequestRate, ServerNotice};
+pub use server_statement::{DeliveredStatements, ProcessStatement, RequestRate, ServerStatement};
 pub use snapshot::{Delta, Snapshot, SnapshotError, SnapshotHistory, Update};
 pub use subscriber_table::SubscriberTable;
 pub use sync::{
--- a/crates/foxtailgauge-core/src/rate_limit.rs
+++ b/crates/foxtailgauge-core/src/rate_limit.rs
@@ -3,7 +3,7 @@
 //! Designed for a backend server in need, which asks for a small part of its usual rate while the
 //! callers of all daemons continue to press.
 
-use crate::server_notice::RequestRate;
+use crate::server_statement::RequestRate;
 use std::time::{Duration, Instant};
 
 /// Requests that may start at once after a pause, as the time in which they accrue at the stated
--- a/crates/foxtailgauge-core/src/server_notice.rs
+++ b/crates/foxtailgauge-core/src/server_statement.rs
@@ -7,7 +7,7 @@
 
 /// Time for which a gateway keeps a statement after the last response with it: longer than a daemon
 /// takes to restart, and than a leaving backend server takes to end.
-const NOTICE_TTL: Duration = Duration::from_secs(120);
+const STATEMENT_TTL: Duration = Duration::from_secs(120);
 
 /// Requests per second, in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,7 +38,7 @@
 
 /// Statements of a backend server that hold for all daemons.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ServerNotice {
+pub struct ServerStatement {
     /// Rate of requests that it accepts from all daemons together; `None` if it states none.
     pub rate_limit: Option<RequestRate>,
     /// Whether it is leaving.
@@ -47,39 +47,44 @@
 
 /// Statements of one process of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ProcessNotice {
+pub struct ProcessStatement {
     /// Start of the process; a later process has stated nothing yet.
     pub started_ms: UnixMs,
     /// Its statements.
-    pub notice: ServerNotice,
+    pub statement: ServerStatement,
 }
 
 /// Statements in the responses that a gateway has delivered. It sends them along with its requests,
 /// as the daemon of a backend server forgets them when it restarts.
 #[derive(Debug, Default)]
-pub struct DeliveredNotices {
-    by_server: HashMap<ServerKey, (ProcessNotice, Instant)>,
+pub struct DeliveredStatements {
+    by_server: HashMap<ServerKey, (ProcessStatement, Instant)>,
 }
 
-impl DeliveredNotices {
+impl DeliveredStatements {
     /// Records the statements that came with a response; `None` if there were none.
-    pub fn record(&mut self, server: &ServerKey, notice: Option<ProcessNotice>, now: Instant) {
-        match notice {
+    pub fn record(
+        &mut self,
+        server: &ServerKey,
+        statement: Option<ProcessStatement>,
+        now: Instant,
+    ) {
+        match statement {
             None => drop(self.by_server.remove(server)),
-            Some(notice) => {
+            Some(statement) => {
                 self.by_server.retain(|_, (_, at)| is_current(*at, now));
-                self.by_server.insert(server.clone(), (notice, now));
+                self.by_server.insert(server.clone(), (statement, now));
             }
         }
     }
 
     /// Statements last recorded for a backend server.
-    pub fn get(&self, server: &ServerKey, now: Instant) -> Option<ProcessNotice> {
-        let (notice, at) = self.by_server.get(server)?;
-        is_current(*at, now).then_some(*notice)
+    pub fn get(&self, server: &ServerKey, now: Instant) -> Option<ProcessStatement> {
+        let (statement, at) = self.by_server.get(server)?;
+        is_current(*at, now).then_some(*statement)
     }
 }
 
 fn is_current(recorded_at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(recorded_at) < NOTICE_TTL
+    now.saturating_duration_since(recorded_at) < STATEMENT_TTL
 }
--- a/crates/foxtailgauge-core/src/work_queue.rs
+++ b/crates/foxtailgauge-core/src/work_queue.rs
@@ -8,7 +8,7 @@
 use crate::decaying_sum::DecayingSum;
 use crate::ids::RouteName;
 use crate::rate_limit::RateLimit;
-use crate::server_notice::RequestRate;
+use crate::server_statement::RequestRate;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
--- a/crates/foxtailgauge-core/tests/server_notices.rs
+++ b/crates/foxtailgauge-core/tests/server_statements.rs
@@ -1,6 +1,8 @@
 //! Statements of backend servers that a gateway keeps.
 
-use foxtailgauge_core::{DeliveredNotices, ProcessNotice, RequestRate, ServerKey, ServerNotice};
+use foxtailgauge_core::{
+    DeliveredStatements, ProcessStatement, RequestRate, ServerKey, ServerStatement,
+};
 use std::time::{Duration, Instant};
 
 fn key(server: &str) -> ServerKey {
@@ -10,10 +12,10 @@
     }
 }
 
-fn leaving(started_ms: u64) -> ProcessNotice {
-    ProcessNotice {
+fn leaving(started_ms: u64) -> ProcessStatement {
+    ProcessStatement {
         started_ms,
-        notice: ServerNotice {
+        statement: ServerStatement {
             rate_limit: None,
             is_leaving: true,
         },
@@ -24,17 +26,17 @@
 fn statements_are_kept_until_a_response_has_none_or_they_are_old() {
     let start = Instant::now();
     let after = |s: u64| start + Duration::from_secs(s);
-    let mut notices = DeliveredNotices::default();
-    assert_eq!(notices.get(&key("a"), start), None);
-    notices.record(&key("a"), Some(leaving(1)), start);
-    notices.record(&key("b"), Some(leaving(2)), after(60));
-    assert_eq!(notices.get(&key("a"), after(60)), Some(leaving(1)));
+    let mut statements = DeliveredStatements::default();
+    assert_eq!(statements.get(&key("a"), start), None);
+    statements.record(&key("a"), Some(leaving(1)), start);
+    statements.record(&key("b"), Some(leaving(2)), after(60));
+    assert_eq!(statements.get(&key("a"), after(60)), Some(leaving(1)));
     // The server started again and left again.
-    notices.record(&key("b"), Some(leaving(3)), after(61));
-    assert_eq!(notices.get(&key("b"), after(62)), Some(leaving(3)));
-    notices.record(&key("b"), None, after(63));
-    assert_eq!(notices.get(&key("b"), after(63)), None);
-    assert_eq!(notices.get(&key("a"), after(600)), None);
+    statements.record(&key("b"), Some(leaving(3)), after(61));
+    assert_eq!(statements.get(&key("b"), after(62)), Some(leaving(3)));
+    statements.record(&key("b"), None, after(63));
+    assert_eq!(statements.get(&key("b"), after(63)), None);
+    assert_eq!(statements.get(&key("a"), after(600)), None);
 }
 
 #[test]
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -71,7 +71,7 @@
     SERVER_UNREACHABLE = 4202, Warning, "backend server does not accept connections: no requests sent until its next report";
     REPORT_REFUSED = 4203, Warning, "report of a backend server refused";
     SERVER_RATE_LIMIT = 4204, Warning, "backend server changed its rate limit";
-    SERVER_NOTICE_IGNORED = 4205, Warning, "statement of a backend server ignored";
+    SERVER_STATEMENT_IGNORED = 4205, Warning, "statement of a backend server ignored";
     WORK_REFUSED = 4301, Info, "queue of a backend server refused a request";
     RESPONSE_MISMATCHED = 4302, Warning, "response of a backend server belongs to another request";
     RESPONSE_INCOMPLETE = 4303, Info, "incomplete response of a backend server";
--- a/crates/foxtailgauge-daemon/src/forward_attempt.rs
+++ b/crates/foxtailgauge-daemon/src/forward_attempt.rs
@@ -82,7 +82,7 @@
             end,
             load,
             elapsed: Duration::ZERO,
-            notice: None,
+            statement: None,
         },
         response: None,
     }
--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -15,7 +15,7 @@
 use crate::reply_gate::ReplyGate;
 use crate::run_times::RunTimes;
 use crate::server_health;
-use crate::server_notice;
+use crate::server_statement;
 use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
     fingerprint, request_digest, Fingerprint, RouteName, ServerEntry, Throttle, WorkItem, WorkLoad,
@@ -275,7 +275,9 @@
     /// Updates the metrics of slots and queues.
     pub(crate) fn update_load_metrics(&self) {
         let servers: Vec<Arc<ForwardServer>> = lock(&self.servers).values().cloned().collect();
-        let loads = servers.iter().map(|s| (s.name(), s.load(""), s.notice()));
+        let loads = servers
+            .iter()
+            .map(|s| (s.name(), s.load(""), s.statement()));
         self.shared.metrics.set_server_loads(loads);
     }
 
@@ -290,12 +292,12 @@
         let Some(server) = server else {
             return without_response(HopEnd::Closed, WorkLoad::default());
         };
-        let known = request.hop.notice;
-        if known.is_some_and(|known| server.adopt_notice(&known)) {
+        let known = request.hop.statement;
+        if known.is_some_and(|known| server.adopt_statement(&known)) {
             self.mark_leaving(server.name());
         }
         let mut reply = self.run_on(&server, request).await;
-        reply.reply.notice = server.process_notice();
+        reply.reply.statement = server.process_statement();
         reply
     }
 
@@ -342,7 +344,7 @@
                     end,
                     load: server.load(&route),
                     elapsed: Duration::ZERO,
-                    notice: None,
+                    statement: None,
                 },
                 response,
             },
@@ -425,7 +427,7 @@
             self.mark_unreachable(server);
         } else {
             let log = &self.shared.log;
-            if server_notice::apply(log, server, response.headers(), sent_at) {
+            if server_statement::apply(log, server, response.headers(), sent_at) {
                 self.mark_leaving(&name);
             }
         }
@@ -601,7 +603,7 @@
             end,
             load,
             elapsed: Duration::ZERO,
-            notice: None,
+            statement: None,
         },
         response: None,
     }
--- a/crates/foxtailgauge-daemon/src/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/forward_gateway.rs
@@ -24,7 +24,7 @@
 use crate::socket;
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
-    AttemptEnd, Attempts, CallerTimeouts, Candidate, DeliveredNotices, Fingerprint, HostRoute,
+    AttemptEnd, Attempts, CallerTimeouts, Candidate, DeliveredStatements, Fingerprint, HostRoute,
     NextAction, PlacementRequest, RetryBudget, RouteName, ServerKey, ServiceName, SuspectVerdict,
     UnixMs,
 };
@@ -61,7 +61,7 @@
     settings: MeshSettings,
     peers: HopConnections,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
-    notices: Mutex<DeliveredNotices>,
+    statements: Mutex<DeliveredStatements>,
     caller_timeouts: Mutex<CallerTimeouts>,
 }
 
@@ -106,7 +106,7 @@
             settings,
             peers: HopConnections::new(identity),
             budgets: Mutex::default(),
-            notices: Mutex::default(),
+            statements: Mutex::default(),
             caller_timeouts: Mutex::default(),
         }
     }
@@ -468,7 +468,7 @@
             is_nested: call.parent_route.is_some(),
             is_idempotent: call.route.idempotent,
             target: call.target.saturating_sub(elapsed + call.elapsed_before),
-            notice: lock(&self.notices).get(&candidate.key, now),
+            statement: lock(&self.statements).get(&candidate.key, now),
         };
         let guard = AttemptGuard::new(&self.shared, &candidate.key, call.route_name);
         let fingerprint = fingerprint_of(&parts, &body);
@@ -490,7 +490,7 @@
             (reply, Some(transit_time))
         };
         if matches!(reply.reply.end, HopEnd::Answered | HopEnd::Declined) {
-            lock(&self.notices).record(&candidate.key, reply.reply.notice, Instant::now());
+            lock(&self.statements).record(&candidate.key, reply.reply.statement, Instant::now());
         }
         guard.finish(&reply, transit_time, sent_bytes);
         if let Some(parent) = &call.parent_route {
--- a/crates/foxtailgauge-daemon/src/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/forward_server.rs
@@ -2,8 +2,8 @@
 
 use crate::shared::lock;
 use foxtailgauge_core::{
-    ArrivalDecision, ProcessNotice, QueueAction, QueueRefusal, RouteName, ServerEntry,
-    ServerNotice, ServerState, Ticket, WorkItem, WorkLoad, WorkQueue,
+    ArrivalDecision, ProcessStatement, QueueAction, QueueRefusal, RouteName, ServerEntry,
+    ServerState, ServerStatement, Ticket, WorkItem, WorkLoad, WorkQueue,
 };
 use foxtailgauge_platform::ServerReport;
 use futures::channel::oneshot;
@@ -32,7 +32,7 @@
     is_confirmed: bool,
     first_report_at: Instant,
     /// What its responses state.
-    notice: ServerNotice,
+    statement: ServerStatement,
     /// When a response last stated a rate limit.
     rate_limited_at: Option<Instant>,
     /// Whether a response has shown what its process states.
@@ -137,7 +137,7 @@
             is_reachable: true,
             is_confirmed: false,
             first_report_at: Instant::now(),
-            notice: ServerNotice::default(),
+            statement: ServerStatement::default(),
             rate_limited_at: None,
             has_responded: false,
             has_timer: false,
@@ -170,35 +170,35 @@
     }
 
     /// What its responses state.
-    pub(crate) fn notice(&self) -> ServerNotice {
-        lock(&self.inner).notice
+    pub(crate) fn statement(&self) -> ServerStatement {
+        lock(&self.inner).statement
     }
 
     /// What its process states, if anything.
-    pub(crate) fn process_notice(&self) -> Option<ProcessNotice> {
+    pub(crate) fn process_statement(&self) -> Option<ProcessStatement> {
         let inner = lock(&self.inner);
-        let has_statement = inner.notice != ServerNotice::default();
-        has_statement.then_some(ProcessNotice {
+        let has_statement = inner.statement != ServerStatement::default();
+        has_statement.then_some(ProcessStatement {
             started_ms: inner.sequence.0,
-            notice: inner.notice,
+            statement: inner.statement,
         })
     }
 
     /// Adopts what a gateway knows from earlier responses of the same process, which this daemon
     /// does not know after a restart; returns whether the process leaves. The rate limit is adopted
     /// until a response shows the current one.
-    pub(crate) fn adopt_notice(self: &Arc<Self>, known: &ProcessNotice) -> bool {
+    pub(crate) fn adopt_statement(self: &Arc<Self>, known: &ProcessStatement) -> bool {
         let now = Instant::now();
         let mut inner = lock(&self.inner);
         if inner.sequence.0 != known.started_ms {
             return false;
         }
-        let is_leaving = known.notice.is_leaving && !inner.notice.is_leaving;
-        inner.notice.is_leaving |= known.notice.is_leaving;
-        if !inner.has_responded && inner.notice.rate_limit != known.notice.rate_limit {
-            inner.notice.rate_limit = known.notice.rate_limit;
+        let is_leaving = known.statement.is_leaving && !inner.statement.is_leaving;
+        inner.statement.is_leaving |= known.statement.is_leaving;
+        if !inner.has_responded && inner.statement.rate_limit != known.statement.rate_limit {
+            inner.statement.rate_limit = known.statement.rate_limit;
             inner.rate_limited_at = Some(now);
-            inner.queue.set_rate_limit(known.notice.rate_limit, now);
+            inner.queue.set_rate_limit(known.statement.rate_limit, now);
             self.advance_queue(inner);
         }
         is_leaving
@@ -207,27 +207,27 @@
     /// Applies what the response to a request sent at `sent_at` states; returns the statements
     /// before and after. Responses may arrive out of order: only one to a request that was sent
     /// after the rate limit was last stated ends it, and none revokes that the process leaves.
-    pub(crate) fn apply_notice(
+    pub(crate) fn apply_statement(
         self: &Arc<Self>,
-        mut notice: ServerNotice,
+        mut statement: ServerStatement,
         sent_at: Instant,
-    ) -> (ServerNotice, ServerNotice) {
+    ) -> (ServerStatement, ServerStatement) {
         let now = Instant::now();
         let mut inner = lock(&self.inner);
         inner.has_responded = true;
         let is_stated_later = inner.rate_limited_at.is_some_and(|at| at > sent_at);
-        match notice.rate_limit {
+        match statement.rate_limit {
             Some(_) => inner.rate_limited_at = Some(now),
-            None if is_stated_later => notice.rate_limit = inner.notice.rate_limit,
+            None if is_stated_later => statement.rate_limit = inner.statement.rate_limit,
             None => {}
         }
-        notice.is_leaving |= inner.notice.is_leaving;
-        let previous = std::mem::replace(&mut inner.notice, notice);
-        if previous.rate_limit != notice.rate_limit {
-            inner.queue.set_rate_limit(notice.rate_limit, now);
+        statement.is_leaving |= inner.statement.is_leaving;
+        let previous = std::mem::replace(&mut inner.statement, statement);
+        if previous.rate_limit != statement.rate_limit {
+            inner.queue.set_rate_limit(statement.rate_limit, now);
             self.advance_queue(inner);
         }
-        (previous, notice)
+        (previous, statement)
     }
 
     /// Whether it accepts requests for a service.
@@ -285,7 +285,7 @@
         let is_restart = report.sequence.0 > inner.sequence.0;
         if is_restart {
             inner.has_left = false;
-            inner.notice = ServerNotice::default();
+            inner.statement = ServerStatement::default();
             inner.rate_limited_at = None;
             inner.has_responded = false;
             inner.queue.set_rate_limit(None, Instant::now());
--- a/crates/foxtailgauge-daemon/src/hop.rs
+++ b/crates/foxtailgauge-daemon/src/hop.rs
@@ -1,14 +1,14 @@
 //! Metadata that two daemons exchange along with a forwarded HTTP message.
 //!
 //! Requests and responses carry it in the same header. The value in a request is
-//! `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS;NOTICE`, in a response
-//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;ELAPSED_US;PRESSURE;LINK_US;RATE_US;NOTICE`,
+//! `SERVER;ROUTE;RANK;NESTED;REPEAT;TARGET_MS;STATEMENT`, in a response
+//! `END;RUNNING;WAITING;SLOTS;MEAN_RUN_US;ROUTE_RUN_US;RETRY_AFTER_MS;ELAPSED_US;PRESSURE;LINK_US;RATE_US;STATEMENT`,
 //! where `PRESSURE` is empty or `RANK:PERMILLE`, and fields from `LINK_US` on may be missing.
-//! `NOTICE` is `STARTED_MS:LEAVING:RATE_MILLI`, the last part empty without a stated rate.
+//! `STATEMENT` is `STARTED_MS:LEAVING:RATE_MILLI`, the last part empty without a stated rate.
 //! `NESTED`, `REPEAT` and `LEAVING` are 0 or 1; `REPEAT` is 1 for an idempotent route.
 
 use foxtailgauge_core::{
-    Pressure, ProcessNotice, QueueRefusal, RequestRate, RouteName, ServerNotice, WorkLoad,
+    Pressure, ProcessStatement, QueueRefusal, RequestRate, RouteName, ServerStatement, WorkLoad,
 };
 use std::time::Duration;
 
@@ -31,7 +31,7 @@
     /// Latency target: time left until the response is late.
     pub(crate) target: Duration,
     /// What the backend server stated in the last response that the gateway delivered.
-    pub(crate) notice: Option<ProcessNotice>,
+    pub(crate) statement: Option<ProcessStatement>,
 }
 
 /// How an attempt ended at the executor.
@@ -65,7 +65,7 @@
     /// Time from the arrival of the complete request to this reply.
     pub(crate) elapsed: Duration,
     /// What the backend server states, if anything.
-    pub(crate) notice: Option<ProcessNotice>,
+    pub(crate) statement: Option<ProcessStatement>,
 }
 
 impl From<QueueRefusal> for HopEnd {
@@ -77,19 +77,23 @@
     }
 }
 
-/// Encodes the last field of a header; it is absent without a notice.
-fn encode_notice(notice: Option<ProcessNotice>) -> String {
-    let Some(ProcessNotice { started_ms, notice }) = notice else {
+/// Encodes the last field of a header; it is absent without a statement.
+fn encode_statement(statement: Option<ProcessStatement>) -> String {
+    let Some(ProcessStatement {
+        started_ms,
+        statement,
+    }) = statement
+    else {
         return String::new();
     };
-    let leaving_flag = u8::from(notice.is_leaving);
-    let rate_milli = notice.rate_limit.map(|rate| rate.milli().to_string());
+    let leaving_flag = u8::from(statement.is_leaving);
+    let rate_milli = statement.rate_limit.map(|rate| rate.milli().to_string());
     let rate_milli = rate_milli.unwrap_or_default();
     format!(";{started_ms}:{leaving_flag}:{rate_milli}")
 }
 
 /// Parses the last field of a header; `None` if it is absent or malformed.
-fn parse_notice(field: Option<&str>) -> Option<ProcessNotice> {
+fn parse_statement(field: Option<&str>) -> Option<ProcessStatement> {
     let mut parts = field?.split(':');
     let started_ms = parts.next()?.parse().ok()?;
     let is_leaving = parts.next()? == "1";
@@ -97,9 +101,9 @@
         "" => None,
         rate_milli => Some(RequestRate::from_milli(rate_milli.parse().ok()?)),
     };
-    Some(ProcessNotice {
+    Some(ProcessStatement {
         started_ms,
-        notice: ServerNotice {
+        statement: ServerStatement {
             rate_limit,
             is_leaving,
         },
@@ -116,13 +120,13 @@
             is_nested,
             is_idempotent,
             target,
-            notice,
+            statement,
         } = self;
         let nested_flag = u8::from(*is_nested);
         let repeat_flag = u8::from(*is_idempotent);
         let target_ms = target.as_millis();
-        let notice_field = encode_notice(*notice);
-        format!("{server};{route};{rank};{nested_flag};{repeat_flag};{target_ms}{notice_field}")
+        let statement_field = encode_statement(*statement);
+        format!("{server};{route};{rank};{nested_flag};{repeat_flag};{target_ms}{statement_field}")
     }
 
     /// Parses the header's value; `None` if it is malformed.
@@ -135,7 +139,7 @@
             is_nested: fields.next()? == "1",
             is_idempotent: fields.next()? == "1",
             target: Duration::from_millis(fields.next()?.parse().ok()?),
-            notice: parse_notice(fields.next()),
+            statement: parse_statement(fields.next()),
         })
     }
 }
@@ -167,13 +171,13 @@
             .unwrap_or_default();
         let elapsed_us = self.elapsed.as_micros();
         let link_us = link_wait.as_micros();
-        let notice_field = encode_notice(self.notice);
+        let statement_field = encode_statement(self.statement);
         let rate_field = match rate_wait.as_micros() {
-            0 if notice_field.is_empty() => String::new(),
+            0 if statement_field.is_empty() => String::new(),
             rate_us => format!(";{rate_us}"),
         };
         format!(
-            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{elapsed_us};{pressure_field};{link_us}{rate_field}{notice_field}"
+            "{end};{running};{waiting};{slots};{mean_us};{route_us};{retry_after_ms};{elapsed_us};{pressure_field};{link_us}{rate_field}{statement_field}"
         )
     }
 
@@ -218,7 +222,7 @@
             end,
             load,
             elapsed,
-            notice: parse_notice(fields.next()),
+            statement: parse_statement(fields.next()),
         })
     }
 }
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -43,7 +43,7 @@
 mod route_view;
 mod run_times;
 mod server_health;
-mod server_notice;
+mod server_statement;
 mod settings;
 mod settings_files;
 mod shared;
--- a/crates/foxtailgauge-daemon/src/metrics.rs
+++ b/crates/foxtailgauge-daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of one daemon.
 
 use crate::meter::ByteCounters;
-use foxtailgauge_core::{ServerNotice, WorkLoad};
+use foxtailgauge_core::{ServerStatement, WorkLoad};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -291,17 +291,17 @@
     /// listed.
     pub(crate) fn set_server_loads<'a>(
         &self,
-        loads: impl Iterator<Item = (&'a str, WorkLoad, ServerNotice)>,
+        loads: impl Iterator<Item = (&'a str, WorkLoad, ServerStatement)>,
     ) {
         for gauge in [&self.slots, &self.slots_used, &self.queued] {
             gauge.clear();
         }
         self.rate_limit.clear();
-        for (server, load, notice) in loads {
+        for (server, load, statement) in loads {
             let labels = ServerLabels {
                 server: server.to_owned(),
             };
-            if let Some(rate) = notice.rate_limit {
+            if let Some(rate) = statement.rate_limit {
                 self.rate_limit.get_or_create(&labels).set(rate.per_s());
             }
             let gauges = [
--- a/crates/foxtailgauge-daemon/src/server_notice.rs
+++ b/crates/foxtailgauge-daemon/src/server_statement.rs
@@ -4,7 +4,7 @@
 use crate::events;
 use crate::forward_headers::header;
 use crate::forward_server::ForwardServer;
-use foxtailgauge_core::{RequestRate, ServerNotice};
+use foxtailgauge_core::{RequestRate, ServerStatement};
 use foxtailgauge_platform::{headers, is_leaving_value, parse_rate_limit};
 use hyper::header::HeaderMap;
 use slog::Logger;
@@ -22,15 +22,15 @@
 ) -> bool {
     let rate_limit = header(response, headers::RATE_LIMIT).map(parse_rate_limit);
     let rate_limit = rate_limit.transpose().unwrap_or_else(|error| {
-        emit!(log, events::SERVER_NOTICE_IGNORED, "server" => server.name(),
+        emit!(log, events::SERVER_STATEMENT_IGNORED, "server" => server.name(),
             "error" => error.to_string());
-        server.notice().rate_limit
+        server.statement().rate_limit
     });
-    let notice = ServerNotice {
+    let statement = ServerStatement {
         rate_limit,
         is_leaving: header(response, headers::LEAVING).is_some_and(is_leaving_value),
     };
-    let (previous, current) = server.apply_notice(notice, sent_at);
+    let (previous, current) = server.apply_statement(statement, sent_at);
     if previous.rate_limit != current.rate_limit {
         emit!(log, events::SERVER_RATE_LIMIT, "server" => server.name(),
             "limit_per_s" => current.rate_limit.map(RequestRate::per_s),
