Test: an acknowledged change survives lost disks while all others end

Three replicas with one disk lost, each in turn, and five with two: the change is there at all of them.

--- a/crates/foxtailgauge-daemon/tests/mesh_faults.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_faults.rs
@@ -312,3 +312,39 @@
     });
     assert_eq!(mesh.put_document(version, &document(version + 1)), 200);
 }
+
+/// Version of the newest document that a replica returns; `None` without a definite response.
+fn newest_version(mesh: &Mesh, n: usize) -> Option<u64> {
+    let read = "GET /foxtailgauge/config HTTP/1.1\r\nHost: x\r\n\r\n";
+    let response = exchange(&mesh.platform_addr(n), read)?;
+    let document: serde_json::Value = serde_json::from_str(body(&response)).ok()?;
+    u64::from_str_radix(document["version"].as_str()?, 16).ok()
+}
+
+/// All replicas end right after a change was acknowledged; as many as may be lost at once come back
+/// without their disks.
+#[test]
+fn acknowledged_change_survives_lost_disks_while_all_others_end() {
+    for (replicas, lost) in [(3, vec![0]), (3, vec![1]), (3, vec![2]), (5, vec![0, 3])] {
+        let mut mesh = Mesh::start_with(mesh_support::Topology {
+            replicas,
+            sidecars: 0,
+            domains: replicas,
+            has_links: false,
+        });
+        assert_eq!(mesh.put_document(0, &document(1)), 200);
+        for n in 0..replicas {
+            wait_for("the first document", || newest_version(&mesh, n));
+        }
+        assert_eq!(mesh.put_document(1, &document(2)), 200);
+        (0..replicas).for_each(|n| mesh.kill(n));
+        for n in &lost {
+            std::fs::remove_dir_all(mesh.store_dir(*n)).expect("cannot remove the store");
+        }
+        (0..replicas).for_each(|n| mesh.start_daemon(n, false));
+        for n in 0..replicas {
+            let version = wait_for("the document", || newest_version(&mesh, n));
+            assert_eq!(version, 2, "{replicas} replicas, {lost:?} without disks");
+        }
+    }
+}
