--- a/crates/foxtailgauge-daemon/src/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/forward_executor.rs
@@ -4,12 +4,9 @@
 use crate::emit;
 use crate::events;
 use crate::forward_body::ForwardBody;
-use crate::forward_headers::{
-    attempt_id, header, header_text, millis_until, set_time_left, strip_hop_by_hop,
-};
+use crate::forward_headers::{attempt_id, header_text, millis_until, set_time_left};
 use crate::forward_server::{ForwardServer, SlotGuard};
-use crate::hop::{HopEnd, HopReply, HopRequest, HOP_HEADER};
-use crate::hop_connection;
+use crate::hop::{HopEnd, HopReply, HopRequest};
 use crate::http_pool::{connect, ExchangeError, HttpPool, PooledConnection, SendError};
 use crate::mesh_settings::MeshSettings;
 use crate::reply_gate::ReplyGate;
@@ -22,11 +19,10 @@
     THROTTLE_RETRY_AFTER,
 };
 use foxtailgauge_platform::{headers, ServerReport};
-use futures::io::{AsyncRead, AsyncWrite};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode, Version};
+use hyper::{Request, Response, StatusCode};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -353,7 +349,7 @@
     }
 
     /// Runs a request of another daemon, if its reply is not expected to wait for the link.
-    async fn run_for_peer(&self, request: ForwardRequest) -> ForwardReply {
+    pub(crate) async fn run_for_peer(&self, request: ForwardRequest) -> ForwardReply {
         let hop = request.hop.clone();
         let server = lock(&self.servers).get(&hop.server).cloned();
         let (Some(gate), Some(server)) = (&self.reply_gate, server) else {
@@ -556,48 +552,9 @@
     async fn open(&self, addr: &str) -> Result<PooledConnection, ExchangeError> {
         self.pool.open(addr, connect(addr), CONNECT_TIMEOUT).await
     }
-
-    /// Serves a connection from another daemon.
-    pub(crate) async fn serve<S>(self: Arc<Self>, stream: S)
-    where
-        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
-    {
-        hop_connection::serve(stream, move |request| {
-            let executor = Arc::clone(&self);
-            async move { executor.serve_hop(request).await }
-        })
-        .await;
-    }
-
-    async fn serve_hop(&self, request: Request<Incoming>) -> Response<ForwardBody> {
-        let now = Instant::now();
-        let hop = header(request.headers(), HOP_HEADER).and_then(HopRequest::parse);
-        let time_left_ms = header(request.headers(), headers::REMAINING_TIME_MS);
-        let time_left_ms = time_left_ms.and_then(|text| text.parse::<u64>().ok());
-        let (Some(hop), Some(time_left_ms)) = (hop, time_left_ms) else {
-            return encode(without_response(HopEnd::Closed, WorkLoad::default()));
-        };
-        let (mut parts, body) = request.into_parts();
-        parts.headers.remove(HOP_HEADER);
-        parts.version = Version::HTTP_11;
-        // The gateway aborted the body, so the request has not run.
-        let Ok(body) = ForwardBody::read(body).await else {
-            return encode(without_response(HopEnd::Closed, WorkLoad::default()));
-        };
-        let arrived = Instant::now();
-        let request = ForwardRequest {
-            hop,
-            fingerprint: fingerprint_of(&parts, &body),
-            request: Request::from_parts(parts, body),
-            deadline: now + Duration::from_millis(time_left_ms),
-        };
-        let mut reply = self.run_for_peer(request).await;
-        reply.reply.elapsed = arrived.elapsed();
-        encode(reply)
-    }
 }
 
-fn without_response(end: HopEnd, load: WorkLoad) -> ForwardReply {
+pub(crate) fn without_response(end: HopEnd, load: WorkLoad) -> ForwardReply {
     ForwardReply {
         reply: HopReply {
             end,
@@ -609,19 +566,6 @@
     }
 }
 
-fn encode(reply: ForwardReply) -> Response<ForwardBody> {
-    let mut response = reply.response.unwrap_or_else(|| {
-        let mut empty = Response::new(ForwardBody::default());
-        *empty.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        empty
-    });
-    strip_hop_by_hop(response.headers_mut());
-    if let Ok(value) = HeaderValue::from_str(&reply.reply.encode()) {
-        response.headers_mut().insert(HOP_HEADER, value);
-    }
-    response
-}
-
 /// Fingerprint over method, target and body; `None` if the body is not buffered.
 pub(crate) fn fingerprint_of(parts: &Parts, body: &ForwardBody) -> Option<Fingerprint> {
     let target = parts
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod forward_executor;
 mod forward_gateway;
 mod forward_headers;
+mod forward_hop;
 mod forward_refusal;
 mod forward_request;
 mod forward_server;
