Observability: refusals by backend servers, and on whose word a gateway refuses

The logs could not tell the hypotheses apart: a refusal by a backend server had no line and no count, and event 4402 did not say what became of the attempts.

Event 4304 and the counter server_refusals tell each refusal, whether its id is that of the request in flight and whether the connection had carried another request before; event 4402 lists the attempts with their ends. With a refusal that belongs to another request the counter has the label mismatched (hypothesis 1); matching on a reused connection with the same id twice is hypothesis 2; a 4402 with Declined without a 4304 is hypothesis 3.

--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -79,6 +79,7 @@
     WORK_REFUSED = 4301, Info, "queue of a backend server refused a request";
     RESPONSE_MISMATCHED = 4302, Warning, "response of a backend server belongs to another request";
     RESPONSE_INCOMPLETE = 4303, Info, "incomplete response of a backend server";
+    SERVER_DECLINED = 4304, Info, "backend server refused a request";
     FORWARD_RETRIED = 4401, Info, "request retried on another backend server";
     FORWARD_REFUSED = 4402, Info, "gateway responded in place of a backend server";
     PEER_UNREACHABLE = 4403, Info, "cannot connect to another daemon to forward requests";
--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -446,7 +446,17 @@
         };
         let is_declined = response.headers().contains_key(headers::NOT_EXECUTED)
             || response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if response.headers().get(headers::ATTEMPT_ID) != id.as_ref() && !is_declined {
+        let has_own_id = response.headers().get(headers::ATTEMPT_ID) == id.as_ref();
+        if is_declined {
+            let metrics = &self.shared.metrics;
+            metrics.record_server_refusal(&name, has_own_id);
+            emit!(self.shared.log, events::SERVER_DECLINED,
+                "request" => header_text(id.as_ref()), "server" => &name,
+                "status" => response.status().as_u16(),
+                "response" => attempt_id(response.headers()),
+                "is_reused" => connection.is_reused());
+        }
+        if !has_own_id && !is_declined {
             // Response to another request; whether this one ran is unknown.
             emit!(self.shared.log, events::RESPONSE_MISMATCHED,
                 "request" => header_text(id.as_ref()), "server" => name);
--- a/crates/foxtailgauge-daemon/src/executor/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/executor/http_pool.rs
@@ -52,6 +52,8 @@
     /// Limits the bytes before the body of each response.
     read_limit: ReadLimit,
     addr: String,
+    /// Whether it has carried another request before.
+    is_reused: bool,
 }
 
 /// Idle connections by address; the most recently used one is last and is taken first.
@@ -76,6 +78,7 @@
                     sender: connection.sender,
                     read_limit: connection.read_limit,
                     addr: addr.to_owned(),
+                    is_reused: true,
                 });
             }
         }
@@ -110,6 +113,7 @@
             sender,
             read_limit,
             addr: addr.to_owned(),
+            is_reused: false,
         })
     }
 
@@ -137,6 +141,11 @@
 }
 
 impl PooledConnection {
+    /// Whether it has carried another request before.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sends a request and waits for the head of the response. Dropping the future closes the
     /// connection, which cancels the request at the peer.
     pub(crate) async fn send(
--- a/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
@@ -68,6 +68,8 @@
     workspace: Option<WorkspaceName>,
     /// Workspace in whose allotment the request is counted.
     admitted_for: Option<WorkspaceName>,
+    /// Backend servers tried so far, and how each attempt ended.
+    attempts: Vec<(String, HopEnd)>,
 }
 
 /// One request being forwarded.
@@ -169,7 +171,8 @@
                 emit!(self.shared.log, events::FORWARD_REFUSED, "request" => id,
                     "reason" => refusal.reason(), "status" => refusal.status().as_u16(),
                     "took_ms" => started.elapsed().as_millis() as u64,
-                    "version" => self.shared.current_version().0);
+                    "version" => self.shared.current_version().0,
+                    "attempts" => format!("{:?}", route_match.attempts));
                 (refusal_response(&refusal), refusal.reason())
             }
         };
@@ -256,7 +259,8 @@
             parts,
         };
         let body = read_body(body, limits.body_bytes, call.deadline).await?;
-        self.run_attempts(&call, body).await
+        self.run_attempts(&call, body, &mut route_match.attempts)
+            .await
     }
 
     /// Head of a request as forwarded to backend servers: without hop-by-hop and internal headers,
@@ -281,6 +285,7 @@
         &self,
         call: &Call<'_>,
         body: ForwardBody,
+        ends: &mut Vec<(String, HopEnd)>,
     ) -> Result<Response<ForwardBody>, Refusal> {
         let fingerprint = fingerprint_of(&call.parts, &body);
         if let Some(until_ms) = fingerprint.and_then(|f| self.quarantined_until(call, f)) {
@@ -329,6 +334,7 @@
             tried.push(candidate.key.clone());
             let is_repeat = attempts.was_received();
             let reply = self.attempt(call, candidate, attempt_body, is_repeat).await;
+            ends.push((candidate.key.server.clone(), reply.reply.end));
             let run_time = reply.reply.load.route_run;
             if let HopEnd::Refused { retry_after: delay } = reply.reply.end {
                 retry_after = Some(retry_after.unwrap_or(delay).min(delay));
--- a/crates/foxtailgauge-daemon/src/metrics.rs
+++ b/crates/foxtailgauge-daemon/src/metrics.rs
@@ -74,6 +74,14 @@
     pub(crate) server: String,
 }
 
+/// Labels of refusals by a colocated backend server.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ServerRefusalLabels {
+    pub(crate) server: String,
+    /// `matching` if the refusal carries the id of the request, `mismatched` otherwise.
+    pub(crate) id: &'static str,
+}
+
 /// Label of metrics per workspace.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct WorkspaceLabels {
@@ -126,6 +134,8 @@
     pub(crate) server_pace_percent: Family<ServerLabels, Gauge<f64, AtomicU64>>,
     /// Requests sent, whatever became of them; health checks are not among them.
     pub(crate) server_requests: Family<ServerLabels, Counter>,
+    /// Responses that state that a request was not run.
+    pub(crate) server_refusals: Family<ServerRefusalLabels, Counter>,
     pub(crate) workspace_requests: Family<WorkspaceRequestLabels, Counter>,
     pub(crate) workspace_refusals: WorkspaceRefusals,
     /// Of limited workspaces only.
@@ -170,6 +180,7 @@
             rate_limit: Family::default(),
             server_pace_percent: Family::default(),
             server_requests: Family::default(),
+            server_refusals: Family::default(),
             workspace_requests: Family::default(),
             workspace_refusals: WorkspaceRefusals::default(),
             workspace_share: Family::default(),
@@ -327,6 +338,11 @@
             "Requests sent to a backend server beside the daemon",
             self.server_requests.clone(),
         );
+        registry.register(
+            "server_refusals",
+            "Responses of a backend server beside the daemon that state that a request was not run",
+            self.server_refusals.clone(),
+        );
         registry.register(
             "workspace_requests",
             "Requests of workspaces with an allotment, admitted or refused for it",
@@ -442,6 +458,18 @@
         self.server_requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a response that states that a request was not run.
+    pub(crate) fn record_server_refusal(&self, server: &str, is_matching: bool) {
+        let labels = ServerRefusalLabels {
+            server: server.to_owned(),
+            id: match is_matching {
+                true => "matching",
+                false => "mismatched",
+            },
+        };
+        self.server_refusals.get_or_create(&labels).inc();
+    }
+
     /// Bytes sent over the instance's link, to other daemons and to callers.
     pub(crate) fn link_bytes_sent(&self) -> u64 {
         let counters = [
