--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -20,6 +20,9 @@
 /// Read timeout of one exchange, as a paused daemon never responds.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which [`Script::RepeatRefusals`] runs a request.
+const RUN_TIME: Duration = Duration::from_millis(10);
+
 /// What a backend server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Script {
@@ -31,6 +34,12 @@
     Slow(u64),
     /// Responds 503 and states that it did not run the request.
     Decline,
+    /// Refuses requests whose target ends with `decline-N` with this status. Writes each refusal
+    /// once more on its connection when the next request arrives there, and then runs that request
+    /// like `Echo`.
+    RepeatRefusals(&'static str),
+    /// Responds 503 with the attempt id of another request and states that it did not run that.
+    DeclineAnother,
     /// Responds 500.
     Fail,
     /// Closes the connection without a response.
@@ -202,6 +211,7 @@
     extra_headers: &Mutex<String>,
     closed: &Mutex<Vec<Instant>>,
 ) {
+    let mut earlier_refusal = String::new();
     while let Some(request) = read_message(&mut stream) {
         let extra = extra_headers.lock().expect("extra headers").clone();
         if request.starts_with("GET /health ") {
@@ -221,7 +231,10 @@
         received.lock().expect("received requests").push(Arrival {
             text: request.clone(),
             at: Instant::now(),
-            is_started: script != Script::Decline,
+            is_started: match script {
+                Script::RepeatRefusals(_) => script_of_target(&request) != Script::Decline,
+                _ => script != Script::Decline,
+            },
         });
         if let Script::Slow(ms) = script {
             std::thread::sleep(Duration::from_millis(ms));
@@ -240,6 +253,24 @@
             Script::Decline => {
                 format_response("503 No", &id, &format!("Not-Executed: 1\r\n{extra}"), "")
             }
+            Script::RepeatRefusals(status) if script_of_target(&request) == Script::Decline => {
+                let mark = if status.starts_with("421") {
+                    ""
+                } else {
+                    "Not-Executed: 1\r\n"
+                };
+                earlier_refusal = format_response(status, &id, mark, "");
+                earlier_refusal.clone()
+            }
+            Script::RepeatRefusals(_) => {
+                // The peer may have closed the connection.
+                let _ = stream.write_all(std::mem::take(&mut earlier_refusal).as_bytes());
+                std::thread::sleep(RUN_TIME);
+                format_response("200 OK", &id, &extra, &request)
+            }
+            Script::DeclineAnother => {
+                format_response("503 No", "another", "Not-Executed: 1\r\n", "")
+            }
             Script::Fail => format_response("500 Failed", &id, &extra, "failed"),
             Script::MismatchedId => format_response("200 OK", "another", "", "not yours"),
             Script::BareUnavailable => format_response("503 No", &id, "", "ran"),
