A refusal counts only under the id of the request in flight

Cause: the executor compared the id of a response with that of the request, but exempted refusals (not executed, 421) from the comparison. A server that writes an earlier refusal once more on its kept connection ended the next request there as not run. The class: evidence about one request believed for another one. ResponseMeaning::of now decides by the id first, for every response; a response without an id never states that a request did not run. What a copy states of its server (rate, leaving, a taken address) is no longer applied either.

The same id twice on one connection stays red.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -10,6 +10,7 @@
 use crate::executor::run_times::RunTimes;
 use crate::executor::running_requests::{RunningRequest, RunningRequests};
 use crate::executor::server_health::{self, HealthAnswer};
+use crate::executor::server_response::{states_refusal, ResponseMeaning};
 use crate::executor::server_statement;
 use crate::hop::forward_body::{ForwardBody, MAX_BUFFERED_BULK_BYTES, MAX_BUFFERED_BYTES};
 use crate::hop::forward_headers::{attempt_id, header_text, millis_until, set_time_left};
@@ -25,7 +26,7 @@
 use foxtailgauge_platform::{headers, ServerReport};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -444,35 +445,39 @@
                 return (end, None);
             }
         };
-        let is_declined = response.headers().contains_key(headers::NOT_EXECUTED)
-            || response.status() == StatusCode::MISDIRECTED_REQUEST;
-        let has_own_id = response.headers().get(headers::ATTEMPT_ID) == id.as_ref();
-        if is_declined {
+        let meaning = ResponseMeaning::of(&response, id.as_ref());
+        if states_refusal(&response) {
+            let is_matching = meaning != ResponseMeaning::Mismatched;
             let metrics = &self.shared.metrics;
-            metrics.record_server_refusal(&name, has_own_id);
+            metrics.record_server_refusal(&name, is_matching);
             emit!(self.shared.log, events::SERVER_DECLINED,
                 "request" => header_text(id.as_ref()), "server" => &name,
                 "status" => response.status().as_u16(),
                 "response" => attempt_id(response.headers()),
                 "is_reused" => connection.is_reused());
         }
-        if !has_own_id && !is_declined {
-            // Response to another request; whether this one ran is unknown.
-            emit!(self.shared.log, events::RESPONSE_MISMATCHED,
-                "request" => header_text(id.as_ref()), "server" => name);
-            return (HopEnd::Broken, None);
-        }
-        let has_proof = response.headers().contains_key(headers::SERVER_PROOF);
-        if response.status().is_success() && !has_proof {
-            emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
-                "request" => header_text(id.as_ref()), "server" => name,
-                "error" => "success without the proof of the backend server");
-            return (HopEnd::Broken, None);
-        }
-        if response.status() == StatusCode::MISDIRECTED_REQUEST {
-            // Another process has taken the address: send nothing there until the next report.
-            self.mark_unreachable(server);
-        } else {
+        let end = match meaning {
+            ResponseMeaning::Mismatched => {
+                emit!(self.shared.log, events::RESPONSE_MISMATCHED,
+                    "request" => header_text(id.as_ref()), "server" => name,
+                    "response" => attempt_id(response.headers()));
+                return (HopEnd::Broken, None);
+            }
+            ResponseMeaning::Unproved => {
+                emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
+                    "request" => header_text(id.as_ref()), "server" => name,
+                    "error" => "success without the proof of the backend server");
+                return (HopEnd::Broken, None);
+            }
+            ResponseMeaning::Misdirected => {
+                // Nothing is sent to the address until the next report.
+                self.mark_unreachable(server);
+                HopEnd::Declined
+            }
+            ResponseMeaning::Declined => HopEnd::Declined,
+            ResponseMeaning::Ran => HopEnd::Answered,
+        };
+        if meaning != ResponseMeaning::Misdirected {
             let log = &self.shared.log;
             if server_statement::apply(log, server, response.headers(), sent_at) {
                 self.mark_leaving(&name);
@@ -481,11 +486,12 @@
         let (parts, body) = response.into_parts();
         match ForwardBody::read_up_to(body, max_buffered_bytes).await {
             Ok(mut body) => {
-                if is_declined {
-                    slot.set_declined();
-                } else {
-                    slot.set_complete();
-                    self.record_completion(fingerprint);
+                match end {
+                    HopEnd::Answered => {
+                        slot.set_complete();
+                        self.record_completion(fingerprint);
+                    }
+                    _ => slot.set_declined(),
                 }
                 if body.bytes().is_some() {
                     drop(slot);
@@ -495,11 +501,6 @@
                     // The gateway logs that it ended the response, unless it is cut off.
                     body.set_deadline(deadline + BODY_GRACE, || {});
                 }
-                let end = if is_declined {
-                    HopEnd::Declined
-                } else {
-                    HopEnd::Answered
-                };
                 (end, Some(Response::from_parts(parts, body)))
             }
             Err(error) => {
--- a/crates/foxtailgauge-daemon/src/executor/mod.rs
+++ b/crates/foxtailgauge-daemon/src/executor/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) mod run_times;
 pub(crate) mod running_requests;
 pub(crate) mod server_health;
+pub(crate) mod server_response;
 pub(crate) mod server_statement;
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/executor/server_response.rs
@@ -0,0 +1,48 @@
+//! What the head of a backend server's response states about the request in flight.
+
+use foxtailgauge_platform::headers;
+use hyper::header::HeaderValue;
+use hyper::{Response, StatusCode};
+
+/// What became of a request, by the head of the response on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ResponseMeaning {
+    /// The backend server ran the request.
+    Ran,
+    /// The backend server did not run the request and will not.
+    Declined,
+    /// Another backend server has taken the address. It did not run the request and will not.
+    Misdirected,
+    /// The response belongs to another request; whether this one ran is unknown.
+    Mismatched,
+    /// A success without the proof that a backend server made it.
+    Unproved,
+}
+
+impl ResponseMeaning {
+    /// The meaning of a response for the request with this id.
+    ///
+    /// The id decides before anything else: a backend server may write an earlier response again.
+    /// The response to a request without an id can't be told from such a one, so it never states that the
+    /// request did not run.
+    pub(crate) fn of<B>(response: &Response<B>, request_id: Option<&HeaderValue>) -> Self {
+        let response_ids = response.headers().get_all(headers::ATTEMPT_ID);
+        if !response_ids.iter().eq(request_id) {
+            return ResponseMeaning::Mismatched;
+        }
+        let has_proof = response.headers().contains_key(headers::SERVER_PROOF);
+        let is_refusal = request_id.is_some() && states_refusal(response);
+        match response.status() {
+            StatusCode::MISDIRECTED_REQUEST if is_refusal => ResponseMeaning::Misdirected,
+            _ if is_refusal => ResponseMeaning::Declined,
+            status if status.is_success() && !has_proof => ResponseMeaning::Unproved,
+            _ => ResponseMeaning::Ran,
+        }
+    }
+}
+
+/// Whether a response states that the request with its id did not run.
+pub(crate) fn states_refusal<B>(response: &Response<B>) -> bool {
+    response.headers().contains_key(headers::NOT_EXECUTED)
+        || response.status() == StatusCode::MISDIRECTED_REQUEST
+}
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -225,6 +225,7 @@
         (Script::Break, 502, false, 1),
         (Script::Truncate, 502, false, 1),
         (Script::MismatchedId, 502, false, 1),
+        (Script::DeclineAnother, 502, false, 1),
         (Script::Unproved, 502, false, 1),
         (Script::BareUnavailable, 502, false, 1),
         (Script::Slow(3_000), 504, false, 1),
--- a/crates/foxtailgauge-daemon/tests/repeated_refusals.rs
+++ b/crates/foxtailgauge-daemon/tests/repeated_refusals.rs
@@ -28,6 +28,7 @@
             (status(&send(&mesh, n, "GET", "/view/first", "first")) == 200).then_some(())
         });
     }
+    servers.iter().for_each(Server::clear_received);
     (mesh, servers)
 }
 
