Don't give up a backend server that reads nothing for a while

A caller that uploads a body got 502 after about two seconds when the server paused in reading it, although the server read on later and the deadline was far away; the run at the server was broken off.

Cause: connections to backend servers had the options of those between daemons. TCP_USER_TIMEOUT (1.2 s) also ends a connection whose peer acknowledges everything but has no room for more. It is needed between daemons, where a partition hides the peer; HTTP/2 reads those all the time. A backend server is on the same instance: the end of its process closes the connection, and the deadline bounds its silence.

Evidence: forwarded_ends::server_that_pauses_in_a_long_body_gets_the_rest_of_it failed with "through d2: HTTP/1.1 502 Bad Gateway ... outcome_unknown" (24 MiB, a pause of 3 s, 15 s left), after 2.05 s; it passes now, beside the server and over a hop.

--- a/crates/foxtailgauge-daemon/src/executor/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/executor/http_pool.rs
@@ -2,7 +2,6 @@
 
 use crate::hop::forward_body::ForwardBody;
 use crate::shared::lock;
-use crate::socket;
 use async_std::net::TcpStream;
 use foxtailgauge_wire::{LimitedStream, ReadLimit, MAX_RESPONSE_HEAD_BYTES};
 use futures::io::{AsyncRead, AsyncWrite};
@@ -166,9 +165,11 @@
     Broken(hyper::Error),
 }
 
-/// Opens a TCP connection.
+/// Opens a TCP connection to a backend server. Unlike those between daemons it has no timeout for
+/// unacknowledged data: a server that reads nothing for a while, as it waits for a slot, is not
+/// gone, and the end of its process closes the connection.
 pub(crate) async fn connect(addr: &str) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(addr).await?;
-    socket::set_options(&stream)?;
+    stream.set_nodelay(true)?;
     Ok(stream)
 }
--- a/crates/foxtailgauge-daemon/src/socket.rs
+++ b/crates/foxtailgauge-daemon/src/socket.rs
@@ -1,5 +1,4 @@
-//! Accepting TCP connections, and socket options of connections between daemons and to backend
-//! servers.
+//! Accepting TCP connections, and socket options of connections between daemons.
 
 use crate::emit;
 use crate::events;
--- a/crates/foxtailgauge-daemon/tests/forwarded_ends.rs
+++ b/crates/foxtailgauge-daemon/tests/forwarded_ends.rs
@@ -5,9 +5,12 @@
 mod mesh_support;
 
 use mesh_support::{
-    document, exchange, report_process, status, wait_for, Arrival, Mesh, Script, Server,
+    body, document, exchange, header, report_process, status, wait_for, Arrival, Mesh, Script,
+    Server,
 };
 use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::time::Duration;
 
 /// Seed and time with faults in CI.
@@ -92,3 +95,65 @@
         assert_eq!(late, 0, "{target}: requests that nobody waited for arrived");
     }
 }
+
+/// Bytes of a body that the buffers of the connections on its way don't take.
+const LONG_BODY_BYTES: usize = 24 << 20;
+
+/// A backend server may wait for a slot before it reads on.
+#[test]
+fn server_that_pauses_in_a_long_body_gets_the_rest_of_it() {
+    let mesh = Mesh::start(2);
+    let mut document = document(1);
+    document["limits"]["max_body_bytes"] = (2 * LONG_BODY_BYTES).into();
+    for rule in document["listeners"][0]["rule_set"].as_array_mut().unwrap() {
+        rule["action"]["timeout_ms"] = 20_000.into();
+    }
+    assert_eq!(mesh.put_document(0, &document), 200);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut first = [0; 4_096];
+            let Ok(count) = stream.read(&mut first) else {
+                continue;
+            };
+            let head = String::from_utf8_lossy(&first[..count]).into_owned();
+            let length = header(&head, "content-length").map_or(0, |text| text.parse().unwrap());
+            let mut left = length - body(&head).len();
+            if length > 0 {
+                std::thread::sleep(Duration::from_millis(3_000));
+            }
+            let mut buffer = vec![0; 1 << 20];
+            while left > 0 {
+                match stream.read(&mut buffer) {
+                    Ok(count) if count > 0 => left -= count,
+                    _ => break,
+                }
+            }
+            let id = header(&head, "attempt-id").unwrap_or_default();
+            let read = (length - left).to_string();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\
+                 Attempt-Id: {id}\r\nServer-Seal: seal\r\n\r\n{read}",
+                read.len()
+            );
+            // The peer may have closed the connection.
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    assert_eq!(mesh.report(2, "i-1", &addr, "ready", 1), 200);
+    let send = |n: usize, body_bytes: usize| {
+        let request = format!(
+            "POST /commit/1 HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: a1\r\n\
+             Deadline-Ms: 15000\r\nContent-Length: {body_bytes}\r\n\r\n{}",
+            "x".repeat(body_bytes)
+        );
+        exchange(&mesh.outbound_addr(n), &request).unwrap_or_default()
+    };
+    for n in [2, 1] {
+        wait_for("a response", || (status(&send(n, 0)) == 200).then_some(()));
+        let response = send(n, LONG_BODY_BYTES);
+        assert_eq!(status(&response), 200, "through d{n}: {response}");
+        assert_eq!(body(&response), LONG_BODY_BYTES.to_string(), "through d{n}");
+    }
+}
