Only uploads go on connections without a limit for unacknowledged data

Connections may also go silent without a reset, to backend servers too (DEPLOY): short requests would then wait for their deadline in place of 1.2 s. A streamed body, beyond 64 KiB, now has a connection of its own with keepalive and without the limit, closed after its response; all others have both again.

No test has a backend server's connection that goes silent.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -6,7 +6,8 @@
 pub(crate) use crate::executor::fingerprints::fingerprint_of;
 use crate::executor::forward_server::{ForwardServer, SlotGuard};
 use crate::executor::http_pool::{
-    connect, ConnectionUse, ExchangeError, HttpPool, PooledConnection, SendError,
+    connect, connect_for_upload, ConnectionUse, ExchangeError, HttpPool, PooledConnection,
+    SendError,
 };
 use crate::executor::reply_gate::{is_bulk, ReplyGate};
 use crate::executor::run_times::RunTimes;
@@ -576,11 +577,15 @@
             request_id: id.map_or(&[], HeaderValue::as_bytes),
             is_idempotent: forward.hop.is_idempotent,
         };
-        let reused = self.pool.take_idle(&addr, usage);
+        let is_upload = request.body().bytes().is_none();
+        let reused = match is_upload {
+            true => None,
+            false => self.pool.take_idle(&addr, usage),
+        };
         let mut may_reconnect = reused.is_some();
         let mut connection = match reused {
             Some(connection) => connection,
-            None => self.open(&addr).await?,
+            None => self.open(&addr, is_upload).await?,
         };
         loop {
             set_time_left(request.headers_mut(), deadline);
@@ -590,7 +595,7 @@
                 Err(SendError::NotSent(not_sent)) if may_reconnect => {
                     may_reconnect = false;
                     request = *not_sent;
-                    connection = self.open(&addr).await?;
+                    connection = self.open(&addr, is_upload).await?;
                 }
                 Err(SendError::NotSent(_)) => {
                     let closed = std::io::ErrorKind::ConnectionReset;
@@ -601,8 +606,15 @@
         }
     }
 
-    async fn open(&self, addr: &str) -> Result<PooledConnection, ExchangeError> {
-        self.pool.open(addr, connect(addr), CONNECT_TIMEOUT).await
+    /// Opens a connection; one for an upload is not reused.
+    async fn open(&self, addr: &str, is_upload: bool) -> Result<PooledConnection, ExchangeError> {
+        if !is_upload {
+            return self.pool.open(addr, connect(addr), CONNECT_TIMEOUT).await;
+        }
+        let connecting = connect_for_upload(addr);
+        let mut connection = self.pool.open(addr, connecting, CONNECT_TIMEOUT).await?;
+        connection.set_single_use();
+        Ok(connection)
     }
 }
 
--- a/crates/foxtailgauge-daemon/src/executor/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/executor/http_pool.rs
@@ -2,6 +2,7 @@
 
 use crate::hop::forward_body::ForwardBody;
 use crate::shared::lock;
+use crate::socket;
 use async_std::net::TcpStream;
 use foxtailgauge_wire::{LimitedStream, ReadLimit, MAX_RESPONSE_HEAD_BYTES};
 use futures::io::{AsyncRead, AsyncWrite};
@@ -81,6 +82,8 @@
     addr: String,
     /// Whether it has carried another request before.
     is_reused: bool,
+    /// Whether it is closed after its first response.
+    is_single_use: bool,
     /// Ids of the requests that the backend server refused on it.
     refused_ids: Vec<Box<[u8]>>,
 }
@@ -142,13 +145,15 @@
             read_limit,
             addr: addr.to_owned(),
             is_reused: false,
+            is_single_use: false,
             refused_ids: Vec::new(),
         })
     }
 
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn release(&self, connection: PooledConnection) {
-        if connection.sender.is_closed() || connection.refused_ids.len() >= MAX_REFUSALS {
+        let is_used_up = connection.is_single_use || connection.refused_ids.len() >= MAX_REFUSALS;
+        if connection.sender.is_closed() || is_used_up {
             return;
         }
         let mut idle = lock(&self.idle);
@@ -174,6 +179,11 @@
         self.is_reused
     }
 
+    /// Closes the connection after its first response.
+    pub(crate) fn set_single_use(&mut self) {
+        self.is_single_use = true;
+    }
+
     /// Records that the backend server refused the request with this id.
     pub(crate) fn record_refusal(&mut self, request_id: &[u8]) {
         self.refused_ids.push(request_id.into());
@@ -208,11 +218,16 @@
     Broken(hyper::Error),
 }
 
-/// Opens a TCP connection to a backend server. Unlike those between daemons it has no timeout for
-/// unacknowledged data: a server that reads nothing for a while, as it waits for a slot, is not
-/// gone, and the end of its process closes the connection.
+/// Opens a TCP connection.
 pub(crate) async fn connect(addr: &str) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(addr).await?;
-    stream.set_nodelay(true)?;
+    socket::set_options(&stream)?;
+    Ok(stream)
+}
+
+/// Opens a TCP connection for a body that the backend server may stop reading for a while.
+pub(crate) async fn connect_for_upload(addr: &str) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(addr).await?;
+    socket::set_options_for_slow_reader(&stream)?;
     Ok(stream)
 }
--- a/crates/foxtailgauge-daemon/src/hop/hop_connection.rs
+++ b/crates/foxtailgauge-daemon/src/hop/hop_connection.rs
@@ -5,12 +5,11 @@
 //! Bulk responses have a connection of their own because a connection delivers its bytes in order:
 //! what the sockets have taken of large responses would delay every small one behind it.
 
-use crate::executor::http_pool::SendError;
+use crate::executor::http_pool::{connect, SendError};
 use crate::hop::forward_body::ForwardBody;
 use crate::meter::MeteredStream;
 use crate::peer_client::PeerIdentity;
 use crate::shared::lock;
-use crate::socket;
 use async_std::net::TcpStream;
 use foxtailgauge_wire::handshake;
 use futures::future::{BoxFuture, FutureExt, Shared};
@@ -198,8 +197,7 @@
 
 async fn open((addr, traffic): ConnectionKey, identity: PeerIdentity) -> ConnectResult {
     let opening = async {
-        let mut stream = TcpStream::connect(&addr).await?;
-        socket::set_options(&stream)?;
+        let mut stream: TcpStream = connect(&addr).await?;
         handshake::connect(&mut stream, &identity.hello, &identity.key)
             .await
             .map_err(|error| io::Error::other(error.to_string()))?;
--- a/crates/foxtailgauge-daemon/src/socket.rs
+++ b/crates/foxtailgauge-daemon/src/socket.rs
@@ -1,4 +1,5 @@
-//! Accepting TCP connections, and socket options of connections between daemons.
+//! Accepting TCP connections, and socket options of connections between daemons and to backend
+//! servers.
 
 use crate::emit;
 use crate::events;
@@ -37,9 +38,16 @@
 /// Disables Nagle's algorithm, so that small messages are sent at once, and enables the detection
 /// of an unresponsive peer.
 pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+    set_options_for_slow_reader(stream)?;
     let user_timeout_ms = u32::try_from(USER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
-    sockopt::set_tcp_user_timeout(stream, user_timeout_ms)?;
+    sockopt::set_tcp_user_timeout(stream, user_timeout_ms).map_err(io::Error::from)
+}
+
+/// The same for a peer that may read nothing for a while: `TCP_USER_TIMEOUT` would end a connection
+/// whose peer has no room for more. A peer that goes silent is detected only while no sent data is
+/// unacknowledged.
+pub(crate) fn set_options_for_slow_reader(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_INTERVAL)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
