Refusals of keys: ask the ledger before "not run"

Callers saw: a key that was sent again after its connection had broken was refused with 503, 404 or 504 and the outcome not-run, although an earlier attempt with the key had run. They then start the action under another key.

Cause: the gateway drew not-run from evidence about one attempt (queue full, no server, no route, deadline passed, quarantine). Only the refusal for an allotment read the ledger.

Now every not-run about a key that rests on an attempt reads the ledger first: a key that ran gets its recorded response, and without the ledger the outcome is unknown. Reads wait for their turn (32 at a time) in place of failing, and are not begun without contact to a majority.

--- a/crates/foxtailgauge-daemon/src/executor/call_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/call_executor.rs
@@ -9,7 +9,7 @@
 use foxtailgauge_core::{
     fingerprint, request_digest, ActionKey, AdmissionRefusal, Claimant, Digest, LedgerAnswer,
     LedgerCommand, RecordedResponse, ServerEntry, ServerLoad, ServerState, SuspectVerdict,
-    CLAIM_GRACE_MS, REPORT_INTERVAL_MS,
+    CLAIM_GRACE_MS,
 };
 use foxtailgauge_wire::http::{HttpError, HttpRequest, HttpResponse};
 use foxtailgauge_wire::{BackendResponse, CallReply, CallRequest, Cause, Outcome};
@@ -23,9 +23,6 @@
 const DEADLINE_HEADER: &str = "Foxtailgauge-Deadline-Ms";
 /// Upper bound on the timeout of a claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
-/// Age of the last quorum contact above which no claim is sent. A daemon behind a relay learns of
-/// the contact up to two report intervals after the replica.
-const MAX_QUORUM_AGE_MS: u64 = 3 * REPORT_INTERVAL_MS;
 /// Retry delay returned to the caller while the ledger has no quorum.
 const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Added to the expected end of a running attempt when the caller is told to retry after it.
@@ -320,8 +317,7 @@
             let reply = CallReply::without_response(Outcome::Unknown, Cause::LedgerUnreachable);
             reply.retry_after(LEDGER_RETRY_AFTER)
         };
-        let contact_age_ms = self.shared.quorum_age_ms();
-        if contact_age_ms.is_none_or(|age_ms| age_ms > MAX_QUORUM_AGE_MS) {
+        if !self.ledger.has_quorum() {
             return Err(ledger_unreachable());
         }
         let time_left = deadline.saturating_duration_since(Instant::now());
--- a/crates/foxtailgauge-daemon/src/gateway/action_reader.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/action_reader.rs
@@ -1,21 +1,24 @@
-//! Reads from the ledger whether an action that is refused above an allotment has already run.
+//! Reads from the ledger whether an action that is refused has already run.
 
 use crate::control::replica_client::SubmitError;
 use crate::gateway::ledger_client::LedgerClient;
+use async_std::channel::{bounded, Receiver, Sender};
 use foxtailgauge_core::{ActionKey, Digest, LedgerAnswer};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// Most reads of one gateway at a time. Allotments do not limit reads, and the ledger's leader also
-/// serves the actions of all other workspaces.
+/// Most reads of one gateway at a time; others wait. Allotments do not limit reads, and the ledger's
+/// leader also serves the actions of all other workspaces.
 const MAX_READS: usize = 32;
-/// Timeout of a read.
+/// Timeout of a read, including its wait.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// Lower bound of that timeout, for requests that are refused at their deadline.
+const MIN_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Reads records of actions for a gateway.
 pub(crate) struct ActionReader {
     ledger: LedgerClient,
-    in_flight: AtomicUsize,
+    /// Holds one token for each read in flight.
+    in_flight: (Sender<()>, Receiver<()>),
 }
 
 impl ActionReader {
@@ -23,7 +26,7 @@
     pub(crate) fn new(ledger: LedgerClient) -> Self {
         ActionReader {
             ledger,
-            in_flight: AtomicUsize::new(0),
+            in_flight: bounded(MAX_READS),
         }
     }
 
@@ -32,33 +35,35 @@
         &self,
         key: ActionKey,
         request: Digest,
-        time_left: Duration,
+        time_left: Option<Duration>,
     ) -> Result<Option<LedgerAnswer>, SubmitError> {
-        let guard = ReadGuard::new(&self.in_flight);
-        if guard.others >= MAX_READS {
+        if !self.ledger.has_quorum() {
             return Err(SubmitError::Unavailable);
         }
-        let timeout = time_left.min(READ_TIMEOUT);
-        self.ledger.find(key, request, timeout).await
+        let time_left = time_left.unwrap_or(READ_TIMEOUT);
+        let timeout = time_left.clamp(MIN_READ_TIMEOUT, READ_TIMEOUT);
+        let read = async {
+            let _guard = self.begin().await?;
+            self.ledger.find(key, request, timeout).await
+        };
+        let result = async_std::future::timeout(timeout, read).await;
+        result.unwrap_or(Err(SubmitError::Unavailable))
     }
-}
-
-/// Counts a read until it is dropped.
-struct ReadGuard<'a> {
-    in_flight: &'a AtomicUsize,
-    /// Reads that were in flight before this one.
-    others: usize,
-}
 
-impl<'a> ReadGuard<'a> {
-    fn new(in_flight: &'a AtomicUsize) -> Self {
-        let others = in_flight.fetch_add(1, Ordering::Relaxed);
-        ReadGuard { in_flight, others }
+    async fn begin(&self) -> Result<ReadGuard<'_>, SubmitError> {
+        let (sender, receiver) = &self.in_flight;
+        let sent = sender.send(()).await;
+        sent.map_err(|_| SubmitError::Unavailable)?;
+        Ok(ReadGuard(receiver))
     }
 }
 
+/// Ends a read when dropped.
+struct ReadGuard<'a>(&'a Receiver<()>);
+
 impl Drop for ReadGuard<'_> {
     fn drop(&mut self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        // Its own token is in the channel, so there is one.
+        let _ = self.0.try_recv();
     }
 }
--- a/crates/foxtailgauge-daemon/src/gateway/call_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/call_gateway.rs
@@ -5,6 +5,7 @@
 use crate::executor::call_executor::{claim_refusal_reply, replayed, Executor};
 use crate::gateway::action_reader::ActionReader;
 use crate::gateway::authentication::{authenticate, set_workspace, SenderRefusal};
+use crate::gateway::caller_response::{CallerResponse, Refusal};
 use crate::gateway::ledger_client::LedgerClient;
 use crate::gateway::route_view::RouteView;
 use crate::hop::forward_headers::end_to_end_text;
@@ -15,7 +16,7 @@
     Digest, Fingerprint, LedgerAnswer, LedgerCommand, RetryBudget, Route, ServerKey,
     SuspectVerdict, UnixMs,
 };
-use foxtailgauge_wire::{BackendResponse, CallReply, CallRequest, Cause, Outcome};
+use foxtailgauge_wire::{CallReply, CallRequest, Cause, Outcome};
 use hyper::header::HeaderMap;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
@@ -53,104 +54,11 @@
     pub(crate) deadline_ms: Option<u64>,
 }
 
-/// Why the gateway responds in place of a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Refusal {
-    /// No route matches the method and the path.
-    UnknownRoute,
-    /// The value of a header that is forwarded is not text.
-    MalformedHeader,
-    /// The route needs the key of a workspace, and the request has none or an unknown one.
-    UnknownKey,
-    /// The sender's workspace has used up its allotment.
-    OverAllotment,
-    /// The route is billable and the request has no idempotency key.
-    MissingKey,
-    /// The key is not a UUIDv7.
-    MalformedKey,
-    /// The key was used for another request.
-    KeyReused,
-    /// The key is older than the ledger's retention.
-    KeyExpired,
-    /// The key's time lies in the future.
-    KeyFromFuture,
-    /// The deadline passed before the first attempt.
-    DeadlinePassed,
-    /// The daemon has no configuration yet.
-    NotReady,
-    /// The service has no backend server that accepts requests.
-    NoServer,
-    /// All backend servers tried are at capacity, draining or unreachable.
-    Overloaded,
-    /// The ledger has no quorum.
-    LedgerUnavailable,
-    /// The request was in flight when several backend servers crashed.
-    Quarantined,
-    /// The request was in flight when a backend server crashed, and another copy of it is in flight
-    /// now.
-    Suspected,
-    /// Another attempt of the same action may still be running.
-    InProgress,
-    /// It cannot be determined whether the request was executed.
-    OutcomeUnknown,
-    /// The deadline passed after the request may have started.
-    TimedOut,
-    /// The backend server's response exceeds the size limit.
-    AnswerTooLarge,
-}
-
-impl Refusal {
-    /// Whether the request may have been executed.
-    fn may_have_run(self) -> bool {
-        matches!(
-            self,
-            Refusal::OutcomeUnknown | Refusal::TimedOut | Refusal::AnswerTooLarge
-        )
-    }
-}
-
-/// Result of a caller's request.
-#[derive(Clone, Debug)]
-pub(crate) struct CallerResponse {
-    /// Whether the request was executed.
-    pub(crate) outcome: Outcome,
-    /// Version of the configuration that it was routed by.
-    pub(crate) version: ConfigVersion,
-    /// Delay before a retry.
-    pub(crate) retry_after: Option<Duration>,
-    /// The backend server's response, or the reason why there is none.
-    pub(crate) result: Result<BackendResponse, Refusal>,
-    /// Whether the response is the recorded one of an earlier run.
-    pub(crate) is_replay: bool,
-}
-
-impl CallerResponse {
-    fn refused(version: ConfigVersion, outcome: Outcome, refusal: Refusal) -> Self {
-        CallerResponse {
-            outcome,
-            version,
-            retry_after: None,
-            result: Err(refusal),
-            is_replay: false,
-        }
-    }
-
-    fn not_run(version: ConfigVersion, refusal: Refusal) -> Self {
-        CallerResponse::refused(version, Outcome::NotRun, refusal)
-    }
-
-    /// Whether the request counts in its sender's allotment. A recorded response is one of a request
-    /// that has been counted.
-    fn is_counted(&self) -> bool {
-        match &self.result {
-            Ok(_) => !self.is_replay,
-            Err(refusal) => refusal.may_have_run(),
-        }
-    }
-
-    fn retry_after(mut self, delay: Duration) -> Self {
-        self.retry_after = Some(delay);
-        self
+impl CallerRequest {
+    /// The idempotency key, if it is a valid one.
+    fn action_key(&self) -> Option<ActionKey> {
+        let key = Uuid::parse_str(self.key.as_deref()?).ok()?;
+        key_time_ms(&key).map(|_| key)
     }
 }
 
@@ -207,7 +115,22 @@
 
     /// Routes one request and returns its result.
     pub(crate) async fn handle(&self, request: &CallerRequest) -> CallerResponse {
+        let started_at = Instant::now();
         let view = self.shared.view();
+        let response = self.route(&view, request).await;
+        let leaves_key_open = matches!(response.result, Err(refusal) if refusal.leaves_key_open());
+        match request.action_key() {
+            Some(key) if leaves_key_open && may_be_billable(&view, request) => {
+                let requested = request.deadline_ms.map(Duration::from_millis);
+                let time_left = requested.map(|time| time.saturating_sub(started_at.elapsed()));
+                self.refuse_unless_recorded(request, key, response, time_left)
+                    .await
+            }
+            _ => response,
+        }
+    }
+
+    async fn route(&self, view: &RouteView, request: &CallerRequest) -> CallerResponse {
         let Some(snapshot) = view
             .snapshot
             .clone()
@@ -240,7 +163,7 @@
             return CallerResponse::not_run(version, Refusal::DeadlinePassed);
         }
         let call = Call {
-            view: &view,
+            view,
             version,
             route,
             request,
@@ -249,9 +172,9 @@
             digest: request_digest(&request.method, &request.target, &request.body),
             deadline: Instant::now() + Duration::from_millis(deadline_ms),
         };
-        let admitted_for = match self.shared.admit_sender(&view, &sender) {
+        let admitted_for = match self.shared.admit_sender(view, &sender) {
             Ok(admitted_for) => admitted_for,
-            Err(refusal) => return self.refuse_unless_recorded(&call, refusal).await,
+            Err(refusal) => return refused_sender(version, refusal),
         };
         let response = self.run_unless_suspected(&call).await;
         if !response.is_counted() {
@@ -260,27 +183,27 @@
         response
     }
 
-    /// Refuses a request that is not admitted. An action that has run before gets its recorded
-    /// response: its retry takes no capacity, and "not run" would be false.
+    /// Refuses a request unless the ledger has a record of an earlier attempt with its key. An action
+    /// that ran gets its recorded response: its retry takes no capacity, and "not run" would be false.
     async fn refuse_unless_recorded(
         &self,
-        call: &Call<'_>,
-        refusal: SenderRefusal,
+        request: &CallerRequest,
+        key: ActionKey,
+        response: CallerResponse,
+        time_left: Option<Duration>,
     ) -> CallerResponse {
-        let Some(key) = call.key else {
-            return refused_sender(call.version, refusal);
-        };
-        let time_left = call.deadline.saturating_duration_since(Instant::now());
-        match self.actions.find(key, call.digest, time_left).await {
-            Ok(None) => refused_sender(call.version, refusal),
-            Ok(Some(answer)) => match self.attempt_from_reply(call, claim_refusal_reply(answer)) {
+        let version = response.version;
+        let digest = request_digest(&request.method, &request.target, &request.body);
+        match self.actions.find(key, digest, time_left).await {
+            Ok(None) => response,
+            Ok(Some(answer)) => match attempt_from_reply(version, claim_refusal_reply(answer)) {
                 Attempt::Final(response)
                 | Attempt::NotRun(response)
                 | Attempt::Uncertain(response) => response,
             },
             Err(_) => {
                 let refusal = Refusal::LedgerUnavailable;
-                CallerResponse::refused(call.version, Outcome::Unknown, refusal)
+                CallerResponse::refused(version, Outcome::Unknown, refusal)
                     .retry_after(LEDGER_RETRY_AFTER)
             }
         }
@@ -412,8 +335,8 @@
         let result = self.send(candidate, request, time_left).await;
         guard.finish(&result);
         match result {
-            Ok(reply) => self.attempt_from_reply(call, reply),
-            Err(PeerError::NotSent) => Attempt::NotRun(overloaded_response(call, None)),
+            Ok(reply) => attempt_from_reply(call.version, reply),
+            Err(PeerError::NotSent) => Attempt::NotRun(overloaded_response(call.version, None)),
             Err(PeerError::NoResponse) => self.resolve(call, attempt).await,
         }
     }
@@ -456,7 +379,7 @@
             at_ms: 0,
         };
         match self.ledger.command(command, VOID_TIMEOUT).await {
-            Ok(LedgerAnswer::Voided) => Attempt::NotRun(overloaded_response(call, None)),
+            Ok(LedgerAnswer::Voided) => Attempt::NotRun(overloaded_response(call.version, None)),
             Ok(LedgerAnswer::AlreadyDone(response)) => Attempt::Final(CallerResponse {
                 outcome: Outcome::Ran,
                 version: call.version,
@@ -467,49 +390,49 @@
             _ => Attempt::Final(unknown),
         }
     }
+}
 
-    fn attempt_from_reply(&self, call: &Call<'_>, reply: CallReply) -> Attempt {
-        let retry_after = reply.retry_after;
-        let refused = |outcome, refusal| CallerResponse {
-            retry_after,
-            ..CallerResponse::refused(call.version, outcome, refusal)
-        };
-        match reply.cause {
-            Cause::None | Cause::Replayed => match reply.response {
-                Some(response) => Attempt::Final(CallerResponse {
-                    outcome: Outcome::Ran,
-                    version: call.version,
-                    retry_after: None,
-                    result: Ok(response),
-                    is_replay: reply.cause == Cause::Replayed,
-                }),
-                None => Attempt::Final(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
-            },
-            Cause::UnknownServer
-            | Cause::Draining
-            | Cause::QueueFull
-            | Cause::TooLate
-            | Cause::Unreachable
-            | Cause::Voided
-            | Cause::Shed => Attempt::NotRun(overloaded_response(call, retry_after)),
-            Cause::LedgerUnreachable => {
-                Attempt::Final(refused(Outcome::Unknown, Refusal::LedgerUnavailable))
-            }
-            Cause::OtherRequest => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyReused)),
-            Cause::ExpiredKey => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyExpired)),
-            Cause::FutureKey => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyFromFuture)),
-            Cause::InProgress => Attempt::Final(refused(Outcome::Unknown, Refusal::InProgress)),
-            Cause::Lost => Attempt::Final(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
-            Cause::TimedOut => Attempt::Final(refused(Outcome::Unknown, Refusal::TimedOut)),
-            Cause::Died => Attempt::Uncertain(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
-            Cause::AnswerTooLarge => Attempt::Final(refused(Outcome::Ran, Refusal::AnswerTooLarge)),
+fn attempt_from_reply(version: ConfigVersion, reply: CallReply) -> Attempt {
+    let retry_after = reply.retry_after;
+    let refused = |outcome, refusal| CallerResponse {
+        retry_after,
+        ..CallerResponse::refused(version, outcome, refusal)
+    };
+    match reply.cause {
+        Cause::None | Cause::Replayed => match reply.response {
+            Some(response) => Attempt::Final(CallerResponse {
+                outcome: Outcome::Ran,
+                version,
+                retry_after: None,
+                result: Ok(response),
+                is_replay: reply.cause == Cause::Replayed,
+            }),
+            None => Attempt::Final(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
+        },
+        Cause::UnknownServer
+        | Cause::Draining
+        | Cause::QueueFull
+        | Cause::TooLate
+        | Cause::Unreachable
+        | Cause::Voided
+        | Cause::Shed => Attempt::NotRun(overloaded_response(version, retry_after)),
+        Cause::LedgerUnreachable => {
+            Attempt::Final(refused(Outcome::Unknown, Refusal::LedgerUnavailable))
         }
+        Cause::OtherRequest => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyReused)),
+        Cause::ExpiredKey => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyExpired)),
+        Cause::FutureKey => Attempt::Final(refused(Outcome::NotRun, Refusal::KeyFromFuture)),
+        Cause::InProgress => Attempt::Final(refused(Outcome::Unknown, Refusal::InProgress)),
+        Cause::Lost => Attempt::Final(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
+        Cause::TimedOut => Attempt::Final(refused(Outcome::Unknown, Refusal::TimedOut)),
+        Cause::Died => Attempt::Uncertain(refused(Outcome::Unknown, Refusal::OutcomeUnknown)),
+        Cause::AnswerTooLarge => Attempt::Final(refused(Outcome::Ran, Refusal::AnswerTooLarge)),
     }
 }
 
-fn overloaded_response(call: &Call<'_>, retry_after: Option<Duration>) -> CallerResponse {
+fn overloaded_response(version: ConfigVersion, retry_after: Option<Duration>) -> CallerResponse {
     let delay = retry_after.unwrap_or(NO_SERVER_RETRY_AFTER);
-    CallerResponse::not_run(call.version, Refusal::Overloaded).retry_after(delay)
+    CallerResponse::not_run(version, Refusal::Overloaded).retry_after(delay)
 }
 
 fn refused_sender(version: ConfigVersion, refusal: SenderRefusal) -> CallerResponse {
@@ -521,16 +444,23 @@
     }
 }
 
+/// Whether the ledger may have a record of the request's key. Earlier attempts with it may have had
+/// a route that is not known here.
+fn may_be_billable(view: &RouteView, request: &CallerRequest) -> bool {
+    let snapshot = view.snapshot.as_ref();
+    let found = snapshot.and_then(|s| s.route(&request.method, &request.path));
+    found.is_none_or(|(_, route)| route.billable)
+}
+
 fn parse_key(route: &Route, request: &CallerRequest) -> Result<Option<ActionKey>, Refusal> {
     if !route.billable {
         return Ok(None);
     }
-    let text = request.key.as_deref().ok_or(Refusal::MissingKey)?;
-    let key = Uuid::parse_str(text).map_err(|_| Refusal::MalformedKey)?;
-    match key_time_ms(&key) {
-        Some(_) => Ok(Some(key)),
-        None => Err(Refusal::MalformedKey),
+    if request.key.is_none() {
+        return Err(Refusal::MissingKey);
     }
+    let key = request.action_key().ok_or(Refusal::MalformedKey)?;
+    Ok(Some(key))
 }
 
 /// Allows the next run of a suspected request when dropped.
--- a/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
@@ -3,7 +3,8 @@
 
 use crate::emit;
 use crate::events;
-use crate::gateway::call_gateway::{CallerRequest, CallerResponse, Gateway, Refusal};
+use crate::gateway::call_gateway::{CallerRequest, Gateway};
+use crate::gateway::caller_response::{CallerResponse, Refusal};
 use crate::gateway::front::connection;
 use crate::gateway::front::request::Responder;
 use crate::gateway::front::request_head::HeadError;
--- a/crates/foxtailgauge-daemon/src/gateway/ledger_client.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/ledger_client.rs
@@ -6,6 +6,7 @@
 use crate::shared::Shared;
 use foxtailgauge_core::{
     ActionKey, AttemptId, Backoff, Claimant, Digest, LedgerAnswer, LedgerCommand,
+    REPORT_INTERVAL_MS,
 };
 use foxtailgauge_wire::{SubmitReply, SubmitRequest};
 use std::sync::Arc;
@@ -17,6 +18,10 @@
 /// outcome.
 const RECORD_RETRY_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Age of the last quorum contact above which the ledger is not asked. A daemon behind a relay learns
+/// of the contact up to two report intervals after the replica.
+const MAX_QUORUM_AGE_MS: u64 = 3 * REPORT_INTERVAL_MS;
+
 /// A client of the ledger.
 #[derive(Clone)]
 pub(crate) struct LedgerClient {
@@ -33,6 +38,13 @@
         }
     }
 
+    /// Whether this daemon knows of recent contact with a majority of replicas. Without it, nothing
+    /// that is submitted would be answered in time.
+    pub(crate) fn has_quorum(&self) -> bool {
+        let contact_age_ms = self.shared.quorum_age_ms();
+        contact_age_ms.is_some_and(|age_ms| age_ms <= MAX_QUORUM_AGE_MS)
+    }
+
     /// Submits one command.
     pub(crate) async fn command(
         &self,
--- a/crates/foxtailgauge-daemon/src/gateway/mod.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod authentication;
 pub(crate) mod call_gateway;
 pub(crate) mod caller_http;
+pub(crate) mod caller_response;
 pub(crate) mod forward_attempt;
 pub(crate) mod forward_gateway;
 pub(crate) mod forward_refusal;
