Actions: a claim granted after the caller has gone begins no run

Callers saw: a key whose gateway was killed was sent again through another daemon, was refused as not-run, and ran after that.

Cause: the executor claims a key in a task of its own, so that a run is recorded without its caller. The task also went on when caller or gateway had gone while the claim was on its way, which takes up to 2 s during an election, and the ledger read for the refusal can't know of that claim.

When the claim is granted, the executor looks whether somebody still waits for the reply, and releases the claim otherwise. A run that has begun is finished and recorded as before.

--- a/crates/foxtailgauge-daemon/src/executor/call_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/call_executor.rs
@@ -14,7 +14,7 @@
 use foxtailgauge_wire::http::{HttpError, HttpRequest, HttpResponse};
 use foxtailgauge_wire::{BackendResponse, CallReply, CallRequest, Cause, Outcome};
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 /// Status with which a backend server refuses a request without running it.
@@ -236,8 +236,8 @@
         }
     }
 
-    /// Runs an action in a separate task, so that it completes and is recorded even if the caller
-    /// disconnects.
+    /// Runs an action in a separate task, so that a run that has begun completes and is recorded even
+    /// if the caller disconnects.
     async fn run_detached(
         self: &Arc<Self>,
         server: &Arc<LocalServer>,
@@ -247,7 +247,11 @@
         deadline: Instant,
     ) -> CallReply {
         let executor = Arc::clone(self);
-        let run = executor.run_billable(Arc::clone(server), slot, request, key, deadline);
+        // Dropped with this future, when the caller or its gateway is gone.
+        let waiting = Arc::new(());
+        let requester = Arc::downgrade(&waiting);
+        let server = Arc::clone(server);
+        let run = executor.run_billable(server, slot, request, key, deadline, requester);
         let run = async_std::task::spawn(run);
         let time_left = deadline.saturating_duration_since(Instant::now());
         match async_std::future::timeout(time_left, run).await {
@@ -266,6 +270,7 @@
         request: CallRequest,
         key: ActionKey,
         deadline: Instant,
+        requester: Weak<()>,
     ) -> CallReply {
         let digest = digest_of(&request);
         let claimant = Claimant {
@@ -277,7 +282,9 @@
             return reply;
         }
         let time_left = deadline.saturating_duration_since(Instant::now());
-        if time_left.is_zero() {
+        // The caller may have sent the key again and have been told that it did not run.
+        let is_abandoned = requester.strong_count() == 0;
+        if time_left.is_zero() || is_abandoned {
             drop(slot);
             self.ledger
                 .record_outcome(LedgerCommand::Release { key, claimant })
--- a/crates/foxtailgauge-daemon/tests/key_outcomes.rs
+++ b/crates/foxtailgauge-daemon/tests/key_outcomes.rs
@@ -4,7 +4,12 @@
 mod support;
 
 use foxtailgauge_bench::plan::Deployment;
-use support::{call_at, error_code, new_key, outcome, start, wait_for, Call, Fleet};
+use foxtailgauge_wire::Group;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use support::{
+    call_at, call_until_ran, error_code, new_key, outcome, start, wait_for, Call, Fleet,
+};
 
 /// A fleet whose backend servers take one request at a time and whose queues are empty or full.
 fn fleet_without_queues(scale: usize) -> Fleet {
@@ -95,3 +100,125 @@
     assert_told_apart(&fleet, &ran, "unknown_route");
     assert_eq!(fleet.run_count(&ran.key.unwrap()), 1);
 }
+
+/// Index of the daemon that leads the ledger's group.
+fn ledger_leader(fleet: &Fleet) -> usize {
+    wait_for("a leader of the ledger", || {
+        let status = fleet.status()?;
+        let ledger = status.groups.iter().find(|g| g.group == Group::Ledger)?;
+        let addr = &ledger.members.members.get(&ledger.leader?)?.control_addr;
+        (0..fleet.plan.daemons.len()).find(|n| fleet.control_addr(*n) == *addr)
+    })
+}
+
+#[test]
+fn action_whose_gateway_was_killed_before_its_claim_does_not_run_later() {
+    let mut fleet = start(Deployment::Trio, 2, false);
+    fleet.apply_all();
+    let leader = ledger_leader(&fleet);
+    let executor = (0..6).find(|n| *n != leader).expect("another daemon");
+    for n in (0..6).filter(|n| *n != executor) {
+        fleet.server(n).leave();
+    }
+    let is_replica = |n: &usize| fleet.plan.daemons[*n].replica;
+    let gateway = (0..6).rfind(|n| !is_replica(n) && *n != executor);
+    let gateway = gateway.expect("a daemon that is not a replica");
+    call_until_ran(&fleet, gateway, &Call::billable("/layouts/1"));
+
+    let call = Call::billable("/layouts/1");
+    let key = call.key.clone().expect("a billable request has a key");
+    fleet.pause(leader);
+    std::thread::scope(|scope| {
+        let (addr, call) = (fleet.plan.daemons[gateway].caller_addr, &call);
+        let caller = scope.spawn(move || call_at(addr, call));
+        std::thread::sleep(Duration::from_millis(300));
+        fleet.kill(gateway);
+        assert!(caller.join().unwrap().is_none(), "answered without a claim");
+    });
+    fleet.resume(leader);
+    // Twice the time for which a claim is sent again.
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(fleet.run_count(&key), 0, "ran for a caller that is gone");
+    call_until_ran(&fleet, executor, &call);
+    assert_eq!(fleet.run_count(&key), 1);
+}
+
+/// What a caller was told about one key, in order; `none` for a connection that broke.
+struct KeyReport {
+    key: String,
+    told: Vec<String>,
+}
+
+/// Sends new keys until `is_done`. A key whose connection breaks is sent again through the next daemon.
+fn send_keys(addrs: &[std::net::SocketAddr], first: usize, is_done: &AtomicBool) -> Vec<KeyReport> {
+    let mut reports = Vec::new();
+    let mut n = first;
+    while !is_done.load(Ordering::SeqCst) {
+        let mut call = Call::billable("/layouts/1").header("Foxtailgauge-Deadline-Ms", "1500");
+        call.timeout = Duration::from_secs(3);
+        let mut told = Vec::new();
+        while told.len() < 4 && told.last().is_none_or(|last| last == "none") {
+            n += 1;
+            let response = call_at(addrs[n % addrs.len()], &call);
+            told.push(response.map_or("none".to_owned(), |r| outcome(&r).to_owned()));
+        }
+        let key = call.key.expect("a billable request has a key");
+        reports.push(KeyReport { key, told });
+    }
+    reports
+}
+
+#[test]
+fn key_resent_after_its_gateway_was_killed_is_not_reported_as_not_run_if_it_runs() {
+    let mut fleet = fleet_without_queues(2);
+    let count = fleet.plan.daemons.len();
+    for n in 0..count {
+        fleet.set_behaviour(n, r#"{"run_ms": 40, "announced_slots": 2}"#);
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    let addrs: Vec<_> = fleet.plan.daemons.iter().map(|d| d.caller_addr).collect();
+    let is_done = AtomicBool::new(false);
+    let reports: Vec<KeyReport> = std::thread::scope(|scope| {
+        let (addrs, is_done) = (&addrs, &is_done);
+        let workers: Vec<_> = (0..24)
+            .map(|first| scope.spawn(move || send_keys(addrs, first, is_done)))
+            .collect();
+        let end = Instant::now() + Duration::from_secs(12);
+        let mut n = 0;
+        while Instant::now() < end {
+            fleet.kill(n % count);
+            std::thread::sleep(Duration::from_millis(150));
+            fleet.start_daemon(n % count);
+            std::thread::sleep(Duration::from_millis(350));
+            n += 1;
+        }
+        is_done.store(true, Ordering::SeqCst);
+        workers
+            .into_iter()
+            .flat_map(|worker| worker.join().unwrap())
+            .collect()
+    });
+    // What is still on its way has run by then.
+    std::thread::sleep(Duration::from_secs(2));
+    let starts = fleet.journal_lines("start").join("\n");
+    let runs = |key: &str| starts.matches(key).count();
+    let is_resent = |r: &&KeyReport| r.told.len() > 1;
+    let (mut refused, mut false_refusals) = (0, Vec::new());
+    for report in reports.iter().filter(is_resent) {
+        assert!(runs(&report.key) <= 1, "{}: {:?}", report.key, report.told);
+        if report.told.last().is_some_and(|last| last == "not-run") {
+            refused += 1;
+            if runs(&report.key) > 0 {
+                false_refusals.push((&report.key, &report.told));
+            }
+        }
+    }
+    let resent = reports.iter().filter(is_resent).count();
+    println!(
+        "{} keys, {resent} sent again, {refused} of them refused, {} of these ran",
+        reports.len(),
+        false_refusals.len()
+    );
+    assert!(refused > 20, "{refused} keys were sent again and refused");
+    assert!(false_refusals.is_empty(), "{false_refusals:?}");
+}
