Ledger reads: wait for claims on their way into the log; one heartbeat a round

A refusal of a key that reads the ledger while the claim of another copy is proposed and not committed yet was answered "never claimed", and the copy ran.

A linearizable read was served at the commit index of its start. Reads of the ledger are now served once everything proposed on the leader before them is applied (Node::read_after_proposals). With the commit index instead, consensus_rules::read_after_proposals_waits_for_a_command_that_is_not_committed_yet: [ReadReady { read: 1, index: 2 }] before index 3

Each read also sent a heartbeat to every follower. Reads that arrive in one round of a group's events now share one.

--- a/crates/foxtailgauge-core/src/consensus.rs
+++ b/crates/foxtailgauge-core/src/consensus.rs
@@ -95,12 +95,12 @@
 
 impl std::error::Error for ProposeError {}
 
-/// A confirmed read; it may be served from the state machine once `index` is applied.
+/// A confirmed read; it may be served from the state machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadReady {
     /// Read number returned by [`Node::read`].
     pub read: u64,
-    /// Index that must be applied before the read is served.
+    /// Index that had to be applied before the read is served.
     pub index: LogIndex,
 }
 
@@ -155,7 +155,7 @@
     pub(crate) read: u64,
     /// Heartbeat round that a quorum must acknowledge.
     pub(crate) round: u64,
-    /// Commit index at the start of the read.
+    /// Index that must be applied before the read is served.
     pub(crate) index: LogIndex,
 }
 
@@ -453,6 +453,15 @@
     /// Once confirmed by a quorum, the read is returned by [`Node::take_ready_reads`]. Fails on a
     /// leader that has not committed an entry of its own term yet.
     pub fn read(&mut self) -> Result<u64, ProposeError> {
+        self.start_read(self.commit)
+    }
+
+    /// Starts a read that also sees each command which was proposed here before it.
+    pub fn read_after_proposals(&mut self) -> Result<u64, ProposeError> {
+        self.start_read(self.log.last_index())
+    }
+
+    fn start_read(&mut self, index: LogIndex) -> Result<u64, ProposeError> {
         self.check_leader()?;
         if !self.has_committed_in_term() {
             return Err(ProposeError::NotLeader { leader: None });
@@ -462,16 +471,19 @@
         self.reads.push_back(PendingRead {
             read: self.last_read,
             round: self.round,
-            index: self.commit,
+            index,
         });
         self.broadcast_heartbeat();
         self.confirm_reads();
         Ok(self.last_read)
     }
 
-    /// Takes the confirmed reads; each may be served once its index is applied.
+    /// Takes the confirmed reads whose index is applied.
     pub fn take_ready_reads(&mut self) -> Vec<ReadReady> {
-        std::mem::take(&mut self.reads_ready)
+        let reads = std::mem::take(&mut self.reads_ready).into_iter();
+        let (reached, waiting) = reads.partition(|read| read.index <= self.applied);
+        self.reads_ready = waiting;
+        reached
     }
 
     fn check_leader(&self) -> Result<(), ProposeError> {
--- a/crates/foxtailgauge-core/tests/consensus_rules.rs
+++ b/crates/foxtailgauge-core/tests/consensus_rules.rs
@@ -107,11 +107,15 @@
 }
 
 fn acknowledge(node: &mut Node, from: u64, index: LogIndex) {
+    acknowledge_round(node, from, index, 0);
+}
+
+fn acknowledge_round(node: &mut Node, from: u64, index: LogIndex, round: u64) {
     let reply = AppendReply {
         term: node.term(),
         is_match: true,
         index,
-        round: 0,
+        round,
     };
     step(
         node,
@@ -173,6 +177,28 @@
     assert_eq!(node.commit(), index);
 }
 
+/// Guards against a key that is read as never claimed while its claim is on its way into the log.
+#[test]
+fn read_after_proposals_waits_for_a_command_that_is_not_committed_yet() {
+    let mut node = node(1, &[]);
+    elect(&mut node);
+    let ready = node.ready();
+    node.persisted(ready.last);
+    acknowledge(&mut node, 2, ready.last.0);
+    node.take_committed();
+    let (index, _) = node.propose(b"x".to_vec()).unwrap();
+    let read = node.read_after_proposals().unwrap();
+    acknowledge_round(&mut node, 2, index - 1, u64::MAX);
+    let early = node.take_ready_reads();
+    assert!(early.is_empty(), "{early:?} before index {index}");
+    let ready = node.ready();
+    node.persisted(ready.last);
+    acknowledge(&mut node, 2, index);
+    node.take_committed();
+    let ready: Vec<u64> = node.take_ready_reads().iter().map(|r| r.read).collect();
+    assert_eq!(ready, [read]);
+}
+
 #[test]
 fn sync_of_a_replaced_entry_is_ignored() {
     let mut node = node(1, &[]);
--- a/crates/foxtailgauge-daemon/src/control/replica.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica.rs
@@ -222,6 +222,8 @@
     reply: oneshot::Sender<SubmitReply>,
 }
 
+type ReadRequest = (SubmitRequest, oneshot::Sender<SubmitReply>);
+
 struct Driver {
     shared: Arc<Shared>,
     group: Group,
@@ -232,8 +234,10 @@
     unapplied: VecDeque<Entry>,
     /// Proposed commands that are not applied yet, by log index.
     pending_proposals: BTreeMap<LogIndex, PendingProposal>,
+    /// Reads of the current round of events; they are started together, with one heartbeat.
+    new_reads: Vec<ReadRequest>,
     /// Reads that wait until leadership is verified, by read id.
-    pending_reads: HashMap<u64, (SubmitRequest, oneshot::Sender<SubmitReply>)>,
+    pending_reads: HashMap<u64, Vec<ReadRequest>>,
     status: Arc<Mutex<StatusCell>>,
     /// Control address of each replica that has sent a message; used for replicas that are not in
     /// the membership yet.
@@ -272,6 +276,7 @@
             state_machine,
             unapplied: VecDeque::new(),
             pending_proposals: BTreeMap::new(),
+            new_reads: Vec::new(),
             pending_reads: HashMap::new(),
             status: Arc::new(Mutex::new(status)),
             sender_addrs: HashMap::new(),
@@ -310,6 +315,7 @@
                     Err(_) => break,
                 }
             }
+            self.start_reads();
             self.node.tick(self.now_ms());
             self.expire_keys();
             self.process_ready()?;
@@ -360,7 +366,10 @@
                 let _ = reply.send(self.join(replica, &control_addr));
                 return;
             }
-            request => return self.read(request, reply),
+            request => {
+                self.new_reads.push((request, reply));
+                return;
+            }
         };
         match result {
             Ok((index, term)) => {
@@ -390,13 +399,24 @@
         }
     }
 
-    fn read(&mut self, request: SubmitRequest, reply: oneshot::Sender<SubmitReply>) {
-        match self.node.read() {
+    fn start_reads(&mut self) {
+        if self.new_reads.is_empty() {
+            return;
+        }
+        let requests = std::mem::take(&mut self.new_reads);
+        let started = match self.group {
+            Group::Config => self.node.read(),
+            // A claim that is on its way into the log counts as made.
+            Group::Ledger => self.node.read_after_proposals(),
+        };
+        match started {
             Ok(read) => {
-                self.pending_reads.insert(read, (request, reply));
+                self.pending_reads.insert(read, requests);
             }
             Err(error) => {
-                let _ = reply.send(self.propose_error_reply(error));
+                for (_, reply) in requests {
+                    let _ = reply.send(self.propose_error_reply(error));
+                }
             }
         }
     }
@@ -517,13 +537,16 @@
 
     fn reply_to_reads(&mut self) {
         if self.node.role() != Role::Leader {
-            for (_, (_, reply)) in self.pending_reads.drain() {
+            for (_, reply) in self
+                .pending_reads
+                .drain()
+                .flat_map(|(_, requests)| requests)
+            {
                 let _ = reply.send(SubmitReply::NotLeader { leader_addr: None });
             }
         }
-        // All committed entries are applied, so every confirmed read index is reached.
         for ready in self.node.take_ready_reads() {
-            if let Some((request, reply)) = self.pending_reads.remove(&ready.read) {
+            for (request, reply) in self.pending_reads.remove(&ready.read).unwrap_or_default() {
                 let _ = reply.send(self.read_reply(request));
             }
         }
