--- a/crates/foxtailgauge-daemon/src/executor/call_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/call_executor.rs
@@ -9,12 +9,12 @@
 use foxtailgauge_core::{
     fingerprint, request_digest, ActionKey, AdmissionRefusal, Claimant, Digest, LedgerAnswer,
     LedgerCommand, RecordedResponse, ServerEntry, ServerLoad, ServerState, SuspectVerdict,
-    CLAIM_GRACE_MS, REPORT_INTERVAL_MS,
+    CLAIM_GRACE_MS,
 };
 use foxtailgauge_wire::http::{HttpError, HttpRequest, HttpResponse};
 use foxtailgauge_wire::{BackendResponse, CallReply, CallRequest, Cause, Outcome};
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 /// Status with which a backend server refuses a request without running it.
@@ -23,9 +23,6 @@
 const DEADLINE_HEADER: &str = "Foxtailgauge-Deadline-Ms";
 /// Upper bound on the timeout of a claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
-/// Age of the last quorum contact above which no claim is sent. A daemon behind a relay learns of
-/// the contact up to two report intervals after the replica.
-const MAX_QUORUM_AGE_MS: u64 = 3 * REPORT_INTERVAL_MS;
 /// Retry delay returned to the caller while the ledger has no quorum.
 const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Added to the expected end of a running attempt when the caller is told to retry after it.
@@ -239,8 +236,8 @@
         }
     }
 
-    /// Runs an action in a separate task, so that it completes and is recorded even if the caller
-    /// disconnects.
+    /// Runs an action in a separate task, so that a run that has begun completes and is recorded even
+    /// if the caller disconnects.
     async fn run_detached(
         self: &Arc<Self>,
         server: &Arc<LocalServer>,
@@ -250,7 +247,11 @@
         deadline: Instant,
     ) -> CallReply {
         let executor = Arc::clone(self);
-        let run = executor.run_billable(Arc::clone(server), slot, request, key, deadline);
+        // Dropped with this future, when the caller or its gateway is gone.
+        let waiting = Arc::new(());
+        let requester = Arc::downgrade(&waiting);
+        let server = Arc::clone(server);
+        let run = executor.run_billable(server, slot, request, key, deadline, requester);
         let run = async_std::task::spawn(run);
         let time_left = deadline.saturating_duration_since(Instant::now());
         match async_std::future::timeout(time_left, run).await {
@@ -269,6 +270,7 @@
         request: CallRequest,
         key: ActionKey,
         deadline: Instant,
+        requester: Weak<()>,
     ) -> CallReply {
         let digest = digest_of(&request);
         let claimant = Claimant {
@@ -280,7 +282,9 @@
             return reply;
         }
         let time_left = deadline.saturating_duration_since(Instant::now());
-        if time_left.is_zero() {
+        // The caller may have sent the key again and have been told that it did not run.
+        let is_abandoned = requester.strong_count() == 0;
+        if time_left.is_zero() || is_abandoned {
             drop(slot);
             self.ledger
                 .record_outcome(LedgerCommand::Release { key, claimant })
@@ -320,8 +324,7 @@
             let reply = CallReply::without_response(Outcome::Unknown, Cause::LedgerUnreachable);
             reply.retry_after(LEDGER_RETRY_AFTER)
         };
-        let contact_age_ms = self.shared.quorum_age_ms();
-        if contact_age_ms.is_none_or(|age_ms| age_ms > MAX_QUORUM_AGE_MS) {
+        if !self.ledger.has_quorum() {
             return Err(ledger_unreachable());
         }
         let time_left = deadline.saturating_duration_since(Instant::now());
