Keep callers that read nothing from blocking the others of their hop

Callers of a gateway got 504 for requests to one executor while 32 or more callers of the same gateway had stopped reading long responses from there.

Cause: all requests from a gateway to an executor share one HTTP/2 connection. A response that its caller does not read keeps up to 128 KiB of the connection's window of 4 MiB, so 32 of them use it up, and then no body arrives, however small.

The window is now that of 512 such bodies.

--- a/crates/foxtailgauge-daemon/src/hop/hop_connection.rs
+++ b/crates/foxtailgauge-daemon/src/hop/hop_connection.rs
@@ -33,14 +33,14 @@
 /// Maximum number of requests in flight on a connection; the queues of the backend servers reach
 /// their bounds well below it.
 const MAX_STREAMS: u32 = 4_096;
-/// Flow-control window of one body, in bytes. Far below [`CONNECTION_WINDOW`], so that a body that
-/// is not read does not block the others.
+/// Flow-control window of one body, in bytes.
 const STREAM_WINDOW: u32 = 128 << 10;
 /// The same on a connection for bulk routes. At 11 Mbit/s enough for a round trip of 23 ms; more
 /// would only wait in the buffers of the link, where the executor can't see it.
 const BULK_STREAM_WINDOW: u32 = 32 << 10;
-/// Flow-control window of all bodies on a connection, in bytes.
-const CONNECTION_WINDOW: u32 = 4 << 20;
+/// Flow-control window of all bodies on a connection, in bytes: those that nobody reads, such as
+/// responses to callers that have stopped reading, must not use it up, as this would hold up all others.
+const CONNECTION_WINDOW: u32 = 512 * STREAM_WINDOW;
 /// Bytes of a response that are kept for a connection that takes no more, in addition to one piece
 /// of its body.
 const MAX_SEND_BUFFER: usize = 64 << 10;
--- a/crates/foxtailgauge-daemon/tests/forwarded_ends.rs
+++ b/crates/foxtailgauge-daemon/tests/forwarded_ends.rs
@@ -8,8 +8,9 @@
 use foxtailgauge_bench::relay::ConnectionFault;
 use mesh_support::{
     body, document, exchange, header, read_message, report_process, status, wait_for, Arrival,
-    Mesh, Script, Server, Topology,
+    Endless, Mesh, Script, Server, Topology,
 };
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use rustix::process::Signal;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -261,3 +262,65 @@
         assert_eq!(late, 0, "{end:?}: requests that nobody waited for arrived");
     }
 }
+
+/// Callers that read nothing of a response that is longer than all buffers on its way.
+const BLOCKED_CALLERS: usize = 45;
+
+#[test]
+fn callers_that_read_nothing_do_not_block_the_others_of_their_hop() {
+    let mesh = Mesh::start(2);
+    let mut document = document(1);
+    for rule in document["listeners"][0]["rule_set"].as_array_mut().unwrap() {
+        rule["action"]["timeout_ms"] = 60_000.into();
+    }
+    assert_eq!(mesh.put_document(0, &document), 200);
+    let server = Server::start();
+    let (platform, addr) = (mesh.platform_addr(2), server.addr.clone());
+    std::thread::spawn(move || {
+        // Each report renews the lease. The last one fails as the daemon has ended.
+        let report = |at| report_process(&platform, "i-1", &addr, "ready", (1, at), 100);
+        for _ in (1..).take_while(|at| report(*at) == 200) {
+            std::thread::sleep(Duration::from_secs(1));
+        }
+    });
+    let outbound = mesh.outbound_addr(1);
+    let request = |id: &str, deadline_ms: u64| {
+        format!(
+            "GET /view/{id} HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: {id}\r\n\
+             Deadline-Ms: {deadline_ms}\r\nContent-Length: 0\r\n\r\n"
+        )
+    };
+    let send_small = || exchange(&outbound, &request("small", 3_000)).unwrap_or_default();
+    wait_for("a response", || {
+        (status(&send_small()) == 200).then_some(())
+    });
+    server.set_script(Script::Endless(Endless::Chunks));
+    let _callers: Vec<TcpStream> = (0..BLOCKED_CALLERS)
+        .map(|n| {
+            let mut stream = TcpStream::connect(&outbound).unwrap();
+            set_socket_recv_buffer_size(&stream, 4_096).unwrap();
+            let text = request(&format!("endless-{n}"), 60_000);
+            stream.write_all(text.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    wait_for("the arrivals", || {
+        (server.received_count() > BLOCKED_CALLERS).then_some(())
+    });
+    server.set_script(Script::Echo);
+    let metrics = || {
+        let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+        let text = exchange(&mesh.metrics_addr(1), text).unwrap_or_default();
+        let lines = text.lines().filter(|line| line.contains("callers"));
+        lines.map(str::to_owned).collect::<Vec<_>>()
+    };
+    wait_for("full buffers", || {
+        let before = metrics();
+        std::thread::sleep(Duration::from_millis(700));
+        (before == metrics()).then_some(())
+    });
+    for _ in 0..3 {
+        let response = send_small();
+        assert_eq!(status(&response), 200, "{response}");
+    }
+}
