--- a/crates/foxtailgauge-daemon/tests/broken_answers.rs
+++ b/crates/foxtailgauge-daemon/tests/broken_answers.rs
@@ -148,7 +148,7 @@
 }
 
 /// What a caller got: a status, and the body if the response is whole in its framing.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 struct Received {
     status: u16,
     whole_body: Option<String>,
@@ -399,11 +399,12 @@
                 ..Breaking::new(framing, STREAMED_BYTES, cut)
             };
             let (received, _) = fixture.break_off(n, "POST /commit/", "HTTP/1.0", breaking);
-            let expected = Received {
-                status: 200,
-                whole_body: None,
-            };
-            assert_eq!(received, expected, "{breaking:?} at d{n}");
+            let length = received.whole_body.map(|body| body.len());
+            assert_eq!(
+                (received.status, length),
+                (200, None),
+                "{breaking:?} at d{n}"
+            );
         }
     }
 }
