--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -5,11 +5,14 @@
 use crate::events;
 pub(crate) use crate::executor::fingerprints::fingerprint_of;
 use crate::executor::forward_server::{ForwardServer, SlotGuard};
-use crate::executor::http_pool::{connect, ExchangeError, HttpPool, PooledConnection, SendError};
+use crate::executor::http_pool::{
+    connect, ConnectionUse, ExchangeError, HttpPool, PooledConnection, SendError,
+};
 use crate::executor::reply_gate::{is_bulk, ReplyGate};
 use crate::executor::run_times::RunTimes;
 use crate::executor::running_requests::{RunningRequest, RunningRequests};
 use crate::executor::server_health::{self, HealthAnswer};
+use crate::executor::server_response::{states_refusal, ResponseMeaning};
 use crate::executor::server_statement;
 use crate::hop::forward_body::{ForwardBody, MAX_BUFFERED_BULK_BYTES, MAX_BUFFERED_BYTES};
 use crate::hop::forward_headers::{attempt_id, header_text, millis_until, set_time_left};
@@ -25,18 +28,13 @@
 use foxtailgauge_platform::{headers, ServerReport};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Timeout for opening a connection to the backend server, which is on the same instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Idle time after which a connection is not reused: backend servers close idle connections, and a
-/// request sent while the connection is being closed is lost.
-const MAX_IDLE_TIME: Duration = Duration::from_millis(800);
-/// Idle time after which a connection is not reused for a request that is not idempotent.
-const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(250);
 /// Time after the deadline of a request at which its streamed response is ended, so that a gateway
 /// that no longer reads it does not keep a slot.
 const BODY_GRACE: Duration = Duration::from_secs(1);
@@ -434,7 +432,7 @@
         };
         let fingerprint = request.fingerprint;
         let (deadline, sent_at) = (request.deadline, Instant::now());
-        let (connection, response) = match self.send(server, request).await {
+        let (mut connection, response) = match self.send(server, request).await {
             Ok(sent) => sent,
             Err(error) => {
                 let end = self.handle_exchange_error(server, &id, &error);
@@ -444,25 +442,39 @@
                 return (end, None);
             }
         };
-        let is_declined = response.headers().contains_key(headers::NOT_EXECUTED)
-            || response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if response.headers().get(headers::ATTEMPT_ID) != id.as_ref() && !is_declined {
-            // Response to another request; whether this one ran is unknown.
-            emit!(self.shared.log, events::RESPONSE_MISMATCHED,
-                "request" => header_text(id.as_ref()), "server" => name);
-            return (HopEnd::Broken, None);
-        }
-        let has_proof = response.headers().contains_key(headers::SERVER_PROOF);
-        if response.status().is_success() && !has_proof {
-            emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
-                "request" => header_text(id.as_ref()), "server" => name,
-                "error" => "success without the proof of the backend server");
-            return (HopEnd::Broken, None);
+        let meaning = ResponseMeaning::of(&response, id.as_ref());
+        if states_refusal(&response) {
+            let is_matching = meaning != ResponseMeaning::Mismatched;
+            let metrics = &self.shared.metrics;
+            metrics.record_server_refusal(&name, is_matching);
+            emit!(self.shared.log, events::SERVER_DECLINED,
+                "request" => header_text(id.as_ref()), "server" => &name,
+                "status" => response.status().as_u16(),
+                "response" => attempt_id(response.headers()),
+                "is_reused" => connection.is_reused());
         }
-        if response.status() == StatusCode::MISDIRECTED_REQUEST {
-            // Another process has taken the address: send nothing there until the next report.
-            self.mark_unreachable(server);
-        } else {
+        let end = match meaning {
+            ResponseMeaning::Mismatched => {
+                emit!(self.shared.log, events::RESPONSE_MISMATCHED,
+                    "request" => header_text(id.as_ref()), "server" => name,
+                    "response" => attempt_id(response.headers()));
+                return (HopEnd::Broken, None);
+            }
+            ResponseMeaning::Unproved => {
+                emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
+                    "request" => header_text(id.as_ref()), "server" => name,
+                    "error" => "success without the proof of the backend server");
+                return (HopEnd::Broken, None);
+            }
+            ResponseMeaning::Misdirected => {
+                // Nothing is sent to the address until the next report.
+                self.mark_unreachable(server);
+                HopEnd::Declined
+            }
+            ResponseMeaning::Declined => HopEnd::Declined,
+            ResponseMeaning::Ran => HopEnd::Answered,
+        };
+        if meaning != ResponseMeaning::Misdirected {
             let log = &self.shared.log;
             if server_statement::apply(log, server, response.headers(), sent_at) {
                 self.mark_leaving(&name);
@@ -471,11 +483,15 @@
         let (parts, body) = response.into_parts();
         match ForwardBody::read_up_to(body, max_buffered_bytes).await {
             Ok(mut body) => {
-                if is_declined {
-                    slot.set_declined();
-                } else {
-                    slot.set_complete();
-                    self.record_completion(fingerprint);
+                match end {
+                    HopEnd::Answered => {
+                        slot.set_complete();
+                        self.record_completion(fingerprint);
+                    }
+                    _ => {
+                        slot.set_declined();
+                        connection.record_refusal(id.as_ref().map_or(&[], HeaderValue::as_bytes));
+                    }
                 }
                 if body.bytes().is_some() {
                     drop(slot);
@@ -485,11 +501,6 @@
                     // The gateway logs that it ended the response, unless it is cut off.
                     body.set_deadline(deadline + BODY_GRACE, || {});
                 }
-                let end = if is_declined {
-                    HopEnd::Declined
-                } else {
-                    HopEnd::Answered
-                };
                 (end, Some(Response::from_parts(parts, body)))
             }
             Err(error) => {
@@ -559,13 +570,13 @@
     ) -> Result<(PooledConnection, Response<Incoming>), ExchangeError> {
         let addr = server.addr().to_string();
         let deadline = forward.deadline;
-        let max_idle = if forward.hop.is_idempotent {
-            MAX_IDLE_TIME
-        } else {
-            MAX_IDLE_NON_IDEMPOTENT
-        };
         let mut request = forward.request;
-        let reused = self.pool.take_idle(&addr, max_idle);
+        let id = request.headers().get(headers::ATTEMPT_ID);
+        let usage = ConnectionUse {
+            request_id: id.map_or(&[], HeaderValue::as_bytes),
+            is_idempotent: forward.hop.is_idempotent,
+        };
+        let reused = self.pool.take_idle(&addr, usage);
         let mut may_reconnect = reused.is_some();
         let mut connection = match reused {
             Some(connection) => connection,
