A new connection takes the place of an idle one

What callers would see: with a server that refuses requests which run at most once, each refusal left a connection idle that such requests may not use, for 800 ms: up to 64 of them beside those in use. The same for connections that were idle for over 250 ms, which were closed before.

Cause: since requests that run at most once are not sent behind a refusal, take_idle skips the connections that a request may not use and keeps them. It now closes the one that has been idle for longest when the request needs a new one, so that the number of connections stays that of the requests at once.

--- a/crates/foxtailgauge-daemon/src/executor/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/executor/http_pool.rs
@@ -93,7 +93,8 @@
 }
 
 impl HttpPool {
-    /// Takes the most recently used idle connection that the request may use.
+    /// Takes the most recently used idle connection that the request may use. Without one the request
+    /// needs a new connection, for which an idle one is closed: backend servers bound their number.
     pub(crate) fn take_idle(
         &self,
         addr: &str,
@@ -108,7 +109,12 @@
         });
         let index = connections
             .iter()
-            .rposition(|idle| idle.connection.sender.is_ready() && usage.permits(idle, now))?;
+            .rposition(|idle| idle.connection.sender.is_ready() && usage.permits(idle, now));
+        let Some(index) = index else {
+            // The connection opened instead takes the place of the one that has been idle for longest.
+            drop(connections.drain(..connections.len().min(1)));
+            return None;
+        };
         let mut connection = connections.remove(index).connection;
         connection.is_reused = true;
         Some(connection)
