A late response does not take the successor of its process out of service

What callers saw: 503 no_server for every request, until the backend server started once more.

Cause: what a response states of its server (leaving, rate, load) was applied to the entry of its name, whatever process had sent it. A server may start again under its name; a response of the earlier process that is read after the first report of the later one (a daemon that was paused or slow) marked the later one as leaving, for good. The entry now knows since when its process reports; statements in responses to requests sent before are left out.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -474,7 +474,7 @@
             ResponseMeaning::Declined => HopEnd::Declined,
             ResponseMeaning::Ran => HopEnd::Answered,
         };
-        if meaning != ResponseMeaning::Misdirected {
+        if meaning != ResponseMeaning::Misdirected && !server.has_restarted_since(sent_at) {
             let log = &self.shared.log;
             if server_statement::apply(log, server, response.headers(), sent_at) {
                 self.mark_leaving(&name);
--- a/crates/foxtailgauge-daemon/src/executor/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_server.rs
@@ -23,6 +23,8 @@
     addr: SocketAddr,
     /// Start time of the process, in Unix milliseconds, and number of its last report.
     sequence: (u64, u64),
+    /// When the process reported first.
+    process_since: Instant,
     lease_until: Instant,
     /// Set once the backend server announced that it leaves; later reports of the same process do
     /// not clear it.
@@ -150,6 +152,7 @@
             entry: directory_entry(report, service),
             addr: report.addr,
             sequence: report.sequence,
+            process_since: Instant::now(),
             lease_until: Instant::now() + lease,
             has_left: false,
             is_reachable: true,
@@ -249,6 +252,12 @@
         (previous, statement)
     }
 
+    /// Whether its process has reported first after `sent_at`. The response to a request sent before may
+    /// come from an earlier process and then states nothing about this one.
+    pub(crate) fn has_restarted_since(&self, sent_at: Instant) -> bool {
+        lock(&self.inner).process_since > sent_at
+    }
+
     /// Applies the pace that it states.
     pub(crate) fn record_pace(self: &Arc<Self>, pace: Pace) {
         let mut inner = lock(&self.inner);
@@ -332,6 +341,7 @@
         // A restarted process is not leaving and has no state of the earlier one.
         let is_restart = report.sequence.0 > inner.sequence.0;
         if is_restart {
+            inner.process_since = Instant::now();
             inner.has_left = false;
             inner.statement = ServerStatement::default();
             inner.rate_limited_at = None;
