Failing test: a late deregistration stops the successor of its process

DELETE /foxtailgauge/instances/ID marks whatever process has the name now as leaving, for good; the body is not read. Not fixed here.

--- a/crates/foxtailgauge-daemon/tests/restarted_servers.rs
+++ b/crates/foxtailgauge-daemon/tests/restarted_servers.rs
@@ -51,3 +51,18 @@
     std::thread::sleep(Duration::from_millis(100));
     assert_eq!(view(&mesh, "after"), 200);
 }
+
+#[test]
+fn late_deregistration_of_an_earlier_process_does_not_stop_its_successor() {
+    let (mesh, server) = start();
+    assert_eq!(report(&mesh, &server, 2), 200);
+    let body = "{\"born\":1}";
+    let request = format!(
+        "DELETE /foxtailgauge/instances/i-0 HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let response = exchange(&mesh.platform_addr(1), &request).unwrap_or_default();
+    assert_eq!(status(&response), 200);
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(view(&mesh, "after"), 200);
+}
