A backend server that resets a connection while it is full stays in service

A connection that broke with a request in flight, followed by such a reset, also made the request a suspect of having crashed the server.

Cause: a reset of a new connection was taken for an unreachable server, or for a crashed one. Evidence about one connection believed for the server: something listens there. The request itself was not sent, and still ends as NotReached; a refused or timed out connection still counts as before.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -521,6 +521,7 @@
         emit!(self.shared.log, events::RESPONSE_INCOMPLETE, "request" => header_text(id.as_ref()),
             "server" => server.name(), "error" => error.to_string());
         match error {
+            ExchangeError::NotSent(error) if is_reset(error) => HopEnd::NotReached,
             ExchangeError::NotSent(_) => {
                 self.mark_unreachable(server);
                 HopEnd::NotReached
@@ -543,8 +544,10 @@
     async fn check_for_crash(&self, server: &Arc<ForwardServer>, fingerprint: Option<Fingerprint>) {
         let addr = server.addr().to_string();
         let reconnect = async_std::future::timeout(CONNECT_TIMEOUT, connect(&addr)).await;
-        if matches!(reconnect, Ok(Ok(_))) {
-            return;
+        match reconnect {
+            Ok(Ok(_)) => return,
+            Ok(Err(error)) if is_reset(&error) => return,
+            Ok(Err(_)) | Err(_) => {}
         }
         self.mark_unreachable(server);
         let suspect = fingerprint.filter(|f| !lock(&self.completed).contains(f));
@@ -606,6 +609,12 @@
     }
 }
 
+/// Whether the peer listens and reset a connection: a backend server that is full may do that, and
+/// serves the requests on its other connections.
+fn is_reset(error: &std::io::Error) -> bool {
+    error.kind() == std::io::ErrorKind::ConnectionReset
+}
+
 pub(crate) fn without_response(end: HopEnd, load: WorkLoad) -> ForwardReply {
     ForwardReply {
         reply: HopReply {
--- a/crates/foxtailgauge-daemon/tests/refused_connections.rs
+++ b/crates/foxtailgauge-daemon/tests/refused_connections.rs
@@ -1,8 +1,13 @@
-//! Connections to a backend server that refuses a part of its requests.
+//! Connections to a backend server that refuses a part of its requests, or connections while it is full.
 
 mod mesh_support;
 
 use mesh_support::{document, exchange, report_process, status, wait_for, Mesh, Script, Server};
+use rustix::net::sockopt::set_socket_linger;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Callers with one request at a time each, and refused requests of each.
 const CALLERS: usize = 6;
@@ -53,7 +58,7 @@
             });
         }
         let count = |_| {
-            std::thread::sleep(std::time::Duration::from_millis(100));
+            std::thread::sleep(Duration::from_millis(100));
             open_connections(&server)
         };
         (0..20).map(count).max().unwrap_or(0)
@@ -61,3 +66,58 @@
     println!("{most} connections open at once for {CALLERS} callers");
     assert!(most > 0 && most <= MAX_CONNECTIONS, "{most} connections");
 }
+
+/// Address in front of a server at which connections are reset while it is full.
+fn start_front(server: &Server, is_full: &Arc<AtomicBool>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
+    let addr = listener.local_addr().expect("invalid address").to_string();
+    let (target, is_full) = (server.addr.clone(), Arc::clone(is_full));
+    std::thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            if is_full.load(Ordering::SeqCst) {
+                // The reset is sent as the stream is dropped.
+                set_socket_linger(&near, Some(Duration::ZERO)).expect("cannot set the option");
+                continue;
+            }
+            let far = TcpStream::connect(&target).expect("no connection to the server");
+            let clone = |stream: &TcpStream| stream.try_clone().expect("cannot clone the stream");
+            for (mut from, mut to) in [(clone(&near), clone(&far)), (far, near)] {
+                std::thread::spawn(move || {
+                    // Either end may have closed its connection.
+                    let _ = std::io::copy(&mut from, &mut to);
+                    let _ = to.shutdown(std::net::Shutdown::Both);
+                });
+            }
+        }
+    });
+    addr
+}
+
+#[test]
+fn reset_of_a_new_connection_does_not_take_the_server_out_of_service() {
+    let mesh = Mesh::start(1);
+    assert_eq!(mesh.put_document(0, &document(1)), 200);
+    let (server, is_full) = (Server::start(), Arc::default());
+    let addr = start_front(&server, &is_full);
+    // Connections idle for 300 ms are not used again; the broken one was used just before.
+    let cases = [("new", Script::Echo, 300), ("broken", Script::Break, 0)];
+    for (sequence, (case, script, idle_ms)) in (1..).zip(cases) {
+        assert_eq!(mesh.report(1, "i-0", &addr, "ready", sequence), 200);
+        wait_for("a response", || {
+            (commit(&mesh, &format!("{case}-first")) == 200).then_some(())
+        });
+        std::thread::sleep(Duration::from_millis(idle_ms));
+        server.set_script(script);
+        is_full.store(true, Ordering::SeqCst);
+        let while_full = commit(&mesh, &format!("{case}-full"));
+        assert!(matches!(while_full, 502 | 503), "{case}: {while_full}");
+        is_full.store(false, Ordering::SeqCst);
+        server.set_script(Script::Echo);
+        // A server that is regarded as unreachable would get no request before its next report.
+        wait_for("a response without another report", || {
+            (commit(&mesh, &format!("{case}-after")) == 200).then_some(())
+        });
+    }
+    let crashes = mesh.grep(1, "\"event\":4004");
+    assert!(crashes.is_empty(), "{crashes:?}");
+}
