A deregistration of an earlier process does not stop its successor

A DELETE that is late or sent again marked whatever process had the name as leaving, for good: 503 until it started once more.

Cause: the body of a deregistration was not read. If it states the start of its process, one of an earlier process has no effect now; one without it counts as before (the examples of the users' pages have no body).

A response that names the id of its request twice counts as its own again.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -216,6 +216,18 @@
         true
     }
 
+    /// Marks a backend server as leaving on its own request. One of an earlier process under its name,
+    /// by its start in Unix milliseconds, has no effect.
+    pub(crate) fn deregister(&self, server: &str, started_ms: Option<u64>) {
+        let found = lock(&self.servers).get(server).cloned();
+        let is_earlier = |server: &Arc<ForwardServer>| {
+            started_ms.is_some_and(|started_ms| started_ms < server.started_ms())
+        };
+        if !found.as_ref().is_some_and(is_earlier) {
+            self.mark_leaving(server);
+        }
+    }
+
     /// Marks all backend servers as leaving because this daemon stops.
     pub(crate) fn mark_all_leaving(&self) {
         let servers: Vec<Arc<ForwardServer>> = lock(&self.servers).values().cloned().collect();
--- a/crates/foxtailgauge-daemon/src/executor/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_server.rs
@@ -180,6 +180,11 @@
         lock(&self.inner).addr
     }
 
+    /// Start of its process, in Unix milliseconds, by its last report.
+    pub(crate) fn started_ms(&self) -> u64 {
+        lock(&self.inner).sequence.0
+    }
+
     /// Its load, with the run time of a route.
     pub(crate) fn load(&self, route: &str) -> WorkLoad {
         lock(&self.inner).queue.load(route, Instant::now())
--- a/crates/foxtailgauge-daemon/src/executor/server_response.rs
+++ b/crates/foxtailgauge-daemon/src/executor/server_response.rs
@@ -26,8 +26,8 @@
     /// The response to a request without an id can't be told from such a one, so it never states that the
     /// request did not run.
     pub(crate) fn of<B>(response: &Response<B>, request_id: Option<&HeaderValue>) -> Self {
-        let response_ids = response.headers().get_all(headers::ATTEMPT_ID);
-        if !response_ids.iter().eq(request_id) {
+        let mut response_ids = response.headers().get_all(headers::ATTEMPT_ID).iter();
+        if response_ids.next() != request_id || response_ids.any(|id| Some(id) != request_id) {
             return ResponseMeaning::Mismatched;
         }
         let has_proof = response.headers().contains_key(headers::SERVER_PROOF);
--- a/crates/foxtailgauge-daemon/src/platform_http.rs
+++ b/crates/foxtailgauge-daemon/src/platform_http.rs
@@ -12,7 +12,7 @@
 use async_std::net::TcpListener;
 use foxtailgauge_core::{Change, ChangeAnswer, RolloutAnswer, TeamName};
 use foxtailgauge_platform::{
-    format_rollout, headers, parse_document, parse_document_version, parse_report,
+    format_rollout, headers, parse_departure, parse_document, parse_document_version, parse_report,
     parse_rollout_order, PlatformRequest, TranslatedDocument,
 };
 use foxtailgauge_wire::{SubmitReply, SubmitRequest};
@@ -88,7 +88,7 @@
             Some(PlatformRequest::PutDocument) => self.put_document(request).await,
             Some(PlatformRequest::GetDocument) => self.get_document().await,
             Some(PlatformRequest::Report { server }) => self.report(&server, request).await,
-            Some(PlatformRequest::Leave { server }) => self.leave(&server),
+            Some(PlatformRequest::Leave { server }) => self.leave(&server, request).await,
             Some(PlatformRequest::OrderRollout) => self.order_rollout(request).await,
             Some(PlatformRequest::GetRollout { service }) => self.get_rollout(&service).await,
         };
@@ -256,8 +256,11 @@
         }
     }
 
-    fn leave(&self, server: &str) -> StatusAndBody {
-        self.executor.mark_leaving(server);
+    async fn leave(&self, server: &str, request: Request<Incoming>) -> StatusAndBody {
+        let started_ms = read_body(request)
+            .await
+            .and_then(|bytes| parse_departure(&bytes));
+        self.executor.deregister(server, started_ms);
         (StatusCode::OK, b"{}".into())
     }
 }
