Grace period of a stop follows the platform's bound

Callers of a stopping sidecar lost requests on the one deployment whose grace period is not 6 s: the template fixed stop_grace_ms = 6000, so the daemon ended 0.4 s before 6 s with requests in flight although it had 10 s.

The platform's list of bounds, which the template passes already, states the grace period. It now applies unless the settings have stop_grace_ms, like the bound on retries; 6 s if neither states it. The list is read once, by the mesh settings.

Evidence, with the listed grace ignored as before: mesh_settings::grace_period_comes_from_the_settings_or_the_platform: left: 6000, right: 10000. After: passes, as do the tests of platform/.

--- a/crates/foxtailgauge-daemon/src/mesh_settings.rs
+++ b/crates/foxtailgauge-daemon/src/mesh_settings.rs
@@ -2,9 +2,13 @@
 
 use crate::settings::Reader;
 use foxtailgauge_core::{is_valid_name, TeamName};
+use foxtailgauge_platform::{parse_bounds, Bounds};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Grace period if neither the settings nor the platform state one.
+const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(6);
+
 /// Known keys of the section.
 pub(crate) const KNOWN_KEYS: &[(&str, &[&str])] = &[(
     "mesh",
@@ -38,12 +42,24 @@
     pub service: Option<String>,
     /// Interval between the reports of a backend server.
     pub report_interval: Duration,
-    /// Time from the stop request until the process exits.
+    /// Time from the request to stop until the process is killed.
     pub stop_grace: Duration,
 }
 
+/// Reads the platform's list of bounds; without one, none is stated.
+pub(crate) fn read_bounds(reader: &mut Reader) -> Bounds {
+    let Some(text) = reader.non_empty_value("mesh", "bounds") else {
+        return Bounds::default();
+    };
+    parse_bounds(&text).unwrap_or_else(|error| {
+        let allowed = "NAME=VALUE, separated by commas, with numbers within their ranges";
+        reader.add_problem("mesh", "bounds", error.to_string(), allowed);
+        Bounds::default()
+    })
+}
+
 /// Reads section `mesh`; `None` if it has no `workspace`.
-pub(crate) fn read(reader: &mut Reader) -> Option<MeshSettings> {
+pub(crate) fn read(reader: &mut Reader, bounds: &Bounds) -> Option<MeshSettings> {
     let workspace = reader.value("mesh", "workspace")?;
     if !is_valid_name(&workspace) {
         let allowed = "1 to 64 characters a-z, 0-9 and -";
@@ -62,6 +78,14 @@
         metrics: reader.optional_address("metrics"),
         service,
         report_interval: reader.duration_ms("mesh", "report_interval_ms", 50..=60_000, 1_500),
-        stop_grace: reader.duration_ms("mesh", "stop_grace_ms", 500..=600_000, 6_000),
+        stop_grace: read_stop_grace(reader, bounds.stop_grace),
     })
 }
+
+/// The key takes precedence over `listed`, the grace period in the platform's list.
+fn read_stop_grace(reader: &mut Reader, listed: Option<Duration>) -> Duration {
+    match reader.non_empty_value("mesh", "stop_grace_ms") {
+        Some(_) => reader.duration_ms("mesh", "stop_grace_ms", 500..=600_000, 0),
+        None => listed.unwrap_or(DEFAULT_STOP_GRACE),
+    }
+}
--- a/crates/foxtailgauge-daemon/src/retry_settings.rs
+++ b/crates/foxtailgauge-daemon/src/retry_settings.rs
@@ -2,17 +2,15 @@
 
 use crate::settings::Reader;
 use foxtailgauge_core::RetryLimits;
-use foxtailgauge_platform::parse_bounds;
 
 const PERCENT_KEY: &str = "retry_budget_percent";
 const SLACK_KEY: &str = "retry_budget_slack";
 /// Largest slack, in requests.
 const MAX_SLACK_REQUESTS: f64 = 1_000_000.0;
 
-/// Reads the bound on retries; `None` if it is not set. Section `limits` takes precedence over the
-/// platform's list, which is checked in any case.
-pub(crate) fn read(reader: &mut Reader) -> Option<RetryLimits> {
-    let listed = read_bounds(reader);
+/// Reads the bound on retries; `None` if it is not set. Section `limits` takes precedence over
+/// `listed`, the one in the platform's list.
+pub(crate) fn read(reader: &mut Reader, listed: Option<RetryLimits>) -> Option<RetryLimits> {
     let is_set =
         [PERCENT_KEY, SLACK_KEY].map(|key| reader.non_empty_value("limits", key).is_some());
     let percent = reader.optional_decimal("limits", PERCENT_KEY, 0.0..=100.0, "");
@@ -34,15 +32,3 @@
     reader.add_problem("limits", key, "nothing", &allowed);
     None
 }
-
-fn read_bounds(reader: &mut Reader) -> Option<RetryLimits> {
-    let text = reader.non_empty_value("mesh", "bounds")?;
-    match parse_bounds(&text) {
-        Ok(bounds) => bounds.retries,
-        Err(error) => {
-            let allowed = "NAME=VALUE, separated by commas, with numbers within their ranges";
-            reader.add_problem("mesh", "bounds", error.to_string(), allowed);
-            None
-        }
-    }
-}
--- a/crates/foxtailgauge-daemon/src/settings.rs
+++ b/crates/foxtailgauge-daemon/src/settings.rs
@@ -284,20 +284,21 @@
                 200,
             ),
         };
+        let bounds = mesh_settings::read_bounds(self);
         let limits = Limits {
             body_bytes: self.number("limits", "body_bytes", 1..=16 << 20, 1 << 20) as usize,
             connections: self.number("limits", "connections", 1..=100_000, 4096) as usize,
             server_connections: self.number("limits", "server_connections", 1..=10_000, 100)
                 as usize,
             link_bytes_per_s: self.link_bytes_per_s(),
-            retries: retry_settings::read(self),
+            retries: retry_settings::read(self, bounds.retries),
         };
         let hours = self.number("ledger", "retention_hours", 1..=8760, 48);
         let log_level = self.log_level();
         let listen = listen?;
         let advertise_control = self.advertised_address("control", listen.control);
         let advertise_calls = self.advertised_address("calls", listen.calls);
-        let mesh = mesh_settings::read(self);
+        let mesh = mesh_settings::read(self, &bounds);
         let is_in_list = replicas.contains(&advertise_control);
         if store_dir.is_some() && formation == Formation::Listed && !is_in_list {
             let found = format!("no `{advertise_control}`");
--- a/crates/foxtailgauge-daemon/tests/mesh_settings.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_settings.rs
@@ -81,6 +81,8 @@
         ),
         ("service =", "bounds = budget_slack=many", "bounds"),
         ("service =", "bounds = budget_slack=1", "bounds"),
+        ("service =", "bounds = grace_s=soon", "bounds"),
+        ("service =", "stop_grace_ms = 499", "stop_grace_ms"),
         (
             "[mesh]",
             "[limits]\nretry_budget_percent = 101\nretry_budget_slack = 1\n[mesh]",
@@ -139,10 +141,39 @@
     }
 }
 
-/// Guards against a template that does not pass the platform's list to the settings.
+/// Guards against a stop that ends long before the platform kills the process, or is killed.
 #[test]
-fn template_passes_the_bounds() {
-    let template = include_str!("../../../deploy/sidecar.ini");
-    let mesh = template.split("[mesh]").nth(1).unwrap_or_default();
-    assert!(mesh.contains("\nbounds = {{bounds}}\n"), "{template}");
+fn grace_period_comes_from_the_settings_or_the_platform() {
+    // Line of the section, and the expected grace period in milliseconds.
+    let cases = [
+        ("service =", 6_000),
+        (
+            "bounds = contact_ms=3000,grace_s=10,loss_slack_ms=200",
+            10_000,
+        ),
+        ("bounds = grace_s=2.5\nstop_grace_ms =", 2_500),
+        ("bounds = grace_s=10\nstop_grace_ms = 1500", 1_500),
+        ("stop_grace_ms = 1500", 1_500),
+    ];
+    for (line, expected_ms) in cases {
+        let settings = load(&VALID.replace("service =", line));
+        let settings = settings.unwrap_or_else(|error| panic!("{error}"));
+        let stop_grace = settings.mesh.expect("mesh section").stop_grace;
+        assert_eq!(stop_grace.as_millis(), expected_ms, "{line}");
+    }
+}
+
+/// Guards against a template that does not pass the platform's list to the settings, or overrides the
+/// grace period that it states.
+#[test]
+fn templates_pass_the_bounds() {
+    let templates = [
+        include_str!("../../../deploy/sidecar.ini"),
+        include_str!("../../../deploy/replica.ini"),
+    ];
+    for template in templates {
+        let mesh = template.split("[mesh]").nth(1).unwrap_or_default();
+        assert!(mesh.contains("\nbounds = {{bounds}}\n"), "{template}");
+        assert!(!mesh.contains("stop_grace_ms"), "{template}");
+    }
 }
