The last lines of a stopping daemon's log are written

Operators of a daemon that stopped often found no event 1003, so its absence said nothing about how a stop ended. Lines are written by a thread from a queue, and the process exited without waiting for it: the logger flushes when its last clone is dropped, and tasks hold clones until the end.

The queue is now flushed at the exit, for 100 ms at most, as the output may be blocked. Lines logged after it are discarded.

--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -75,7 +75,7 @@
 
 /// Runs a daemon until it receives SIGTERM or SIGINT.
 pub fn run(settings: Settings) -> Result<(), Report<DaemonError>> {
-    let log = logger::build(settings.log_level, &settings.name, &settings.failure_domain);
+    let (log, _flush_guard) = logger::build(settings.log_level, &settings.name, &settings.failure_domain);
     let stop = stop_signal(log.clone())?;
     task::block_on(async {
         let listeners = listen(&settings.listen, &log).await?;
--- a/crates/foxtailgauge-daemon/src/logger.rs
+++ b/crates/foxtailgauge-daemon/src/logger.rs
@@ -4,16 +4,37 @@
     o, Drain, FnValue, Level, Logger, OwnedKVList, PushFnValue, Record, RecordStatic,
     SendSyncUnwindSafeDrain,
 };
+use slog_async::{Async, AsyncGuard};
 use std::io::IsTerminal;
 use std::panic::{RefUnwindSafe, UnwindSafe};
+use std::time::Duration;
 use time::format_description::well_known::Rfc3339;
 use time::OffsetDateTime;
 
 /// Capacity of the queue to a slow output, in entries; further entries are dropped and counted.
 const LOG_QUEUE_CAPACITY: usize = 4096;
 
+/// Time allowed at exit for writing the queued lines, as the output may be blocked.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Flushes the queued lines when dropped; lines that are logged afterwards are discarded.
+pub(crate) struct FlushGuard(Option<AsyncGuard>);
+
+impl Drop for FlushGuard {
+    fn drop(&mut self) {
+        let guard = self.0.take();
+        let (sender, flushed) = std::sync::mpsc::channel::<()>();
+        std::thread::spawn(move || {
+            drop(guard);
+            drop(sender);
+        });
+        // Without the flush in time, the rest of the lines is given up.
+        let _ = flushed.recv_timeout(FLUSH_TIMEOUT);
+    }
+}
+
 /// Builds a logger that writes to standard output.
-pub(crate) fn build(level: Level, daemon: &str, failure_domain: &str) -> Logger {
+pub(crate) fn build(level: Level, daemon: &str, failure_domain: &str) -> (Logger, FlushGuard) {
     let values = o!(
         "daemon" => daemon.to_owned(),
         "failure_domain" => failure_domain.to_owned(),
@@ -21,7 +42,8 @@
     if std::io::stdout().is_terminal() {
         let decorator = slog_term::TermDecorator::new().stdout().build();
         let drain = slog_term::FullFormat::new(decorator).build().fuse();
-        root_logger(queue(drain), level, values)
+        let (queue, guard) = queue(drain);
+        (root_logger(queue, level, values), guard)
     } else {
         // Lines that the queue adds itself have no time of an event.
         let json = slog_json::Json::new(std::io::stdout()).add_key_value(o!(
@@ -32,8 +54,8 @@
             "level" => FnValue(|record: &Record| record.level().as_short_str()),
             "msg" => PushFnValue(|record: &Record, serializer| serializer.emit(record.msg())),
         ));
-        let drain = EventTime(queue(json.build().fuse()));
-        root_logger(drain, level, values)
+        let (queue, guard) = queue(json.build().fuse());
+        (root_logger(EventTime(queue), level, values), guard)
     }
 }
 
@@ -62,12 +84,14 @@
     OffsetDateTime::now_utc().format(&Rfc3339).ok()
 }
 
-fn queue<D>(drain: D) -> slog::Fuse<slog_async::Async>
+fn queue<D>(drain: D) -> (slog::IgnoreResult<Async>, FlushGuard)
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
 {
-    let queue = slog_async::Async::new(drain).chan_size(LOG_QUEUE_CAPACITY);
-    queue.build().fuse()
+    let builder = Async::new(drain).chan_size(LOG_QUEUE_CAPACITY);
+    let (queue, guard) = builder.build_with_guard();
+    // It fails only after the flush at exit.
+    (queue.ignore_res(), FlushGuard(Some(guard)))
 }
 
 fn root_logger<D, T>(drain: D, level: Level, values: slog::OwnedKV<T>) -> Logger
