A stopping daemon takes what it can answer, and answers the rest

Callers of a stopping daemon lost requests: what it took late in the grace period was passed on and cut at its end without a response, among it requests that may not be repeated.

Cause: new requests were taken for 3 s after SIGTERM, whatever their deadline and the grace period; the drain ended 0.4 s before the end of the grace period with requests in flight; the drain of own routes could take 30 s more, the announcement 0.3 s. At own routes nothing was refused, and requests that ran on another instance were not waited for on daemons without host routes. Event 1003 said nothing of it.

The decision is in core::planned_stop: a request is taken if its time left ends before the drain does; early, and for calls of running requests, if twice the latency target of its route is left. It is asked when the head has arrived and before each attempt, so that "not run" is true. The last sixth of the grace period, 600 ms at most, is kept for the end: what is in progress gets 502, or 503 if it was not passed on, streamed responses are broken off, the announcement spreads, the process exits. The connection's timer, which exists for its idle timeout, wakes it; there is no timer for a request. Both paths use it. The daemon closes its gate and looks again before it ends early, so that no request slips in between.

Event 1008 says how many requests were in progress at the end of the drain, 1003 how many were given up with outcome unknown and how many cut.

tests: mesh_support has the grace period as a field, two addresses and a script for a stream; the default of 3 s is as before. has_input_end moved to socket.rs.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -50,6 +50,7 @@
 mod pace;
 mod pipeline;
 mod placement;
+mod planned_stop;
 mod quarantine;
 mod rate_limit;
 mod registry;
@@ -117,6 +118,7 @@
     MAX_RUNNING,
 };
 pub use placement::{AttemptHealth, AttemptReport, Placement, PlacementRequest};
+pub use planned_stop::{LateRequest, StopPlan};
 pub use quarantine::{
     fingerprint, request_digest, Fingerprint, Suspect, SuspectIndex, SuspectLog, SuspectVerdict,
     QUARANTINE_CRASHES, SUSPECT_TTL_MS,
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::rollout;
 use crate::settings::Settings;
 use crate::shared::{Clients, Shared};
+use crate::stop;
 use crate::usage;
 use async_std::net::TcpListener;
 use async_std::task;
@@ -33,14 +34,9 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Number of client threads for calls to other daemons.
 const CALL_CLIENT_THREADS: usize = 2;
-/// Maximum time to wait for requests in flight at a stop.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time allowed for the announcement of a stopping daemon to reach other daemons.
-const LEAVE_PROPAGATION_TIME: Duration = Duration::from_millis(300);
 
 /// Why the daemon cannot run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,8 +71,9 @@
 
 /// Runs a daemon until it receives SIGTERM or SIGINT.
 pub fn run(settings: Settings) -> Result<(), Report<DaemonError>> {
-    let (log, _flush_guard) = logger::build(settings.log_level, &settings.name, &settings.failure_domain);
-    let stop = stop_signal(log.clone())?;
+    let (log, _flush_guard) =
+        logger::build(settings.log_level, &settings.name, &settings.failure_domain);
+    let stop_requests = stop_signal(log.clone())?;
     task::block_on(async {
         let listeners = listen(&settings.listen, &log).await?;
         let store_dir = settings.store_dir.clone();
@@ -93,14 +90,8 @@
         subscriber::start(&shared);
         usage::start(&shared);
         // The channel closes if the signal thread ends, which also stops the daemon.
-        let _ = stop.recv().await;
-        emit!(shared.log, events::STOPPING);
-        shared.begin_stop();
-        mesh::drain(&context).await;
-        context.executor.drain(DRAIN_TIMEOUT).await;
-        shared.announce_stop();
-        task::sleep(LEAVE_PROPAGATION_TIME).await;
-        emit!(shared.log, events::STOPPED);
+        let _ = stop_requests.recv().await;
+        stop::run(&context).await;
         Ok(())
     })
 }
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -40,6 +40,7 @@
     TASK_FAILED = 1005, Error, "connection or task ended with an error";
     RELOAD_REQUESTED = 1006, Info, "reload requested: settings take effect at the next start";
     ACCEPT_FAILED = 1007, Warning, "cannot accept connections: retrying";
+    STOP_UNFINISHED = 1008, Warning, "requests are in progress at the end of a stop: given up";
     STORE_OPENED = 2001, Info, "store opened";
     STORE_TAIL_TRUNCATED = 2002, Warning, "incomplete last batch of the log truncated";
     STORE_FAILED = 2003, Critical, "store failed: replica stopped";
--- a/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
@@ -13,20 +13,22 @@
 use crate::metrics::CallLabels;
 use crate::shared::{ForwardingGuard, Shared};
 use crate::socket;
+use crate::stop::StopState;
 use async_std::net::TcpListener;
 use async_std::task;
-use foxtailgauge_core::CallerLimits;
+use foxtailgauge_core::{CallerLimits, LateRequest};
 use foxtailgauge_wire::Outcome;
 use futures::future::{BoxFuture, FutureExt};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::{
-    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, WWW_AUTHENTICATE,
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE,
 };
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
+use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Header with the outcome of the request.
 const OUTCOME_HEADER: &str = "foxtailgauge-outcome";
@@ -40,6 +42,8 @@
 const CHALLENGE: &str = "Bearer";
 /// Prefix of the names of headers that only the daemon sets.
 const RESERVED_PREFIX: &str = "foxtailgauge-";
+/// Retry delay if the daemon is stopping, in whole seconds; another daemon can respond.
+const OTHER_DAEMON_RETRY_AFTER_S: u64 = 1;
 /// Timeouts of connections. The limits of host routes are for callers of the platform.
 const LIMITS: CallerLimits = CallerLimits {
     header_bytes: 0,
@@ -54,6 +58,10 @@
     Malformed,
     BodyTooLarge,
     HeadTooLarge,
+    /// The daemon is stopping. The outcome is unknown if an earlier try with the key may have run.
+    Stopping {
+        outcome: Outcome,
+    },
 }
 
 /// Accepts and serves callers' connections until the daemon exits.
@@ -104,13 +112,23 @@
     ) -> BoxFuture<'static, Response<ForwardBody>> {
         async move {
             let limit_bytes = self.shared.settings.limits.body_bytes;
-            let (response, outcome) = match read_request(request, limit_bytes).await {
+            let stop = &self.shared.stop;
+            let read = stop
+                .until_drain_end(pin!(read_request(request, limit_bytes)))
+                .await;
+            // An earlier try with the key of a request that is not read may have run.
+            let outcome = Outcome::Unknown;
+            let read = read.unwrap_or(Err(HttpRefusal::Stopping { outcome }));
+            let (response, outcome) = match read.and_then(|request| self.take(request)) {
                 Ok(request) => {
-                    let response = self.gateway.handle(&request).await;
+                    let handled = stop
+                        .until_drain_end(pin!(self.gateway.handle(&request)))
+                        .await;
+                    let response = handled.unwrap_or_else(|| self.give_up());
                     let outcome = response.outcome;
                     (http_response(response), outcome)
                 }
-                Err(refusal) => (refusal_response(refusal), Outcome::NotRun),
+                Err(refusal) => (refusal_response(refusal), refusal.outcome()),
             };
             self.record_call(read_at, outcome);
             response
@@ -133,8 +151,8 @@
         LIMITS
     }
 
-    fn is_stopping(&self) -> bool {
-        self.shared.is_stopping()
+    fn stop(&self) -> Option<&StopState> {
+        Some(&self.shared.stop)
     }
 
     fn head_timed_out(&self, caller: Option<String>) {
@@ -142,7 +160,54 @@
     }
 }
 
+impl HttpRefusal {
+    fn outcome(self) -> Outcome {
+        match self {
+            HttpRefusal::Malformed | HttpRefusal::BodyTooLarge | HttpRefusal::HeadTooLarge => {
+                Outcome::NotRun
+            }
+            HttpRefusal::Stopping { outcome } => outcome,
+        }
+    }
+}
+
 impl CallerHttp {
+    /// Refuses a request if a stop is expected to end before its response.
+    fn take(&self, request: CallerRequest) -> Result<CallerRequest, HttpRefusal> {
+        let late_request = || {
+            let view = self.shared.view();
+            let snapshot = view.snapshot.as_ref();
+            let found = snapshot.and_then(|s| s.route(&request.method, &request.path));
+            let route_ms = found.map_or(0, |(_, route)| route.deadline_ms);
+            let time_left_ms = request.deadline_ms.unwrap_or(route_ms).min(route_ms);
+            LateRequest {
+                time_left: Duration::from_millis(time_left_ms),
+                usual_time: None,
+                is_nested: false,
+            }
+        };
+        if self.shared.stop.takes(late_request) {
+            return Ok(request);
+        }
+        let outcome = match request.key {
+            Some(_) => Outcome::Unknown,
+            None => Outcome::NotRun,
+        };
+        Err(HttpRefusal::Stopping { outcome })
+    }
+
+    /// The response to a request that is not answered at the end of the drain.
+    fn give_up(&self) -> CallerResponse {
+        self.shared.stop.record_unknown();
+        CallerResponse {
+            outcome: Outcome::Unknown,
+            version: self.shared.current_version().0,
+            retry_after: None,
+            result: Err(Refusal::OutcomeUnknown),
+            is_replay: false,
+        }
+    }
+
     fn record_call(&self, started: Instant, outcome: Outcome) {
         let outcome = outcome.as_str();
         self.shared
@@ -216,7 +281,7 @@
     headers.insert(VERSION_HEADER, HeaderValue::from(caller_response.version));
     if let Some(delay) = caller_response.retry_after {
         let seconds = delay.as_secs_f64().ceil().max(1.0);
-        headers.insert("retry-after", HeaderValue::from(seconds as u64));
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds as u64));
     }
     if caller_response.is_replay {
         headers.insert(REPLAY_HEADER, HeaderValue::from_static("true"));
@@ -245,9 +310,14 @@
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             "head_too_large",
         ),
+        HttpRefusal::Stopping { .. } => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     };
     let mut response = error_response(status, code);
-    let outcome = HeaderValue::from_static(Outcome::NotRun.as_str());
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let headers = response.headers_mut();
+        headers.insert(RETRY_AFTER, HeaderValue::from(OTHER_DAEMON_RETRY_AFTER_S));
+    }
+    let outcome = HeaderValue::from_static(refusal.outcome().as_str());
     response.headers_mut().insert(OUTCOME_HEADER, outcome);
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(CONNECTION, close);
--- a/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
@@ -29,11 +29,12 @@
 use crate::rollout::choice::VersionChoice;
 use crate::shared::{lock, unix_ms, ForwardingGuard, Shared};
 use crate::socket;
+use crate::stop::StopState;
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
     AttemptEnd, Attempts, CallerLimits, CallerTimeouts, CallerTry, Candidate, DeliveredStatements,
-    Fingerprint, HostRoute, NextAction, PlacementRequest, RouteName, ServerKey, ServiceName,
-    SuspectVerdict, UnixMs, WorkspaceName,
+    Fingerprint, HostRoute, LateRequest, NextAction, PlacementRequest, RouteName, ServerKey,
+    ServiceName, SuspectVerdict, UnixMs, WorkspaceName,
 };
 use foxtailgauge_platform::headers;
 use futures::future::{BoxFuture, FutureExt};
@@ -41,13 +42,13 @@
 use hyper::header::{HeaderValue, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
+use std::pin::pin;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time left of a request that does not state it. The timeout of the route applies as well.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
-/// Time after a stop request during which new requests are still accepted.
-const STOP_ACCEPT_TIME: Duration = Duration::from_secs(3);
+
 /// Forwards callers' requests by host routes.
 pub(crate) struct ForwardGateway {
     shared: Arc<Shared>,
@@ -68,6 +69,8 @@
     workspace: Option<WorkspaceName>,
     /// Workspace in whose allotment the request is counted.
     admitted_for: Option<WorkspaceName>,
+    /// Whether a backend server may have run the request.
+    may_have_run: bool,
 }
 
 /// One request being forwarded.
@@ -104,6 +107,16 @@
         }
     }
 
+    /// The request as it is now, for a decision during a stop.
+    fn late_request(&self) -> LateRequest {
+        let latency = Duration::from_millis(self.route.latency_ms);
+        LateRequest {
+            time_left: self.response_end.saturating_duration_since(Instant::now()),
+            usual_time: (!latency.is_zero()).then_some(latency),
+            is_nested: self.parent.is_some(),
+        }
+    }
+
     /// The try of the caller. A nested request counts as a later one: a refusal wastes the run of
     /// its parent.
     fn caller_try(&self) -> CallerTry {
@@ -156,7 +169,12 @@
     ) -> Response<ForwardBody> {
         let id = attempt_id(request.headers());
         let mut route_match = RouteMatch::default();
-        let (response, outcome) = match self.handle(request, started, &mut route_match).await {
+        let stop = &self.shared.stop;
+        let handled = stop
+            .until_drain_end(pin!(self.handle(request, started, &mut route_match)))
+            .await;
+        let handled = handled.unwrap_or_else(|| Err(self.give_up(&route_match)));
+        let (response, outcome) = match handled {
             Ok(response) => (response, "answered"),
             Err(refusal) => {
                 if !refusal.may_have_run() {
@@ -191,19 +209,23 @@
         response
     }
 
+    /// The refusal of a request that is not answered at the end of the drain.
+    fn give_up(&self, route_match: &RouteMatch) -> Refusal {
+        match route_match.may_have_run {
+            true => {
+                self.shared.stop.record_unknown();
+                Refusal::OutcomeUnknown
+            }
+            false => Refusal::Stopping,
+        }
+    }
+
     async fn handle(
         &self,
         request: Request<ForwardBody>,
         started: Instant,
         route_match: &mut RouteMatch,
     ) -> Result<Response<ForwardBody>, Refusal> {
-        if self
-            .shared
-            .time_since_stop()
-            .is_some_and(|time| time > STOP_ACCEPT_TIME)
-        {
-            return Err(Refusal::Stopping);
-        }
         let view = self.shared.view();
         let snapshot = view.snapshot.as_ref().filter(|s| s.version > 0);
         let snapshot = snapshot.ok_or(Refusal::NoConfiguration)?;
@@ -255,8 +277,12 @@
             response_end: started + time_left.min(Duration::from_millis(route.timeout_ms)),
             parts,
         };
+        if !self.shared.stop.takes(|| call.late_request()) {
+            return Err(Refusal::Stopping);
+        }
         let body = read_body(body, limits.body_bytes, call.deadline).await?;
-        self.run_attempts(&call, body).await
+        self.run_attempts(&call, body, &mut route_match.may_have_run)
+            .await
     }
 
     /// Head of a request as forwarded to backend servers: without hop-by-hop and internal headers,
@@ -281,6 +307,7 @@
         &self,
         call: &Call<'_>,
         body: ForwardBody,
+        may_have_run: &mut bool,
     ) -> Result<Response<ForwardBody>, Refusal> {
         let fingerprint = fingerprint_of(&call.parts, &body);
         if let Some(until_ms) = fingerprint.and_then(|f| self.quarantined_until(call, f)) {
@@ -302,6 +329,12 @@
             None => Err(Refusal::from_attempts(attempts, call.deadline, retry_after)),
         };
         loop {
+            if !self.shared.stop.takes(|| call.late_request()) {
+                return match attempts.may_have_run() {
+                    true => give_up(&attempts, failure, retry_after),
+                    false => Err(Refusal::Stopping),
+                };
+            }
             let Some(attempt_body) = next_body(&mut body) else {
                 return give_up(&attempts, failure, retry_after);
             };
@@ -328,6 +361,7 @@
             };
             tried.push(candidate.key.clone());
             let is_repeat = attempts.was_received();
+            *may_have_run = true;
             let reply = self.attempt(call, candidate, attempt_body, is_repeat).await;
             let run_time = reply.reply.load.route_run;
             if let HopEnd::Refused { retry_after: delay } = reply.reply.end {
@@ -339,6 +373,7 @@
             let load = reply.reply.load;
             let is_busy = (load.waiting > 0 || load.running >= load.slots) && !has_left_trial;
             let mut next = attempts.decide_next(end, time_left, run_time, is_busy);
+            *may_have_run = attempts.may_have_run();
             let is_over_budget = matches!(next, NextAction::TryAnother { is_repeat: true })
                 && !self.budgets.try_withdraw(&call.service, call.caller_try());
             let is_given_up = matches!(reply.reply.end, HopEnd::Refused { .. })
@@ -539,8 +574,8 @@
         snapshot.map_or_else(CallerLimits::default, |s| s.caller_limits)
     }
 
-    fn is_stopping(&self) -> bool {
-        self.shared.is_stopping()
+    fn stop(&self) -> Option<&StopState> {
+        Some(&self.shared.stop)
     }
 
     fn head_timed_out(&self, caller: Option<String>) {
--- a/crates/foxtailgauge-daemon/src/gateway/front/connection.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/connection.rs
@@ -12,6 +12,8 @@
 };
 use crate::hop::forward_body::{BodyError, BodyFeed, ForwardBody, MAX_BUFFERED_BYTES};
 use crate::meter::{ByteCounters, MeteredStream};
+use crate::socket::has_input_end;
+use crate::stop::StopState;
 use async_std::net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
 use foxtailgauge_core::{Pipeline, PipelineAction, PipelineId, LARGE_RESPONSE_BYTES};
@@ -19,7 +21,6 @@
 use futures::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 use hyper::header::CONNECTION;
 use hyper::{Method, Request, Version};
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::net::sockopt::{set_socket_linger, socket_error};
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -73,7 +74,8 @@
     is_input_ended: bool,
     /// Whether the caller has closed its sending direction.
     is_eof: bool,
-    is_stopping: bool,
+    /// End of the drain, once the daemon stops.
+    drain_end: Option<Instant>,
     /// Whether the connection is not read.
     is_paused: bool,
     /// Whether the first bytes of the next response are written already.
@@ -105,7 +107,7 @@
         end: None,
         is_input_ended: false,
         is_eof: false,
-        is_stopping: false,
+        drain_end: None,
         is_paused: false,
         is_start_written: false,
         active_at: Instant::now(),
@@ -121,15 +123,12 @@
 impl<R: Responder> Connection<R> {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<End> {
         loop {
-            if !self.is_stopping && self.responder.is_stopping() {
-                self.is_stopping = true;
-                let actions = self.pipeline.stop();
-                self.apply(actions);
-            }
+            self.observe_stop();
             let mut has_progress = self.poll_runs(cx);
             has_progress |= self.poll_write(cx);
             has_progress |= self.read_inbox(cx);
             has_progress |= self.poll_timer(cx);
+            has_progress |= self.end_stream();
             if let Some(end) = self.end {
                 return Poll::Ready(end);
             }
@@ -139,6 +138,30 @@
         }
     }
 
+    fn observe_stop(&mut self) {
+        let drain_end = self.responder.stop().and_then(StopState::drain_end);
+        if self.drain_end.is_none() && drain_end.is_some() {
+            self.drain_end = drain_end;
+            let actions = self.pipeline.stop();
+            self.apply(actions);
+            self.timer = async_std::task::sleep(self.check_interval()).boxed();
+        }
+    }
+
+    /// Breaks off a streamed response that is not complete at the end of the drain.
+    fn end_stream(&mut self) -> bool {
+        let is_over = self.drain_end.is_some_and(|end| Instant::now() >= end);
+        if !is_over || self.end.is_some() || !self.entries.front().is_some_and(Entry::is_streaming)
+        {
+            return false;
+        }
+        if let Some(stop) = self.responder.stop() {
+            stop.record_cut(self.entries.len());
+        }
+        self.break_off(&BodyError::TimedOut);
+        true
+    }
+
     fn apply(&mut self, actions: Vec<PipelineAction>) {
         for action in actions {
             match action {
@@ -519,11 +542,7 @@
         if self.timer.poll_unpin(cx).is_pending() {
             return false;
         }
-        let interval = match self.is_paused {
-            true => PAUSED_CHECK_INTERVAL,
-            false => IDLE_CHECK_INTERVAL,
-        };
-        self.timer = async_std::task::sleep(interval).boxed();
+        self.timer = async_std::task::sleep(self.check_interval()).boxed();
         if self.is_paused {
             if !matches!(socket_error(&self.socket), Ok(Ok(()))) {
                 self.reset();
@@ -556,6 +575,19 @@
         true
     }
 
+    /// Time until the next check, which is not later than the end of the drain.
+    fn check_interval(&self) -> Duration {
+        let interval = match self.is_paused {
+            true => PAUSED_CHECK_INTERVAL,
+            false => IDLE_CHECK_INTERVAL,
+        };
+        let now = Instant::now();
+        let left = self
+            .drain_end
+            .and_then(|end| end.checked_duration_since(now));
+        left.map_or(interval, |left| left.min(interval))
+    }
+
     /// Closes the sending direction and discards what the caller still sends.
     async fn linger(mut self) {
         let closing = async {
@@ -568,10 +600,3 @@
         let _ = async_std::future::timeout(LINGER_TIME, closing).await;
     }
 }
-
-/// Whether the caller sends nothing more, seen without reading what it has sent.
-fn has_input_end(socket: &TcpStream) -> bool {
-    let mut fds = [PollFd::new(socket, PollFlags::RDHUP)];
-    let polled = poll(&mut fds, Some(&Timespec::default()));
-    polled.is_ok() && fds[0].revents().contains(PollFlags::RDHUP)
-}
--- a/crates/foxtailgauge-daemon/src/gateway/front/function_responder.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/function_responder.rs
@@ -8,6 +8,7 @@
 use crate::hop::forward_body::ForwardBody;
 use crate::meter::ByteCounters;
 use crate::shared::ForwardingGuard;
+use crate::stop::StopState;
 use async_std::net::TcpStream;
 use foxtailgauge_core::CallerLimits;
 use futures::future::{BoxFuture, FutureExt};
@@ -64,8 +65,8 @@
         LIMITS
     }
 
-    fn is_stopping(&self) -> bool {
-        false
+    fn stop(&self) -> Option<&StopState> {
+        None
     }
 
     fn head_timed_out(&self, _: Option<String>) {}
--- a/crates/foxtailgauge-daemon/src/gateway/front/request.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/request.rs
@@ -6,6 +6,7 @@
 use crate::gateway::front::response_writer::ResponseWriter;
 use crate::hop::forward_body::{BodyFeed, ForwardBody};
 use crate::shared::ForwardingGuard;
+use crate::stop::StopState;
 use foxtailgauge_core::{CallerLimits, PipelineId};
 use futures::future::{BoxFuture, FutureExt};
 use hyper::http::request::Parts;
@@ -36,8 +37,8 @@
     /// Timeouts of connections.
     fn limits(&self) -> CallerLimits;
 
-    /// Whether each connection is to be closed after its next response.
-    fn is_stopping(&self) -> bool;
+    /// State of a stop, in which each connection is closed after its next response.
+    fn stop(&self) -> Option<&StopState>;
 
     /// The connection is closed because a head took too long.
     fn head_timed_out(&self, caller: Option<String>);
@@ -66,6 +67,19 @@
     pub(super) _guard: ForwardingGuard,
 }
 
+impl Entry {
+    /// Whether its response is being sent and a part of it has not been received.
+    pub(super) fn is_streaming(&self) -> bool {
+        match &self.stage {
+            Stage::Sending {
+                writer,
+                is_complete,
+            } => !is_complete && writer.is_streaming(),
+            _ => false,
+        }
+    }
+}
+
 /// The body that is being read.
 pub(super) struct IncomingBody {
     pub(super) id: PipelineId,
--- a/crates/foxtailgauge-daemon/src/gateway/front/response_writer.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/response_writer.rs
@@ -91,6 +91,11 @@
         ResponseWriter { body, framing }
     }
 
+    /// Whether a part of the body has not been received.
+    pub(crate) fn is_streaming(&self) -> bool {
+        self.body.bytes().is_none()
+    }
+
     /// Whether the body has passed its deadline.
     pub(crate) fn poll_expired(&mut self, cx: &mut Context<'_>) -> bool {
         self.body.poll_expired(cx)
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod settings_files;
 mod shared;
 mod socket;
+mod stop;
 mod timer;
 mod usage;
 mod workspace_refusals;
--- a/crates/foxtailgauge-daemon/src/mesh.rs
+++ b/crates/foxtailgauge-daemon/src/mesh.rs
@@ -1,4 +1,4 @@
-//! Start and drain of the part of a daemon that forwards plain HTTP by host routes.
+//! Start of the part of a daemon that forwards plain HTTP by host routes.
 
 use crate::admin_http;
 use crate::control::replica_client::ReplicaClient;
@@ -13,15 +13,6 @@
 use slog::Logger;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// Time after the request to stop until the platform no longer routes callers to this instance: it
-/// removes the instance after two failed health checks, a second apart.
-const DEREGISTRATION_TIME: Duration = Duration::from_millis(3_500);
-/// Time before the end of the grace period at which draining ends in any case.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
-/// Interval at which a stopping daemon checks whether requests are still in progress.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The executor of forwarded requests, if the settings have the section `mesh`.
 pub(crate) fn executor(shared: &Arc<Shared>) -> Option<Arc<ForwardExecutor>> {
@@ -66,26 +57,3 @@
     }
     Ok(())
 }
-
-/// Continues to serve callers until they are routed elsewhere and no request is in progress, within
-/// the grace period.
-pub(crate) async fn drain(context: &DaemonContext) {
-    let (Some(mesh), Some(executor)) = (&context.shared.settings.mesh, &context.forward) else {
-        return;
-    };
-    if mesh.outbound.is_none() {
-        return;
-    }
-    let started = Instant::now();
-    executor.mark_all_leaving();
-    let deadline = started + mesh.stop_grace.saturating_sub(STOP_MARGIN);
-    let earliest = deadline.min(started + DEREGISTRATION_TIME);
-    loop {
-        let now = Instant::now();
-        let is_idle = context.shared.forwarding_count() == 0 && executor.in_flight() == 0;
-        if now >= deadline || (now >= earliest && is_idle) {
-            return;
-        }
-        async_std::task::sleep(DRAIN_POLL_INTERVAL).await;
-    }
-}
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -8,6 +8,7 @@
 use crate::metrics::Metrics;
 use crate::peer_client::{PeerClient, PeerRequest};
 use crate::settings::Settings;
+use crate::stop::StopState;
 use crate::usage::Usage;
 use event_listener::Event;
 use foxtailgauge_core::{
@@ -106,7 +107,7 @@
 impl ForwardingGuard {
     /// Counts a request in `count`.
     pub(crate) fn new(count: &Arc<AtomicU32>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
+        count.fetch_add(1, Ordering::SeqCst);
         ForwardingGuard {
             count: Arc::clone(count),
         }
@@ -132,8 +133,8 @@
     pub(crate) placement: Mutex<Placement>,
     /// Forwarded requests in progress at the gateway.
     forwarding: Arc<AtomicU32>,
-    /// Time at which the daemon was asked to stop.
-    stopping: OnceLock<Instant>,
+    /// Progress of a planned stop.
+    pub(crate) stop: StopState,
     /// Notified when the configuration or the directory has changed.
     pub(crate) changed: Event,
     /// Notified when a report to the source is due.
@@ -169,7 +170,7 @@
             )),
             usage: Usage::default(),
             forwarding: Arc::default(),
-            stopping: OnceLock::new(),
+            stop: StopState::new(&settings),
             settings,
             log,
             metrics,
@@ -305,25 +306,9 @@
         self.republish(|own| own.forwarded = servers);
     }
 
-    /// Records that the daemon was asked to stop.
-    pub(crate) fn begin_stop(&self) {
-        // Only the first request to stop is recorded.
-        let _ = self.stopping.set(Instant::now());
-    }
-
-    /// Whether the daemon was asked to stop.
-    pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
-    }
-
-    /// Time since the daemon was asked to stop.
-    pub(crate) fn time_since_stop(&self) -> Option<Duration> {
-        self.stopping.get().map(Instant::elapsed)
-    }
-
     /// Whether this daemon is ready for callers: it has a configuration and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
-        self.current_version().0 > 0 && !self.is_stopping()
+        self.current_version().0 > 0 && !self.stop.is_begun()
     }
 
     /// Counts a forwarded request as in progress until the returned guard is dropped.
@@ -333,7 +318,7 @@
 
     /// Forwarded requests in progress at the gateway.
     pub(crate) fn forwarding_count(&self) -> u32 {
-        self.forwarding.load(Ordering::Relaxed)
+        self.forwarding.load(Ordering::SeqCst)
     }
 
     /// Publishes that a request was in flight when a backend server crashed. Returns once all
--- a/crates/foxtailgauge-daemon/src/socket.rs
+++ b/crates/foxtailgauge-daemon/src/socket.rs
@@ -1,9 +1,10 @@
-//! Accepting TCP connections, and socket options of connections between daemons and to backend
-//! servers.
+//! Accepting TCP connections, socket options of connections between daemons and to backend
+//! servers, and the state of a connection.
 
 use crate::emit;
 use crate::events;
 use async_std::net::{TcpListener, TcpStream};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::net::sockopt;
 use slog::Logger;
 use std::io;
@@ -47,3 +48,10 @@
     sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
     Ok(())
 }
+
+/// Whether the peer sends nothing more, seen without reading what it has sent.
+pub(crate) fn has_input_end(stream: &TcpStream) -> bool {
+    let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
+    let polled = poll(&mut fds, Some(&Timespec::default()));
+    polled.is_ok() && fds[0].revents().contains(PollFlags::RDHUP)
+}
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -67,6 +67,7 @@
         "fail" => Script::Fail,
         "hang" => Script::Hang,
         "truncate" => Script::Truncate,
+        "stream" => Script::Endless(Endless::Chunks),
         _ => Script::Echo,
     }
 }
@@ -380,6 +381,8 @@
     pub link_mbps: Option<f64>,
     /// Bounds in the settings of daemons that are started from now on.
     pub bounds: &'static str,
+    /// Grace period of stops in the settings of daemons that are started from now on.
+    pub stop_grace_ms: &'static str,
 }
 
 /// Ports of each daemon: the mesh range, then outbound, ready, platform and metrics.
@@ -412,6 +415,7 @@
             faults: Faults::default(),
             link_mbps: None,
             bounds: "",
+            stop_grace_ms: "3000",
         };
         if topology.has_links {
             let links = (0..daemons).flat_map(|n| mesh.links(n)).collect();
@@ -538,9 +542,10 @@
              [replicas]\nseeds = {seeds}\nmay_form = {may_form}\n\
              [cluster]\nkey_file = {}\n{role}\
              [mesh]\nworkspace = mesh\nplatform = {}\nreport_interval_ms = 1000\n\
-             stop_grace_ms = 3000\nbounds = {}\n{outbound}[log]\nlevel = debug\n",
+             stop_grace_ms = {}\nbounds = {}\n{outbound}[log]\nlevel = debug\n",
             key.display(),
             self.platform_addr(n),
+            self.stop_grace_ms,
             self.bounds,
         )
     }
@@ -558,6 +563,16 @@
         format!("{}:{}", Self::ip(n), self.first_port + 6)
     }
 
+    /// Where callers of the product's own routes send their requests.
+    pub fn callers_addr(&self, n: usize) -> String {
+        format!("{}:{}", Self::ip(n), self.first_port + 2)
+    }
+
+    /// Where backend servers of the product's own routes announce themselves.
+    pub fn announce_addr(&self, n: usize) -> String {
+        format!("{}:{}", Self::ip(n), self.first_port + 4)
+    }
+
     /// Operators' API.
     pub fn admin_addr(&self, n: usize) -> String {
         format!("{}:{}", Self::ip(n), self.first_port + 3)
