Test: servers that write a refusal again, in the ends test

What stands in a row behind a response that broke off counts as not read: a commit there must not have run.

--- a/crates/foxtailgauge-daemon/tests/ends_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/ends_support/mod.rs
@@ -42,7 +42,7 @@
     Closed,
     /// No response until after the deadline.
     Silence,
-    /// A response ahead of it in its row closed the connection.
+    /// A response ahead of it in its row closed the connection, or broke off.
     NotRead,
     /// The caller closed its connection.
     GaveUp,
@@ -367,6 +367,7 @@
                 None => Outcome::Closed,
             };
             is_open &= response.is_some();
+            is_closing |= outcome == Outcome::Closed;
             is_closing |= response.is_some_and(|text| header(&text, "connection").is_some());
             let end = End {
                 is_commit: sent.is_commit,
@@ -481,6 +482,11 @@
         match kind {
             0..9 => {
                 respond(&mut stream, "503 No", "Not-Executed: 1\r\n", "");
+                if kind < 4 {
+                    // Once more, at times while the next request is in flight.
+                    std::thread::sleep(Duration::from_millis(rng.random_range(0..30)));
+                    respond(&mut stream, "503 No", "Not-Executed: 1\r\n", "");
+                }
                 continue;
             }
             9 => {
