Keep a backend server in use that resets single connections

With a server that resets connections while it is full, as those of some services do, one reset ended all its requests until its next report: callers got 503 no_server, and all that waited in its queue was refused. A request in flight on a connection that was reset was besides suspected of having crashed the server, if the probe's connection was reset as well.

Cause: any failure to connect counted as a server that accepts no connections. On the server's own instance connect(2) often returns the reset of a connection that the server had accepted (ECONNRESET), and a connection closed before the request was handed to it was treated alike.

A reset of an accepted connection now ends only its attempt: not reached, or unknown. A refused or timed-out connect takes the server out as before. The probe for a crash tries once more after 20 ms, as the listener of a process that ends may reset a connection too.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -521,10 +521,12 @@
         emit!(self.shared.log, events::RESPONSE_INCOMPLETE, "request" => header_text(id.as_ref()),
             "server" => server.name(), "error" => error.to_string());
         match error {
-            ExchangeError::NotSent(_) => {
+            ExchangeError::Unreachable(_) => {
                 self.mark_unreachable(server);
                 HopEnd::NotReached
             }
+            // It accepts connections, of which it may reset some while it is full.
+            ExchangeError::NotSent => HopEnd::NotReached,
             ExchangeError::Broken(_) => HopEnd::Broken,
         }
     }
@@ -542,8 +544,7 @@
     /// a response.
     async fn check_for_crash(&self, server: &Arc<ForwardServer>, fingerprint: Option<Fingerprint>) {
         let addr = server.addr().to_string();
-        let reconnect = async_std::future::timeout(CONNECT_TIMEOUT, connect(&addr)).await;
-        if matches!(reconnect, Ok(Ok(_))) {
+        if server_health::is_accepting(&addr, CONNECT_TIMEOUT).await {
             return;
         }
         self.mark_unreachable(server);
@@ -592,10 +593,7 @@
                     request = *not_sent;
                     connection = self.open(&addr).await?;
                 }
-                Err(SendError::NotSent(_)) => {
-                    let closed = std::io::ErrorKind::ConnectionReset;
-                    return Err(ExchangeError::NotSent(closed.into()));
-                }
+                Err(SendError::NotSent(_)) => return Err(ExchangeError::NotSent),
                 Err(SendError::Broken(error)) => return Err(ExchangeError::Broken(error)),
             }
         }
--- a/crates/foxtailgauge-daemon/src/executor/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/executor/http_pool.rs
@@ -29,16 +29,28 @@
 /// Error of a request that got no response.
 #[derive(Debug)]
 pub(crate) enum ExchangeError {
-    /// The request was not sent: no connection was established, or it was closed before.
-    NotSent(io::Error),
+    /// No connection was established.
+    Unreachable(io::Error),
+    /// The connection was closed before the request was sent.
+    NotSent,
     /// The connection broke; the request may have been sent.
     Broken(hyper::Error),
 }
 
+impl ExchangeError {
+    fn from_connect(error: io::Error) -> Self {
+        match is_reset(&error) {
+            true => ExchangeError::NotSent,
+            false => ExchangeError::Unreachable(error),
+        }
+    }
+}
+
 impl fmt::Display for ExchangeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            ExchangeError::NotSent(error) => write!(f, "not sent: {error}"),
+            ExchangeError::Unreachable(error) => write!(f, "not sent: {error}"),
+            ExchangeError::NotSent => write!(f, "not sent: connection closed"),
             ExchangeError::Broken(error) => write!(f, "connection broke: {error}"),
         }
     }
@@ -113,7 +125,7 @@
         Some(connection)
     }
 
-    /// Opens a connection over a stream; a timeout counts as not sent.
+    /// Opens a connection over a stream; fails if that takes longer than the timeout.
     pub(crate) async fn open<S>(
         &self,
         addr: &str,
@@ -132,7 +144,7 @@
         let (sender, connection, read_limit) = async_std::future::timeout(timeout, opening)
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-            .map_err(ExchangeError::NotSent)?;
+            .map_err(ExchangeError::from_connect)?;
         async_std::task::spawn(async move {
             // A request waiting for a response gets the error itself.
             let _ = connection.await;
@@ -216,3 +228,10 @@
     stream.set_nodelay(true)?;
     Ok(stream)
 }
+
+/// Whether [`connect`] failed because the backend server accepted the connection and reset it at
+/// once, as it may do while it is full.
+pub(crate) fn is_reset(error: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionReset, NotConnected};
+    matches!(error.kind(), ConnectionReset | NotConnected)
+}
--- a/crates/foxtailgauge-daemon/src/executor/server_health.rs
+++ b/crates/foxtailgauge-daemon/src/executor/server_health.rs
@@ -1,6 +1,6 @@
 //! Health check of the colocated backend server.
 
-use crate::executor::http_pool::{connect, HttpPool};
+use crate::executor::http_pool::{connect, is_reset, HttpPool};
 use crate::hop::forward_body::ForwardBody;
 use crate::hop::forward_headers::header;
 use foxtailgauge_platform::{headers, is_leaving_value};
@@ -12,6 +12,10 @@
 /// Timeout of a health check. The backend server queues it like a request.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Number of connections that are tried if each is reset, and the pause between them.
+const CONNECT_TRIES: u32 = 2;
+const CONNECT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Outcome of a health check.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum HealthAnswer {
@@ -66,3 +70,16 @@
         _ => HealthAnswer::Failed,
     })
 }
+
+/// Whether a process accepts connections at an address, be it to reset them because it is full. The
+/// listener of a process that ends may reset a connection as well, and refuses the next.
+pub(crate) async fn is_accepting(addr: &str, timeout: Duration) -> bool {
+    for _ in 0..CONNECT_TRIES {
+        match async_std::future::timeout(timeout, connect(addr)).await {
+            Ok(Ok(_)) => return true,
+            Ok(Err(error)) if is_reset(&error) => async_std::task::sleep(CONNECT_PAUSE).await,
+            Ok(Err(_)) | Err(_) => return false,
+        }
+    }
+    true
+}
--- a/crates/foxtailgauge-daemon/tests/forwarded_ends.rs
+++ b/crates/foxtailgauge-daemon/tests/forwarded_ends.rs
@@ -10,10 +10,12 @@
     body, document, exchange, header, read_message, report_process, status, wait_for, Arrival,
     Endless, Mesh, Script, Server, Topology,
 };
-use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size};
 use rustix::process::Signal;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Seed and time with faults in CI.
@@ -324,3 +326,62 @@
         assert_eq!(status(&response), 200, "{response}");
     }
 }
+
+/// Requests to a server that resets connections while it is full.
+const RESET_REQUESTS: usize = 60;
+
+#[test]
+fn server_that_resets_single_connections_stays_in_use() {
+    let mesh = Mesh::start(1);
+    assert_eq!(mesh.put_document(0, &document(1)), 200);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let is_full = Arc::new(AtomicBool::new(false));
+    let served = Arc::new(AtomicUsize::new(0));
+    let (server_is_full, server_served) = (Arc::clone(&is_full), Arc::clone(&served));
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            // Of three connections one is reset at once, and one with its request.
+            let kind = match server_is_full.load(Ordering::Relaxed) {
+                true => rand::random_range(0..3),
+                false => 2,
+            };
+            let request = (kind > 0).then(|| read_message(&mut stream)).flatten();
+            let Some(request) = request.filter(|_| kind == 2) else {
+                set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+                continue;
+            };
+            server_served.fetch_add(1, Ordering::Relaxed);
+            let id = header(&request, "attempt-id").unwrap_or_default();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\
+                 Attempt-Id: {id}\r\nServer-Seal: seal\r\n\r\n"
+            );
+            // The peer may have closed the connection.
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    assert_eq!(mesh.report(1, "i-1", &addr, "ready", 1), 200);
+    let send = |id: usize| {
+        let request = format!(
+            "POST /commit/{id} HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: a{id}\r\n\
+             Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n"
+        );
+        status(&exchange(&mesh.outbound_addr(1), &request).unwrap_or_default())
+    };
+    wait_for("a response", || (send(0) == 200).then_some(()));
+    is_full.store(true, Ordering::Relaxed);
+    served.store(0, Ordering::Relaxed);
+    let statuses: Vec<u16> = (1..=RESET_REQUESTS).map(send).collect();
+    let served = served.load(Ordering::Relaxed);
+    // A probe for a crash takes a connection of its own.
+    assert!(
+        served >= RESET_REQUESTS / 4,
+        "{served} served: {statuses:?}"
+    );
+    // Warnings that it accepts no connections, or that it has crashed.
+    for event in ["4202", "4004"] {
+        let warnings = mesh.grep(1, &format!("\"event\":{event}}}"));
+        assert!(warnings.is_empty(), "{warnings:#?}");
+    }
+}
