--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -6,7 +6,8 @@
 pub(crate) use crate::executor::fingerprints::fingerprint_of;
 use crate::executor::forward_server::{ForwardServer, SlotGuard};
 use crate::executor::http_pool::{
-    connect, ConnectionUse, ExchangeError, HttpPool, PooledConnection, SendError,
+    connect, connect_for_upload, ConnectionUse, ExchangeError, HttpPool, PooledConnection,
+    SendError,
 };
 use crate::executor::reply_gate::{is_bulk, ReplyGate};
 use crate::executor::run_times::RunTimes;
@@ -215,6 +216,18 @@
         true
     }
 
+    /// Marks a backend server as leaving on its own request. One of an earlier process under its name,
+    /// by its start in Unix milliseconds, has no effect.
+    pub(crate) fn deregister(&self, server: &str, started_ms: Option<u64>) {
+        let found = lock(&self.servers).get(server).cloned();
+        let is_earlier = |server: &Arc<ForwardServer>| {
+            started_ms.is_some_and(|started_ms| started_ms < server.started_ms())
+        };
+        if !found.as_ref().is_some_and(is_earlier) {
+            self.mark_leaving(server);
+        }
+    }
+
     /// Marks all backend servers as leaving because this daemon stops.
     pub(crate) fn mark_all_leaving(&self) {
         let servers: Vec<Arc<ForwardServer>> = lock(&self.servers).values().cloned().collect();
@@ -474,7 +487,7 @@
             ResponseMeaning::Declined => HopEnd::Declined,
             ResponseMeaning::Ran => HopEnd::Answered,
         };
-        if meaning != ResponseMeaning::Misdirected {
+        if meaning != ResponseMeaning::Misdirected && !server.has_restarted_since(sent_at) {
             let log = &self.shared.log;
             if server_statement::apply(log, server, response.headers(), sent_at) {
                 self.mark_leaving(&name);
@@ -521,12 +534,11 @@
         emit!(self.shared.log, events::RESPONSE_INCOMPLETE, "request" => header_text(id.as_ref()),
             "server" => server.name(), "error" => error.to_string());
         match error {
-            ExchangeError::Unreachable(_) => {
+            ExchangeError::NotSent(error) if is_reset(error) => HopEnd::NotReached,
+            ExchangeError::NotSent(_) => {
                 self.mark_unreachable(server);
                 HopEnd::NotReached
             }
-            // It accepts connections, of which it may reset some while it is full.
-            ExchangeError::NotSent => HopEnd::NotReached,
             ExchangeError::Broken(_) => HopEnd::Broken,
         }
     }
@@ -544,8 +556,11 @@
     /// a response.
     async fn check_for_crash(&self, server: &Arc<ForwardServer>, fingerprint: Option<Fingerprint>) {
         let addr = server.addr().to_string();
-        if server_health::is_accepting(&addr, CONNECT_TIMEOUT).await {
-            return;
+        let reconnect = async_std::future::timeout(CONNECT_TIMEOUT, connect(&addr)).await;
+        match reconnect {
+            Ok(Ok(_)) => return,
+            Ok(Err(error)) if is_reset(&error) => return,
+            Ok(Err(_)) | Err(_) => {}
         }
         self.mark_unreachable(server);
         let suspect = fingerprint.filter(|f| !lock(&self.completed).contains(f));
@@ -577,11 +592,15 @@
             request_id: id.map_or(&[], HeaderValue::as_bytes),
             is_idempotent: forward.hop.is_idempotent,
         };
-        let reused = self.pool.take_idle(&addr, usage);
+        let is_upload = request.body().bytes().is_none();
+        let reused = match is_upload {
+            true => None,
+            false => self.pool.take_idle(&addr, usage),
+        };
         let mut may_reconnect = reused.is_some();
         let mut connection = match reused {
             Some(connection) => connection,
-            None => self.open(&addr).await?,
+            None => self.open(&addr, is_upload).await?,
         };
         loop {
             set_time_left(request.headers_mut(), deadline);
@@ -591,19 +610,35 @@
                 Err(SendError::NotSent(not_sent)) if may_reconnect => {
                     may_reconnect = false;
                     request = *not_sent;
-                    connection = self.open(&addr).await?;
+                    connection = self.open(&addr, is_upload).await?;
+                }
+                Err(SendError::NotSent(_)) => {
+                    let closed = std::io::ErrorKind::ConnectionReset;
+                    return Err(ExchangeError::NotSent(closed.into()));
                 }
-                Err(SendError::NotSent(_)) => return Err(ExchangeError::NotSent),
                 Err(SendError::Broken(error)) => return Err(ExchangeError::Broken(error)),
             }
         }
     }
 
-    async fn open(&self, addr: &str) -> Result<PooledConnection, ExchangeError> {
-        self.pool.open(addr, connect(addr), CONNECT_TIMEOUT).await
+    /// Opens a connection; one for an upload is not reused.
+    async fn open(&self, addr: &str, is_upload: bool) -> Result<PooledConnection, ExchangeError> {
+        if !is_upload {
+            return self.pool.open(addr, connect(addr), CONNECT_TIMEOUT).await;
+        }
+        let connecting = connect_for_upload(addr);
+        let mut connection = self.pool.open(addr, connecting, CONNECT_TIMEOUT).await?;
+        connection.set_single_use();
+        Ok(connection)
     }
 }
 
+/// Whether the peer listens and reset a connection: a backend server that is full may do that, and
+/// serves the requests on its other connections.
+fn is_reset(error: &std::io::Error) -> bool {
+    error.kind() == std::io::ErrorKind::ConnectionReset
+}
+
 pub(crate) fn without_response(end: HopEnd, load: WorkLoad) -> ForwardReply {
     ForwardReply {
         reply: HopReply {
--- a/crates/foxtailgauge-daemon/src/executor/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/executor/http_pool.rs
@@ -2,6 +2,7 @@
 
 use crate::hop::forward_body::ForwardBody;
 use crate::shared::lock;
+use crate::socket;
 use async_std::net::TcpStream;
 use foxtailgauge_wire::{LimitedStream, ReadLimit, MAX_RESPONSE_HEAD_BYTES};
 use futures::io::{AsyncRead, AsyncWrite};
@@ -29,28 +30,16 @@
 /// Error of a request that got no response.
 #[derive(Debug)]
 pub(crate) enum ExchangeError {
-    /// No connection was established.
-    Unreachable(io::Error),
-    /// The connection was closed before the request was sent.
-    NotSent,
+    /// The request was not sent: no connection was established, or it was closed before.
+    NotSent(io::Error),
     /// The connection broke; the request may have been sent.
     Broken(hyper::Error),
 }
 
-impl ExchangeError {
-    fn from_connect(error: io::Error) -> Self {
-        match is_reset(&error) {
-            true => ExchangeError::NotSent,
-            false => ExchangeError::Unreachable(error),
-        }
-    }
-}
-
 impl fmt::Display for ExchangeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            ExchangeError::Unreachable(error) => write!(f, "not sent: {error}"),
-            ExchangeError::NotSent => write!(f, "not sent: connection closed"),
+            ExchangeError::NotSent(error) => write!(f, "not sent: {error}"),
             ExchangeError::Broken(error) => write!(f, "connection broke: {error}"),
         }
     }
@@ -93,6 +82,8 @@
     addr: String,
     /// Whether it has carried another request before.
     is_reused: bool,
+    /// Whether it is closed after its first response.
+    is_single_use: bool,
     /// Ids of the requests that the backend server refused on it.
     refused_ids: Vec<Box<[u8]>>,
 }
@@ -104,7 +95,8 @@
 }
 
 impl HttpPool {
-    /// Takes the most recently used idle connection that the request may use.
+    /// Takes the most recently used idle connection that the request may use. Without one the request
+    /// needs a new connection, for which an idle one is closed: backend servers bound their number.
     pub(crate) fn take_idle(
         &self,
         addr: &str,
@@ -119,13 +111,18 @@
         });
         let index = connections
             .iter()
-            .rposition(|idle| idle.connection.sender.is_ready() && usage.permits(idle, now))?;
+            .rposition(|idle| idle.connection.sender.is_ready() && usage.permits(idle, now));
+        let Some(index) = index else {
+            // The connection opened instead takes the place of the one that has been idle for longest.
+            drop(connections.drain(..connections.len().min(1)));
+            return None;
+        };
         let mut connection = connections.remove(index).connection;
         connection.is_reused = true;
         Some(connection)
     }
 
-    /// Opens a connection over a stream; fails if that takes longer than the timeout.
+    /// Opens a connection over a stream; a timeout counts as not sent.
     pub(crate) async fn open<S>(
         &self,
         addr: &str,
@@ -144,7 +141,7 @@
         let (sender, connection, read_limit) = async_std::future::timeout(timeout, opening)
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-            .map_err(ExchangeError::from_connect)?;
+            .map_err(ExchangeError::NotSent)?;
         async_std::task::spawn(async move {
             // A request waiting for a response gets the error itself.
             let _ = connection.await;
@@ -154,13 +151,15 @@
             read_limit,
             addr: addr.to_owned(),
             is_reused: false,
+            is_single_use: false,
             refused_ids: Vec::new(),
         })
     }
 
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn release(&self, connection: PooledConnection) {
-        if connection.sender.is_closed() || connection.refused_ids.len() >= MAX_REFUSALS {
+        let is_used_up = connection.is_single_use || connection.refused_ids.len() >= MAX_REFUSALS;
+        if connection.sender.is_closed() || is_used_up {
             return;
         }
         let mut idle = lock(&self.idle);
@@ -186,6 +185,11 @@
         self.is_reused
     }
 
+    /// Closes the connection after its first response.
+    pub(crate) fn set_single_use(&mut self) {
+        self.is_single_use = true;
+    }
+
     /// Records that the backend server refused the request with this id.
     pub(crate) fn record_refusal(&mut self, request_id: &[u8]) {
         self.refused_ids.push(request_id.into());
@@ -220,18 +224,16 @@
     Broken(hyper::Error),
 }
 
-/// Opens a TCP connection to a backend server. Unlike those between daemons it has no timeout for
-/// unacknowledged data: a server that reads nothing for a while, as it waits for a slot, is not
-/// gone, and the end of its process closes the connection.
+/// Opens a TCP connection.
 pub(crate) async fn connect(addr: &str) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(addr).await?;
-    stream.set_nodelay(true)?;
+    socket::set_options(&stream)?;
     Ok(stream)
 }
 
-/// Whether [`connect`] failed because the backend server accepted the connection and reset it at
-/// once, as it may do while it is full.
-pub(crate) fn is_reset(error: &io::Error) -> bool {
-    use io::ErrorKind::{ConnectionReset, NotConnected};
-    matches!(error.kind(), ConnectionReset | NotConnected)
+/// Opens a TCP connection for a body that the backend server may stop reading for a while.
+pub(crate) async fn connect_for_upload(addr: &str) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(addr).await?;
+    socket::set_options_for_slow_reader(&stream)?;
+    Ok(stream)
 }
