Tests: backend servers that misbehave on a share of their requests

Repeated refusals and answers, 421, responses with another request's id, heads that break off, resets without a run, and idle connections that close without notice.

--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -3,8 +3,11 @@
 //! Each test file uses only some of the items, hence `allow(dead_code)`.
 #![allow(dead_code)]
 
+pub mod quirks;
+
 use foxtailgauge_bench::ports::free_ports;
 use foxtailgauge_bench::relay::{self, Faults, Link, RelayPlan};
+use quirks::{Quirk, Quirky};
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, TcpListener, TcpStream};
@@ -61,6 +64,8 @@
     Unproved,
     /// Sends bytes until the peer closes the connection.
     Endless(Endless),
+    /// Misbehaves on a share of its requests.
+    Quirky(Quirky),
     /// What the last segment of the target begins with, see [`script_of_target`].
     ByTarget,
 }
@@ -122,6 +127,11 @@
     pub at: Instant,
     /// Whether the server started to run it.
     pub is_started: bool,
+    /// How long it runs, and what it gets in place of an answer, if the script is [`Script::Quirky`].
+    pub run_time: Duration,
+    pub quirk: Option<Quirk>,
+    /// The peer's port of its connection.
+    pub peer_port: u16,
 }
 
 /// A backend server that records the requests it receives.
@@ -229,14 +239,29 @@
             Script::ByTarget => script_of_target(&request),
             script => script,
         };
+        let (quirk, run_time) = match script {
+            Script::Quirky(quirky) => quirky.choose(),
+            Script::Decline => (None, None),
+            Script::RepeatRefusals(_) if script_of_target(&request) == Script::Decline => {
+                (None, None)
+            }
+            _ => (None, Some(Duration::ZERO)),
+        };
         received.lock().expect("received requests").push(Arrival {
             text: request.clone(),
             at: Instant::now(),
-            is_started: match script {
-                Script::RepeatRefusals(_) => script_of_target(&request) != Script::Decline,
-                _ => script != Script::Decline,
-            },
+            is_started: run_time.is_some(),
+            run_time: run_time.unwrap_or_default(),
+            quirk,
+            peer_port: stream.peer_addr().map_or(0, |addr| addr.port()),
         });
+        if let Script::Quirky(_) = script {
+            std::thread::sleep(run_time.unwrap_or_default());
+            match quirks::respond(&mut stream, quirk, &request) {
+                true => continue,
+                false => return,
+            }
+        }
         if let Script::Slow(ms) = script {
             std::thread::sleep(Duration::from_millis(ms));
         }
@@ -295,7 +320,7 @@
                 return;
             }
             // Replaced by the script that the target names.
-            Script::Break | Script::ByTarget => return,
+            Script::Break | Script::ByTarget | Script::Quirky(_) => return,
             Script::Endless(kind) => {
                 let (first, next) = kind.parts(&id);
                 let mut is_open = stream.write_all(first.as_bytes()).is_ok();
