Fault soak: contention with misbehaving servers, planned stops in calm, and traces

The soak had as many requests at once as slots, servers that misbehave on all requests or on none, and left out everything near a stop, which ended by SIGKILL. It has profiles now: light (as before), contention and stops. A planned stop in calm runs to the exit of its daemon, and a request that was read may not end without the response of its server. A violation comes with the path of its requests.

--- a/crates/foxtailgauge-daemon/tests/soak.rs
+++ b/crates/foxtailgauge-daemon/tests/soak.rs
@@ -8,21 +8,34 @@
 
 use mesh_support::Topology;
 use rand::Rng;
+use soak_support::profile::{Plan, Profile};
 use soak_support::run::Soak;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Seeds that CI runs, with what they showed: an initial one, then each that ever failed.
-const REGRESSION_SEEDS: [(u64, &str); 3] = [
-    (1, "initial seed, no failure so far"),
+const REGRESSION_SEEDS: [(Profile, u64, &str); 5] = [
+    (Profile::Light, 1, "initial seed, no failure so far"),
     (
+        Profile::Light,
         100,
         "once, a replica returned no document for 30 s; cause not found",
     ),
     (
+        Profile::Light,
         501,
         "black-holed consensus connections were kept for good: no leader",
     ),
+    (
+        Profile::Contention,
+        1,
+        "a repeated refusal ended the next request of its connection as not run, and it ran",
+    ),
+    (
+        Profile::Stops,
+        1,
+        "a planned stop cut off requests that it had read",
+    ),
 ];
 /// Time during which faults are injected, for each seed in CI.
 const CI_DURATION: Duration = Duration::from_secs(6);
@@ -36,30 +49,51 @@
 
 #[test]
 fn regression_seeds_violate_no_guarantee() {
-    for (seed, observed) in REGRESSION_SEEDS {
-        let violations = Soak::run(seed, TOPOLOGY, CI_DURATION);
+    for (profile, seed, observed) in REGRESSION_SEEDS {
+        let violations = Soak::run(Plan {
+            seed,
+            profile,
+            topology: TOPOLOGY,
+            duration: CI_DURATION,
+        });
         assert!(
             violations.is_empty(),
-            "seed {seed} ({observed}): {violations:#?}"
+            "{profile:?} seed {seed} ({observed}): {violations:#?}"
         );
     }
 }
 
 /// Seeds run by hand. `SOAK` contains the first seed or `-` for a random one, the number of seeds,
-/// the seconds with faults for each, and how many run concurrently.
+/// the seconds with faults for each, how many run concurrently, the name of a profile or `-` for one
+/// after the other, and the number of sidecars.
 #[test]
 #[ignore = "run by hand with scripts/soak"]
 fn random_seeds_violate_no_guarantee() {
-    let text = std::env::var("SOAK").unwrap_or_else(|_| "- 4 12 2".to_owned());
+    let text = std::env::var("SOAK").unwrap_or_else(|_| "- 4 12 2 - 6".to_owned());
     let words: Vec<&str> = text.split(' ').collect();
-    let [first, count, seconds, concurrency] = words[..] else {
-        panic!("SOAK must have four words: {text}");
+    let [first, count, seconds, concurrency, profile_name, sidecars] = words[..] else {
+        panic!("SOAK must have six words: {text}");
     };
     let first = first
         .parse()
         .unwrap_or_else(|_| rand::rng().random::<u32>().into());
     let count: u64 = count.parse().expect("invalid number of seeds");
     let duration = Duration::from_secs(seconds.parse().expect("invalid number of seconds"));
+    let sidecars = sidecars.parse().expect("invalid number of sidecars");
+    let profiles = Profile::ALL
+        .iter()
+        .filter(|(name, _)| profile_name == "-" || profile_name == *name);
+    let profiles: Vec<Profile> = profiles.map(|(_, profile)| *profile).collect();
+    assert!(!profiles.is_empty(), "unknown profile: {profile_name}");
+    let plan = |seed: u64| Plan {
+        seed,
+        profile: profiles[usize::try_from(seed).expect("seed too large") % profiles.len()],
+        topology: Topology {
+            sidecars,
+            ..TOPOLOGY
+        },
+        duration,
+    };
     let next = AtomicU64::new(first);
     let failed: Vec<u64> = std::thread::scope(|scope| {
         let run_seeds = || {
@@ -69,8 +103,13 @@
                 if seed >= first + count {
                     return failed;
                 }
-                let violations = Soak::run(seed, TOPOLOGY, duration);
-                println!("seed {seed}: {} violations", violations.len());
+                let plan = plan(seed);
+                let violations = Soak::run(plan);
+                println!(
+                    "{:?} seed {seed}: {} violations",
+                    plan.profile,
+                    violations.len()
+                );
                 for line in violations.iter().take(20) {
                     println!("  {line}");
                 }
--- a/crates/foxtailgauge-daemon/tests/soak_support/faults.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/faults.rs
@@ -1,5 +1,8 @@
 //! The faults of a run, derived from its seed.
 
+use super::profile::{Plan, Profile};
+use super::record::FAULT_EFFECT_TIME;
+use crate::mesh_support::quirks::{Quirky, QUIRKS};
 use crate::mesh_support::{Script, Topology};
 use foxtailgauge_bench::relay::{ConnectionFault, LinkFault};
 use rand::rngs::StdRng;
@@ -12,6 +15,10 @@
 /// Range of the length of a fault. The longest exceeds the 3 s after which a learner may replace an
 /// unresponsive replica.
 const FAULT_LENGTH_MS: std::ops::Range<u64> = 100..4_500;
+/// Time from SIGTERM to the exit of a daemon, in its settings.
+pub const STOP_GRACE: Duration = Duration::from_secs(3);
+/// Time after the grace period until a stopped daemon is restarted.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 
 /// A fault. Daemons are numbered as in the fleet, replicas first.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +29,8 @@
     Kill { daemon: usize },
     /// The daemon gets SIGTERM, and is restarted when the fault ends.
     Stop { daemon: usize },
+    /// The daemon gets SIGTERM and exits within its grace period; it is restarted afterwards.
+    PlannedStop { daemon: usize },
     /// All replicas are killed, and restarted when the fault ends.
     KillReplicas,
     /// The replica is killed and its logs end in a torn write, as after a crash during a write.
@@ -38,6 +47,8 @@
     },
     /// The colocated backend server of a daemon misbehaves.
     Server { daemon: usize, script: Script },
+    /// The colocated backend servers of some daemons misbehave on a share of their requests.
+    Servers { daemons: Vec<usize>, script: Script },
     /// The colocated backend server of a daemon leaves and is replaced by another one.
     Replace { daemon: usize },
 }
@@ -50,8 +61,14 @@
     pub fault: Fault,
 }
 
-/// Faults of a seed, ordered by start; all end within `duration`.
-pub fn plan_faults(seed: u64, topology: Topology, duration: Duration) -> Vec<PlannedFault> {
+/// Faults of a run, ordered by start; all but planned stops end within its duration.
+pub fn plan_faults(plan: Plan) -> Vec<PlannedFault> {
+    let Plan {
+        seed,
+        profile,
+        topology,
+        duration,
+    } = plan;
     let mut rng = StdRng::seed_from_u64(seed);
     let duration_ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
     let mut planned = Vec::new();
@@ -62,13 +79,55 @@
         if at_ms >= duration_ms {
             return planned;
         }
-        let fault = random_fault(&mut rng, topology, &mut may_lose_disk);
-        let until_ms = (at_ms + rng.random_range(FAULT_LENGTH_MS)).min(duration_ms);
-        planned.push(PlannedFault {
-            from: Duration::from_millis(at_ms),
-            until: Duration::from_millis(until_ms),
-            fault,
-        });
+        let from = Duration::from_millis(at_ms);
+        let fault = match profile {
+            Profile::Stops => match next_stop(&mut rng, topology, &planned, from) {
+                Some(stop) => stop,
+                None => continue,
+            },
+            Profile::Contention if rng.random_bool(0.6) => misbehaving_servers(&mut rng, topology),
+            Profile::Light | Profile::Contention => {
+                random_fault(&mut rng, topology, &mut may_lose_disk)
+            }
+        };
+        let until = match fault {
+            Fault::PlannedStop { .. } => from + STOP_GRACE + RESTART_DELAY,
+            _ => Duration::from_millis(at_ms + rng.random_range(FAULT_LENGTH_MS)).min(duration),
+        };
+        planned.push(PlannedFault { from, until, fault });
+    }
+}
+
+/// A stop of a random sidecar; `None` if it was stopped too short a time ago, or half of them are
+/// stopped.
+fn next_stop(
+    rng: &mut StdRng,
+    topology: Topology,
+    planned: &[PlannedFault],
+    at: Duration,
+) -> Option<Fault> {
+    let daemon = topology.replicas + rng.random_range(0..topology.sidecars);
+    let fault = Fault::PlannedStop { daemon };
+    let stopped = planned
+        .iter()
+        .filter(|planned| planned.until + FAULT_EFFECT_TIME > at);
+    let is_allowed = stopped.clone().all(|planned| planned.fault != fault)
+        && 2 * stopped.count() < topology.sidecars;
+    is_allowed.then_some(fault)
+}
+
+fn misbehaving_servers(rng: &mut StdRng, topology: Topology) -> Fault {
+    let sidecars: Vec<usize> = (topology.replicas..topology.replicas + topology.sidecars).collect();
+    let count = rng.random_range(1..=topology.sidecars.div_ceil(2));
+    let quirk = *QUIRKS.choose(rng).expect("no quirks");
+    let percent = rng.random_range(5..60);
+    Fault::Servers {
+        daemons: sidecars.choose_multiple(rng, count).copied().collect(),
+        script: Script::Quirky(Quirky {
+            run_ms: 20,
+            percent,
+            quirk,
+        }),
     }
 }
 
--- /dev/null
+++ b/crates/foxtailgauge-daemon/tests/soak_support/profile.rs
@@ -0,0 +1,71 @@
+//! What a run exercises: its load, its servers and its kinds of faults.
+
+use crate::mesh_support::quirks::{Quirk, Quirky};
+use crate::mesh_support::{Script, Topology};
+use std::time::Duration;
+
+/// What a run exercises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Profile {
+    /// Every kind of fault, with as many requests at once as slots.
+    Light,
+    /// Every kind of fault and many misbehaving servers, with more requests than slots.
+    Contention,
+    /// Planned stops of sidecars and nothing else, with requests that last.
+    Stops,
+}
+
+/// Requests of the callers of a sidecar.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// The last caller sends rows.
+    pub callers: usize,
+    /// Pause between two requests of a caller.
+    pub interval: Duration,
+    pub deadlines_ms: &'static [u64],
+}
+
+impl Profile {
+    pub const ALL: [(&'static str, Profile); 3] = [
+        ("light", Profile::Light),
+        ("contention", Profile::Contention),
+        ("stops", Profile::Stops),
+    ];
+
+    pub fn load(self) -> Load {
+        let (callers, interval_ms, deadlines_ms): (_, _, &[u64]) = match self {
+            Profile::Light => (3, 25, &[1_000]),
+            Profile::Contention => (9, 4, &[60, 250, 1_000]),
+            Profile::Stops => (6, 25, &[1_000]),
+        };
+        Load {
+            callers,
+            interval: Duration::from_millis(interval_ms),
+            deadlines_ms,
+        }
+    }
+
+    /// Script of the server of sidecar `n` while nothing disturbs it.
+    pub fn script(self, n: usize) -> Script {
+        let run_ms = match self {
+            Profile::Light => return Script::Echo,
+            Profile::Contention => 20,
+            Profile::Stops => [10, 100, 300][n % 3],
+        };
+        Script::Quirky(Quirky {
+            run_ms,
+            percent: 0,
+            quirk: Quirk::CloseIdle,
+        })
+    }
+}
+
+/// A run to be made.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub profile: Profile,
+    pub topology: Topology,
+    /// Time during which faults are injected.
+    pub duration: Duration,
+}
--- a/crates/foxtailgauge-daemon/tests/soak_support/record.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/record.rs
@@ -1,6 +1,6 @@
 //! The record of a run as seen by callers, backend servers and operators, and its checks.
 
-use super::faults::{Fault, PlannedFault};
+use super::faults::{Fault, PlannedFault, STOP_GRACE};
 use crate::mesh_support::{header, Arrival};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -17,6 +17,12 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Requests that unaffected daemons may leave without a response, in total.
 const MAX_DROPPED_REQUESTS: usize = 3;
+/// Time after which a request that was sent to a daemon has been read.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// Time after the end of the grace period during which lost requests are due to the stop.
+const STOP_EFFECT_TIME: Duration = Duration::from_secs(1);
+/// `timeout_ms` of the routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Window of the retry budget, percentage of its requests that may be retries, and retries allowed
 /// beyond that. A retry is an arrival of a request after its first one.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
@@ -84,6 +90,8 @@
     pub planned: Vec<PlannedFault>,
     pub requests: Vec<RequestRecord>,
     pub servers: Vec<ServerRecord>,
+    /// Planned stops: the daemon, and when it got SIGTERM.
+    pub stops: Vec<(usize, Instant)>,
     /// Acknowledged versions and the times of their acknowledgement.
     pub versions: Vec<(u64, Instant)>,
     /// Violations found during the run.
@@ -101,11 +109,49 @@
         }));
         found.extend(self.version_regressions());
         found.extend(self.dropped_requests());
+        found.extend(self.requests.iter().filter_map(|r| self.stop_loss(r)));
         found.extend(self.late_arrivals());
         found.extend(self.retry_budget_violation());
         found
     }
 
+    /// Numbers of requests and of those with a success, and of arrivals at servers.
+    pub fn summary(&self) -> String {
+        let is_served = |request: &&RequestRecord| {
+            matches!(
+                request.result,
+                RequestResult::Response {
+                    status: 200..=299,
+                    ..
+                }
+            )
+        };
+        let served = self.requests.iter().filter(is_served).count();
+        let arrivals: usize = self
+            .servers
+            .iter()
+            .map(|server| server.arrivals.len())
+            .sum();
+        format!(
+            "{} requests, {served} served, {arrivals} arrivals",
+            self.requests.len()
+        )
+    }
+
+    /// The record with its violations, a line for each item.
+    pub fn text(&self, violations: &[String]) -> String {
+        let mut lines = violations.to_vec();
+        let planned = self.planned.iter().map(|planned| format!("{planned:?}"));
+        lines.extend(planned.chain([format!("{:?}, stops {:?}", self.started, self.stops)]));
+        lines.extend(self.requests.iter().map(|request| format!("{request:?}")));
+        for server in &self.servers {
+            lines.push(format!("{} left at {:?}", server.name, server.left_at));
+            lines.extend(server.arrivals.iter().map(|arrival| format!("{arrival:?}")));
+        }
+        lines.push(format!("{:?}", self.versions));
+        lines.join("\n")
+    }
+
     /// Number of runs of each request, by attempt id.
     fn run_counts(&self) -> BTreeMap<String, usize> {
         let mut runs = BTreeMap::new();
@@ -226,9 +272,10 @@
     /// than [`MAX_DROPPED_REQUESTS`].
     fn dropped_requests(&self) -> Vec<String> {
         let closes_connections = |fault: &Fault, daemon: usize| match fault {
-            Fault::Kill { daemon: n } | Fault::Stop { daemon: n } | Fault::Pause { daemon: n } => {
-                *n == daemon
-            }
+            Fault::Kill { daemon: n }
+            | Fault::Stop { daemon: n }
+            | Fault::PlannedStop { daemon: n }
+            | Fault::Pause { daemon: n } => *n == daemon,
             _ => false,
         };
         let dropped: Vec<&RequestRecord> = self
@@ -248,6 +295,56 @@
         }
     }
 
+    /// A violation if a planned stop in calm left a request that the daemon had read without the response
+    /// of its server. Excepted are requests whose time was up, and those sent in the first half of the
+    /// grace period that their server still runs in its last sixth.
+    fn stop_loss(&self, request: &RequestRecord) -> Option<String> {
+        let is_stopped_by = |(daemon, at): &&(usize, Instant)| {
+            *daemon == request.daemon
+                && *at <= request.ended_at
+                && request.ended_at <= *at + STOP_GRACE + STOP_EFFECT_TIME
+        };
+        let (_, stopped_at) = *self.stops.iter().find(is_stopped_by)?;
+        let mut arrivals = self.arrivals(&request.id).map(|(_, arrival)| arrival);
+        let is_lost = match request.result {
+            RequestResult::Closed => {
+                arrivals.clone().next().is_some() || request.ended_at > request.sent_at + LOSS_SLACK
+            }
+            RequestResult::Response {
+                status: 500.. | 408 | 421 | 429,
+                has_server_proof: false,
+                ..
+            } => arrivals.clone().any(|arrival| arrival.is_started),
+            RequestResult::Response { .. } | RequestResult::TimedOut => false,
+        };
+        if !is_lost {
+            return None;
+        }
+        let time_allowed = request.deadline.min(ROUTE_TIMEOUT);
+        let is_late = request.ended_at >= request.sent_at + time_allowed;
+        let is_outlasting = request.sent_at <= stopped_at + STOP_GRACE / 2
+            && arrivals
+                .any(|arrival| arrival.at + arrival.run_time > stopped_at + STOP_GRACE * 5 / 6);
+        let is_calm =
+            !self.is_affected(request, |fault| !matches!(fault, Fault::PlannedStop { .. }));
+        (is_calm && !is_late && !is_outlasting).then(|| {
+            let after = request.ended_at - stopped_at;
+            format!("request lost {after:?} after SIGTERM: {request:?}")
+        })
+    }
+
+    /// Arrivals of a request, with the names of the servers.
+    pub fn arrivals<'a>(
+        &'a self,
+        id: &'a str,
+    ) -> impl Iterator<Item = (&'a str, &'a Arrival)> + Clone {
+        let arrivals = self.servers.iter().flat_map(|server| {
+            let named = server.arrivals.iter();
+            named.map(|arrival| (server.name.as_str(), arrival))
+        });
+        arrivals.filter(move |(_, arrival)| attempt_id(arrival) == id)
+    }
+
     /// Requests that reached a backend server later than [`DRAIN_LIMIT`] after its departure was
     /// acknowledged.
     fn late_arrivals(&self) -> Vec<String> {
@@ -301,6 +398,6 @@
 }
 
 /// Attempt id of the request.
-fn attempt_id(arrival: &Arrival) -> String {
+pub fn attempt_id(arrival: &Arrival) -> String {
     header(&arrival.text, "attempt-id").unwrap_or_default()
 }
--- a/crates/foxtailgauge-daemon/tests/soak_support/requests.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/requests.rs
@@ -5,9 +5,6 @@
 use crate::mesh_support::document;
 use std::time::Duration;
 
-/// Deadline of a request.
-pub const DEADLINE: Duration = Duration::from_secs(1);
-
 /// The common test document with one more route for each version in `routes`.
 pub fn document_with_routes(routes: &[u64], version: u64) -> serde_json::Value {
     let mut document = document(version);
@@ -48,11 +45,11 @@
 }
 
 /// A request as sent.
-pub fn request_text(id: &str, kind: RequestKind) -> String {
+pub fn request_text(id: &str, kind: RequestKind, deadline: Duration) -> String {
     let (method, target) = method_and_target(id, kind);
     format!(
         "{method} {target} HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: {id}\r\n\
          Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
-        DEADLINE.as_millis()
+        deadline.as_millis()
     )
 }
--- a/crates/foxtailgauge-daemon/tests/soak_support/run.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/run.rs
@@ -1,12 +1,13 @@
 //! The run of one seed: a fleet with callers, backend servers and operators, and injected faults.
 
 use super::faults::{plan_faults, Fault, PlannedFault};
+use super::profile::Plan;
 use super::record::{Record, RequestKind, RequestRecord, RequestResult, ServerRecord};
-use super::requests::{document_with_routes, method_and_target, request_text, DEADLINE};
+use super::requests::document_with_routes;
 use super::rollouts::{RolloutRun, SERVICES};
+use super::trace;
 use crate::mesh_support::{
-    body, exchange, header, put_document, read_message, report, status, wait_for, Mesh, Script,
-    Server, Topology,
+    body, exchange, put_document, report, status, wait_for, Mesh, Script, Server, Topology,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -17,19 +18,16 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Callers of each sidecar. With its row they have as many requests at once as its backend server
-/// has slots, four.
-const CALLERS_PER_SIDECAR: usize = 3;
-/// Requests that a caller sends in one write: the last caller of a sidecar sends rows.
-const ROW_LENGTH: usize = 2;
-/// Time after the deadline at which a caller stops waiting for a response.
-const READ_TIMEOUT_SLACK: Duration = Duration::from_secs(3);
-/// Pause between two requests of a caller.
+/// Pause between two tries, observations, or requests whose results are not recorded.
 const CALL_INTERVAL: Duration = Duration::from_millis(25);
+/// Sidecars with full load; more of them share this load.
+const SIDECARS_OF_FULL_LOAD: usize = 6;
 /// Interval at which backend servers report, half the `report_interval_ms` of the daemons.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause between two changes.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(700);
+/// Deadline of requests that look for the recovery.
+const RECOVERY_DEADLINE: Duration = Duration::from_secs(1);
 /// Specified time after the last fault within which all requests must be served again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Time without faults before the end of a run, during which changes must be in force in time.
@@ -57,34 +55,41 @@
 
 /// A run of one seed.
 pub struct Soak {
-    seed: u64,
+    pub(super) plan: Plan,
     topology: Topology,
-    mesh: Mutex<Mesh>,
+    pub(super) mesh: Mutex<Mesh>,
     sidecar_servers: Vec<Mutex<SidecarServers>>,
-    restart_counts: Vec<AtomicU64>,
+    pub(super) restart_counts: Vec<AtomicU64>,
     rollouts: Vec<RolloutRun>,
-    requests: Mutex<Vec<RequestRecord>>,
-    versions: Mutex<Vec<(u64, Instant)>>,
+    pub(super) requests: Mutex<Vec<RequestRecord>>,
+    /// Planned stops.
+    stops: Mutex<Vec<(usize, Instant)>>,
+    pub(super) versions: Mutex<Vec<(u64, Instant)>>,
     violations: Mutex<Vec<String>>,
     is_done: AtomicBool,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Soak {
-    /// Runs a seed with faults for `duration`; returns the violations of the guarantees.
-    pub fn run(seed: u64, topology: Topology, duration: Duration) -> Vec<String> {
+    /// Makes a run; returns the violations of the guarantees.
+    pub fn run(plan: Plan) -> Vec<String> {
+        let topology = plan.topology;
         let daemons = topology.replicas + topology.sidecars;
-        let initial_servers = |n: usize| SidecarServers {
-            servers: vec![(format!("i-{n}-0"), Server::start())],
-            left_at: vec![None],
-            script: Script::Echo,
-            is_leaving: false,
+        let initial_servers = |n: usize| {
+            let (script, server) = (plan.profile.script(n), Server::start());
+            server.set_script(script);
+            SidecarServers {
+                servers: vec![(format!("i-{}-0", topology.replicas + n), server)],
+                left_at: vec![None],
+                script,
+                is_leaving: false,
+            }
         };
         let soak = Soak {
-            seed,
+            plan,
             topology,
             mesh: Mutex::new(Mesh::start_with(topology)),
             sidecar_servers: (0..topology.sidecars)
@@ -93,12 +98,13 @@
             restart_counts: (0..daemons).map(|_| AtomicU64::new(0)).collect(),
             rollouts: SERVICES.map(RolloutRun::start).into(),
             requests: Mutex::default(),
+            stops: Mutex::default(),
             versions: Mutex::default(),
             violations: Mutex::default(),
             is_done: AtomicBool::new(false),
         };
         soak.submit_change(0, &document_with_routes(&[1], 1));
-        let planned = plan_faults(seed, topology, duration);
+        let planned = plan_faults(plan);
         let started = std::thread::scope(|scope| {
             let soak = &soak;
             let _guard = StopGuard(&soak.is_done);
@@ -110,7 +116,7 @@
                 wait_for("readiness", || lock(&soak.mesh).is_ready(n).then_some(()));
             }
             for n in sidecars {
-                for caller in 0..CALLERS_PER_SIDECAR {
+                for caller in 0..plan.profile.load().callers {
                     scope.spawn(move || soak.send_requests(n, caller));
                 }
             }
@@ -135,13 +141,18 @@
         soak.finish(started, planned)
     }
 
-    fn is_done(&self) -> bool {
+    pub(super) fn is_done(&self) -> bool {
         self.is_done.load(Ordering::Relaxed)
     }
 
-    fn rng(&self, salt: usize) -> StdRng {
+    /// A pause at full load, longer if more sidecars share the load.
+    pub(super) fn shared_pause(&self, pause: Duration) -> Duration {
+        pause * u32::try_from(self.topology.sidecars.div_ceil(SIDECARS_OF_FULL_LOAD)).unwrap_or(1)
+    }
+
+    pub(super) fn rng(&self, salt: usize) -> StdRng {
         let salt = u64::try_from(salt).unwrap_or_default();
-        StdRng::seed_from_u64(self.seed.wrapping_mul(1_000).wrapping_add(salt))
+        StdRng::seed_from_u64(self.plan.seed.wrapping_mul(1_000).wrapping_add(salt))
     }
 
     fn add_violation(&self, violation: String) {
@@ -152,98 +163,6 @@
         lock(&self.sidecar_servers[n - self.topology.replicas])
     }
 
-    /// Sends requests of one caller until the end of the run, on a persistent connection.
-    fn send_requests(&self, n: usize, caller: usize) {
-        let mut rng = self.rng(n * CALLERS_PER_SIDECAR + caller);
-        let addr = lock(&self.mesh).outbound_addr(n);
-        let mut connection: Option<TcpStream> = None;
-        let mut serial = 0;
-        while !self.is_done() {
-            let newest = lock(&self.versions)
-                .last()
-                .map_or(1, |(version, _)| *version);
-            let length = match caller + 1 == CALLERS_PER_SIDECAR {
-                true => ROW_LENGTH,
-                false => 1,
-            };
-            let row: Vec<_> = (0..length)
-                .map(|_| {
-                    serial += 1;
-                    let kind = match rng.random_range(0..10) {
-                        0..4 => RequestKind::View,
-                        4..8 => RequestKind::Commit,
-                        8 => RequestKind::Version(newest),
-                        _ => RequestKind::Unrouted,
-                    };
-                    (format!("r{n}-{caller}-{serial}"), kind)
-                })
-                .collect();
-            let connect = || TcpStream::connect(&addr).ok();
-            if let Some(stream) = connection.take().or_else(connect) {
-                let (requests, stream) = self.send_row(stream, row, n);
-                connection = stream;
-                lock(&self.requests).extend(requests);
-            }
-            std::thread::sleep(CALL_INTERVAL);
-        }
-    }
-
-    /// Sends requests in one write; returns the records of those that count, and the connection if it
-    /// can be reused. A request behind a response that closes the connection counts as not read.
-    fn send_row(
-        &self,
-        mut stream: TcpStream,
-        row: Vec<(String, RequestKind)>,
-        n: usize,
-    ) -> (Vec<RequestRecord>, Option<TcpStream>) {
-        let text: String = row
-            .iter()
-            .map(|(id, kind)| request_text(id, *kind))
-            .collect();
-        let restart_count = || self.restart_counts[n].load(Ordering::Relaxed);
-        let (before, sent_at) = (restart_count(), Instant::now());
-        let timeout_result = stream.set_read_timeout(Some(DEADLINE + READ_TIMEOUT_SLACK));
-        timeout_result.expect("cannot set the read timeout");
-        // A write to a closed connection may succeed or fail; the read determines the result.
-        let _ = stream.write_all(text.as_bytes());
-        let mut records = Vec::new();
-        for (id, kind) in row {
-            let response = read_message(&mut stream);
-            let ended_at = Instant::now();
-            let result = match &response {
-                Some(response) => {
-                    let (method, target) = method_and_target(&id, kind);
-                    RequestResult::Response {
-                        status: status(response),
-                        has_server_proof: header(response, "server-seal").is_some(),
-                        is_echo: header(response, "server-seal").is_some()
-                            && body(response).starts_with(&format!("{method} {target} ")),
-                    }
-                }
-                None if ended_at.duration_since(sent_at) < DEADLINE + READ_TIMEOUT_SLACK => {
-                    RequestResult::Closed
-                }
-                None => RequestResult::TimedOut,
-            };
-            records.push(RequestRecord {
-                id,
-                kind,
-                daemon: n,
-                restart_counts: (before, restart_count()),
-                sent_at,
-                ended_at,
-                deadline: DEADLINE,
-                result,
-            });
-            let is_open =
-                response.is_some_and(|response| header(&response, "connection").is_none());
-            if !is_open {
-                return (records, None);
-            }
-        }
-        (records, Some(stream))
-    }
-
     /// Reports the colocated backend server of a daemon, and replaces it after it left.
     fn report_server(&self, n: usize) {
         let platform = lock(&self.mesh).platform_addr(n);
@@ -366,7 +285,7 @@
                 let restart_count = || self.restart_counts[n].load(Ordering::Relaxed);
                 rollout.observe(&platform, || (n, restart_count()));
             }
-            std::thread::sleep(2 * CALL_INTERVAL);
+            std::thread::sleep(self.shared_pause(2 * CALL_INTERVAL));
         }
     }
 
@@ -379,7 +298,7 @@
                 serial += 1;
                 rollout.call(&addr, &format!("o{n}-{serial}"));
             }
-            std::thread::sleep(CALL_INTERVAL);
+            std::thread::sleep(self.shared_pause(CALL_INTERVAL));
         }
     }
 
@@ -415,6 +334,10 @@
             Fault::Pause { daemon } => mesh.signal_if_running(*daemon, Signal::STOP),
             Fault::Kill { daemon } => mesh.kill(*daemon),
             Fault::Stop { daemon } => mesh.signal_if_running(*daemon, Signal::TERM),
+            Fault::PlannedStop { daemon } => {
+                lock(&self.stops).push((*daemon, Instant::now()));
+                mesh.terminate(*daemon);
+            }
             Fault::KillReplicas => (0..self.topology.replicas).for_each(|n| mesh.kill(n)),
             Fault::TearLog { replica } => {
                 mesh.kill(*replica);
@@ -429,6 +352,9 @@
                 mesh.faults.end_connections(subject, *fault)
             }
             Fault::Server { daemon, script } => self.set_script(*daemon, *script),
+            Fault::Servers { daemons, script } => {
+                daemons.iter().for_each(|n| self.set_script(*n, *script));
+            }
             Fault::Replace { daemon } => self.sidecar_servers(*daemon).is_leaving = true,
         }
     }
@@ -438,6 +364,12 @@
         match fault {
             Fault::Pause { daemon } => mesh.signal_if_running(*daemon, Signal::CONT),
             Fault::Kill { daemon } | Fault::Stop { daemon } => self.restart(&mut mesh, *daemon),
+            Fault::PlannedStop { daemon } => {
+                if !mesh.has_exited(*daemon) {
+                    self.add_violation(format!("daemon {daemon} runs on after its grace period"));
+                }
+                self.restart(&mut mesh, *daemon);
+            }
             Fault::TearLog { replica } | Fault::LoseDisk { replica } => {
                 self.restart(&mut mesh, *replica);
             }
@@ -446,7 +378,8 @@
             }
             Fault::Links { subject, .. } => mesh.faults.set(subject, None),
             Fault::EndConnections { .. } | Fault::Replace { .. } => {}
-            Fault::Server { daemon, .. } => self.set_script(*daemon, Script::Echo),
+            Fault::Server { daemon, .. } => self.reset_script(*daemon),
+            Fault::Servers { daemons, .. } => daemons.iter().for_each(|n| self.reset_script(*n)),
         }
     }
 
@@ -457,6 +390,11 @@
         mesh.start_daemon(n, false);
     }
 
+    fn reset_script(&self, n: usize) {
+        let script = self.plan.profile.script(n - self.topology.replicas);
+        self.set_script(n, script);
+    }
+
     fn set_script(&self, n: usize, script: Script) {
         let mut sidecar = self.sidecar_servers(n);
         sidecar.script = script;
@@ -486,7 +424,7 @@
                 .map(|kind| {
                     let stream = TcpStream::connect(&addr).ok()?;
                     let row = vec![(format!("w{n}-{tries}-{kind:?}"), kind)];
-                    let (requests, _) = self.send_row(stream, row, n);
+                    let (requests, _) = self.send_row(stream, row, n, RECOVERY_DEADLINE);
                     let result = requests.first()?.result;
                     lock(&self.requests).extend(requests);
                     matches!(result, RequestResult::Response { is_echo: true, .. }).then_some(())
@@ -556,6 +494,10 @@
                 .into_inner()
                 .unwrap_or_else(PoisonError::into_inner),
             servers: servers.collect(),
+            stops: self
+                .stops
+                .into_inner()
+                .unwrap_or_else(PoisonError::into_inner),
             versions: self
                 .versions
                 .into_inner()
@@ -569,15 +511,18 @@
         for rollout in &self.rollouts {
             violations.extend(rollout.violations(started, &record.planned));
         }
+        println!("{:?}: {}", self.plan, record.summary());
         if !violations.is_empty() {
             let mesh = self
                 .mesh
                 .into_inner()
                 .unwrap_or_else(PoisonError::into_inner);
             let dir = mesh.keep_files();
-            let text = format!("{violations:#?}\n\n{:#?}\n\n{record:#?}", record.planned);
+            let traces = trace::traces(&record, &violations, &dir);
+            std::fs::write(dir.join("traces"), traces).expect("cannot write the traces");
+            let text = record.text(&violations);
             std::fs::write(dir.join("record"), text).expect("cannot write the record");
-            println!("seed {}: logs and record in {}", self.seed, dir.display());
+            println!("logs, record and traces in {}", dir.display());
         }
         violations
     }
