--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -680,6 +680,11 @@
         kb.expect("no memory in the status of the daemon")
     }
 
+    /// Process id of a daemon, unless the test has killed it or waited for its exit.
+    pub fn pid(&self, n: usize) -> Option<u32> {
+        self.children[n].as_ref().map(Child::id)
+    }
+
     /// Sends a signal to a running daemon.
     pub fn signal(&self, n: usize, signal: Signal) {
         let child = self.children[n].as_ref().expect("daemon is not running");
--- a/crates/foxtailgauge-daemon/tests/soak_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/mod.rs
@@ -9,4 +9,5 @@
 pub mod requests;
 pub mod rollouts;
 pub mod run;
+pub mod starvation;
 pub mod trace;
--- a/crates/foxtailgauge-daemon/tests/soak_support/record.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/record.rs
@@ -2,6 +2,7 @@
 
 use super::faults::{Fault, PlannedFault, STOP_GRACE};
 use super::requests::method_and_target;
+use super::starvation::{longest, ProcessorWait};
 use crate::mesh_support::{header, Arrival};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -97,6 +98,8 @@
     pub servers: Vec<ServerRecord>,
     /// Planned stops: the daemon, and when it got SIGTERM.
     pub stops: Vec<(usize, Instant)>,
+    /// Times for which daemons had no processor.
+    pub waits: Vec<ProcessorWait>,
     /// Acknowledged versions and the times of their acknowledgement.
     pub versions: Vec<(u64, Instant)>,
     /// Violations found during the run.
@@ -138,9 +141,11 @@
             .iter()
             .map(|server| server.arrivals.len())
             .sum();
+        let wait = self.waits.iter().map(|wait| wait.wait).max();
         format!(
-            "{} requests, {served} served, {arrivals} arrivals",
-            self.requests.len()
+            "{} requests, {served} served, {arrivals} arrivals, at most {:?} without a processor",
+            self.requests.len(),
+            wait.unwrap_or_default()
         )
     }
 
@@ -189,7 +194,15 @@
         );
         let elapsed = request.ended_at.duration_since(request.sent_at);
         if elapsed > request.deadline + RESPONSE_SLACK && !is_paused {
-            return violation("final response too late");
+            let wait = longest(
+                &self.waits,
+                request.daemon,
+                request.sent_at,
+                request.ended_at,
+            );
+            return violation(&format!(
+                "final response too late (its daemon waited {wait:?} for a processor)"
+            ));
         }
         let RequestResult::Response {
             status,
--- a/crates/foxtailgauge-daemon/tests/soak_support/run.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/run.rs
@@ -5,6 +5,7 @@
 use super::record::{Record, RequestKind, RequestRecord, RequestResult, ServerRecord};
 use super::requests::document_with_routes;
 use super::rollouts::{RolloutRun, SERVICES};
+use super::starvation::ProcessorWait;
 use super::trace;
 use crate::mesh_support::{
     body, exchange, put_document, report, status, wait_for, Mesh, Script, Server, Topology,
@@ -64,6 +65,7 @@
     pub(super) requests: Mutex<Vec<RequestRecord>>,
     /// Planned stops.
     stops: Mutex<Vec<(usize, Instant)>>,
+    pub(super) waits: Mutex<Vec<ProcessorWait>>,
     pub(super) versions: Mutex<Vec<(u64, Instant)>>,
     violations: Mutex<Vec<String>>,
     is_done: AtomicBool,
@@ -99,6 +101,7 @@
             rollouts: SERVICES.map(RolloutRun::start).into(),
             requests: Mutex::default(),
             stops: Mutex::default(),
+            waits: Mutex::default(),
             versions: Mutex::default(),
             violations: Mutex::default(),
             is_done: AtomicBool::new(false),
@@ -121,6 +124,7 @@
                 }
             }
             scope.spawn(|| soak.submit_changes());
+            scope.spawn(|| soak.watch_processor_waits());
             for n in 0..daemons {
                 scope.spawn(move || soak.observe_rollouts(n));
             }
@@ -499,6 +503,10 @@
                 .stops
                 .into_inner()
                 .unwrap_or_else(PoisonError::into_inner),
+            waits: self
+                .waits
+                .into_inner()
+                .unwrap_or_else(PoisonError::into_inner),
             versions: self
                 .versions
                 .into_inner()
