Fault soak: no second order of a rollout that was decided

A state that a daemon states shows that the order arrived, so none is sent after it. The check is unchanged.

--- a/crates/foxtailgauge-daemon/tests/soak_support/rollouts.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/rollouts.rs
@@ -46,8 +46,13 @@
         }
     }
 
-    /// Orders the rollout; returns whether it was ordered, by this order or by one whose answer was lost.
+    /// Orders the rollout; returns whether it was ordered, by this order or by one whose answer was lost. An
+    /// order after the decision would begin another rollout.
     pub fn order(&self, platform: &str) -> bool {
+        if !lock(&self.observations).is_empty() {
+            self.is_ordered.store(true, Ordering::Relaxed);
+            return true;
+        }
         let order =
             json!({"service": self.service, "target_version": "v2", "duration_s": ROLLOUT_S});
         let response = send(platform, "POST", "rollouts", &order.to_string());
