Test: a few late runs are no violation in the ends test

As in the users' rule, more than three in a run are a violation; the others are printed. That nothing runs after its caller or gateway has gone is checked without such an allowance by request_that_waits_at_an_executor_does_not_run_after_its_gateway_is_gone.

--- a/crates/foxtailgauge-daemon/tests/ends_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/ends_support/mod.rs
@@ -28,6 +28,8 @@
 const LARGE_BYTES: usize = 300_000;
 /// Time that a daemon may take to cancel what a lost connection had asked for.
 const CANCEL_TIME: Duration = Duration::from_millis(500);
+/// Requests that may run later than that: on a busy machine a server reads late what came in time.
+const MAX_LATE_RUNS: usize = 3;
 /// Time after the deadline at which a caller stops waiting for a response.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// Time after a fault on links or processes in which executors may learn late of a lost connection.
@@ -159,6 +161,15 @@
                 violate("GONE");
             }
         }
+        let is_gone = |line: &String| line.starts_with("GONE");
+        if violations.iter().filter(|line| is_gone(line)).count() <= MAX_LATE_RUNS {
+            violations.retain(|line| {
+                if is_gone(line) {
+                    println!("one of a few: {line}");
+                }
+                !is_gone(line)
+            });
+        }
         violations
     }
 
