HTTP client: an answer that breaks off is not taken for a whole one

For an action the part was recorded and replayed to retries.

Cause: async-h1's client takes the end of the connection for the end of a body with a length, and for the end of the trailers. It also kept the first of two contradicting lengths, accepted "+4" as one, answered interim responses (103) as broken, made up a content-type and a malformed date, and hid bytes after the response in its buffer. It did not panic on an empty or cut head in these tests.

http_response.rs reads responses over httparse, which callers' heads are read with already. A response is returned only with all of its body; a connection is reusable only if nothing is left over on it, and a request is not sent on one where the peer has sent something or has closed it.

--- a/crates/foxtailgauge-wire/src/http.rs
+++ b/crates/foxtailgauge-wire/src/http.rs
@@ -1,18 +1,13 @@
-//! A minimal HTTP/1.1 client on top of async-h1.
+//! A minimal HTTP/1.1 client.
 
-use crate::read_limit::{LimitedStream, MAX_RESPONSE_HEAD_BYTES};
-use async_h1::client;
-use async_std::io::{ReadExt, WriteExt};
+use crate::http_response::read_response;
+use async_std::io::WriteExt;
 use async_std::net::TcpStream;
+use futures::FutureExt;
 use http_types::headers::{HeaderName, HeaderValue};
 use std::fmt;
 use std::net::SocketAddr;
 
-/// Statuses of responses without a body, whatever their headers.
-const BODILESS_STATUSES: [u16; 2] = [204, 304];
-/// Maximum size of a chunked body on the wire, as a multiple of its data: chunks of one byte.
-const MAX_CHUNK_OVERHEAD: usize = 6;
-
 /// Headers that apply to a single connection and are never forwarded.
 pub const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -106,9 +101,14 @@
         })
     }
 
-    /// Whether the connection can be used for another exchange.
+    /// Whether the connection can be used for another exchange: the last response was complete, and
+    /// the peer has neither sent anything after it nor closed the connection.
     pub fn is_reusable(&self) -> bool {
-        self.is_reusable
+        self.is_reusable && self.is_silent()
+    }
+
+    fn is_silent(&self) -> bool {
+        self.stream.peek(&mut [0]).now_or_never().is_none()
     }
 
     /// Sends a request and reads the response, whose body may have up to `max_response_bytes`.
@@ -119,46 +119,19 @@
     ) -> Result<HttpResponse, HttpError> {
         let is_head = request.method == "HEAD";
         let message = encode_request(self.addr, request)?;
+        // What arrives before the request is not its response.
+        if !self.is_silent() {
+            self.is_reusable = false;
+            return Err(HttpError::Connect(std::io::ErrorKind::InvalidData.into()));
+        }
         // The connection is reusable only after a complete exchange.
         self.is_reusable = false;
-        let (mut stream, read_limit) = LimitedStream::new(self.stream.clone());
-        read_limit.set(MAX_RESPONSE_HEAD_BYTES);
-        let written = stream.write_all(&message).await;
+        let written = self.stream.write_all(&message).await;
         written.map_err(|_| HttpError::Broken)?;
-        let mut response = client::decode(stream)
-            .await
-            .map_err(|_| HttpError::Broken)?;
-        let chunked_bytes = max_response_bytes.saturating_mul(MAX_CHUNK_OVERHEAD);
-        read_limit.set(chunked_bytes.saturating_add(MAX_RESPONSE_HEAD_BYTES));
-        let is_delimited = response.header("content-length").is_some()
-            || response.header("transfer-encoding").is_some();
-        let is_keep_alive = response
-            .header("connection")
-            .is_none_or(|values| !values.as_str().eq_ignore_ascii_case("close"));
-        let headers = end_to_end_headers(response.iter());
-        let status = u16::from(response.status());
-        // async-h1 reads no body that ends with the connection, so it must not pass for an empty one.
-        let has_no_body = is_head || BODILESS_STATUSES.contains(&status);
-        if !is_delimited && !has_no_body {
-            return Err(HttpError::Broken);
-        }
-        let mut body = Vec::new();
-        let read_limit = max_response_bytes as u64 + 1;
-        let read = response
-            .take_body()
-            .take(read_limit)
-            .read_to_end(&mut body)
-            .await;
-        read.map_err(|_| HttpError::Broken)?;
-        if body.len() > max_response_bytes {
-            return Err(HttpError::TooLarge);
-        }
-        self.is_reusable = is_delimited && is_keep_alive;
-        Ok(HttpResponse {
-            status,
-            headers,
-            body,
-        })
+        let (response, is_reusable) =
+            read_response(&self.stream, is_head, max_response_bytes).await?;
+        self.is_reusable = is_reusable;
+        Ok(response)
     }
 }
 
@@ -174,26 +147,7 @@
         .await
 }
 
-/// Headers that are forwarded, in order: all but [`HOP_BY_HOP_HEADERS`].
-pub fn end_to_end_headers<'a>(
-    headers: impl Iterator<Item = (&'a HeaderName, &'a http_types::headers::HeaderValues)>,
-) -> Vec<(String, String)> {
-    let is_end_to_end = |name: &HeaderName| {
-        !HOP_BY_HOP_HEADERS
-            .iter()
-            .any(|hop| name.as_str().eq_ignore_ascii_case(hop))
-    };
-    headers
-        .filter(|(name, _)| is_end_to_end(name))
-        .flat_map(|(name, values)| {
-            let pair = |value: &HeaderValue| (name.as_str().to_owned(), value.as_str().to_owned());
-            values.iter().map(pair).collect::<Vec<_>>()
-        })
-        .collect()
-}
-
-/// Bytes of a request. Method and target are sent as they are; async-h1 would take the target for a
-/// URL and resolve `..` in it.
+/// Bytes of a request. Method and target are sent as they are, `..` included.
 fn encode_request(addr: SocketAddr, request: HttpRequest<'_>) -> Result<Vec<u8>, HttpError> {
     let is_visible = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic());
     if !is_visible(request.method) || !is_visible(request.target) {
--- a/crates/foxtailgauge-wire/src/lib.rs
+++ b/crates/foxtailgauge-wire/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod foxtailgauge_capnp;
 pub mod handshake;
 pub mod http;
+mod http_response;
 mod read_limit;
 mod submit;
 
--- a/crates/foxtailgauge-wire/tests/http.rs
+++ b/crates/foxtailgauge-wire/tests/http.rs
@@ -2,8 +2,11 @@
 
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpListener;
-use async_std::task::{block_on, spawn};
-use foxtailgauge_wire::http::{fetch, HttpError, HttpRequest};
+use async_std::task::{block_on, sleep, spawn};
+use foxtailgauge_wire::http::{fetch, HttpConnection, HttpError, HttpRequest};
+use futures::FutureExt;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
 /// Maximum size of a response body.
@@ -110,6 +113,135 @@
     );
 }
 
+const EMPTY_REQUEST: HttpRequest<'static> = HttpRequest {
+    method: "GET",
+    target: "/",
+    headers: &[],
+    body: b"",
+};
+
+/// A peer that answers the first request on its connection with `response` and closes the connection
+/// after `open_for`.
+async fn answer_once(response: &'static str, open_for: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("no free port");
+    let addr = listener.local_addr().expect("invalid address");
+    spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("no connection");
+        let _ = stream.read(&mut [0; 1_024]).await.expect("no request");
+        // The client may have given up.
+        let _ = stream.write_all(response.as_bytes()).await;
+        sleep(open_for).await;
+    });
+    addr
+}
+
+#[test]
+fn answer_that_breaks_off_is_not_taken_for_a_whole_one() {
+    let cases = [
+        "",
+        "H",
+        "\r\n",
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Len",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbod",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbod",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody0\r\n\r\n",
+    ];
+    let taken = cases.into_iter().filter_map(|response| {
+        let fetched = block_on(async {
+            let addr = answer_once(response, Duration::ZERO).await;
+            let exchange = fetch(addr, EMPTY_REQUEST, MAX_BODY_BYTES);
+            let exchange = async_std::future::timeout(DEADLINE, exchange);
+            AssertUnwindSafe(exchange).catch_unwind().await
+        });
+        let is_broken = matches!(fetched, Ok(Ok(Err(HttpError::Broken))));
+        (!is_broken).then(|| format!("{response:?}: {fetched:?}"))
+    });
+    let taken: Vec<String> = taken.collect();
+    assert!(taken.is_empty(), "{taken:#?}");
+}
+
+#[test]
+fn whole_answers_are_read_as_sent() {
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "body"),
+        ("HTTP/1.1 204 No Content\r\n\r\n", ""),
+        ("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "x"),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nbod\r\n01\r\ny\r\n0\r\nX: y\r\n\r\n", "body"),
+    ];
+    for (response, body) in cases {
+        let fetched = block_on(async {
+            let addr = answer_once(response, Duration::ZERO).await;
+            fetch(addr, EMPTY_REQUEST, MAX_BODY_BYTES).await
+        });
+        let fetched = fetched.expect(response);
+        assert_eq!(String::from_utf8_lossy(&fetched.body), body, "{response}");
+    }
+}
+
+/// Guards against a response that is taken for that of the next request on the connection.
+#[test]
+fn connection_with_surplus_bytes_is_not_used_again() {
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", true),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", false),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\nHTTP", false),
+        ("HTTP/1.1 204 No Content\r\n\r\nx", false),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: Keep-Alive, Close\r\n\r\nx", false),
+    ];
+    for (response, is_reusable) in cases {
+        block_on(async {
+            let addr = answer_once(response, Duration::from_secs(5)).await;
+            let mut connection = HttpConnection::open(addr).await.expect("no connection");
+            let exchange = connection.exchange(EMPTY_REQUEST, MAX_BODY_BYTES).await;
+            exchange.expect(response);
+            assert_eq!(connection.is_reusable(), is_reusable, "{response}");
+        });
+    }
+}
+
+/// Guards against bytes that arrive before a request being taken for its response.
+#[test]
+fn bytes_before_the_request_are_not_its_response() {
+    let response = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("no port");
+        let addr = listener.local_addr().expect("invalid address");
+        let serving = spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("no connection");
+            stream
+                .write_all(response.as_bytes())
+                .await
+                .expect("no peer");
+            stream.read(&mut [0; 1_024]).await.unwrap_or(0)
+        });
+        let mut connection = HttpConnection::open(addr).await.expect("no connection");
+        sleep(Duration::from_millis(50)).await;
+        let exchange = connection.exchange(EMPTY_REQUEST, MAX_BODY_BYTES).await;
+        assert!(
+            matches!(exchange, Err(HttpError::Connect(_))),
+            "{exchange:?}"
+        );
+        drop(connection);
+        assert_eq!(serving.await, 0, "the request was sent");
+    });
+}
+
 /// Guards against a client that resolves the target as a URL, and against header values that end
 /// the head.
 #[test]
