Refusals of backend servers: none is taken for the answer to another request

Callers saw, with a backend server that writes its 503 once more on its connection: the next request there was reported as not run while it ran, and ran again on another server.

Cause: responses on this path carry no id. The second copy was read as the answer to the next request on the kept connection.

A connection that has carried a refusal is not used again. Requests of routes that are not idempotent, like actions before, go on a new connection, where the first response can only be their own. A connection from the pool on which bytes arrived meanwhile is dropped. Lookups still share connections: a 200 that is repeated after the next lookup was sent can't be told from its response.

--- a/crates/foxtailgauge-daemon/src/executor/call_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/call_executor.rs
@@ -3,7 +3,7 @@
 use crate::control::replica_client::SubmitError;
 use crate::emit;
 use crate::events;
-use crate::executor::local_server::{Announcement, LocalServer, SlotGuard};
+use crate::executor::local_server::{Announcement, LocalServer, SlotGuard, SHED_STATUS};
 use crate::gateway::ledger_client::LedgerClient;
 use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::{
@@ -17,8 +17,6 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
-/// Status with which a backend server refuses a request without running it.
-const SHED_STATUS: u16 = 503;
 /// Header with the time left for the request, in milliseconds.
 const DEADLINE_HEADER: &str = "Foxtailgauge-Deadline-Ms";
 /// Upper bound on the timeout of a claim.
@@ -168,7 +166,9 @@
         deadline: Instant,
     ) -> CallReply {
         let time_left = deadline.saturating_duration_since(Instant::now());
-        let exchange = self.exchange(server, request, time_left, false);
+        // A stray refusal on a kept connection would make it run twice.
+        let requires_new_connection = !self.is_idempotent(request);
+        let exchange = self.exchange(server, request, time_left, requires_new_connection);
         match async_std::future::timeout(time_left, exchange).await {
             Err(_) => {
                 // Counted as a run time: otherwise a slow backend server would look idle.
@@ -188,6 +188,14 @@
         }
     }
 
+    fn is_idempotent(&self, request: &CallRequest) -> bool {
+        let view = self.shared.view();
+        let path = request.target.split('?').next().unwrap_or_default();
+        let snapshot = view.snapshot.as_ref();
+        let found = snapshot.and_then(|s| s.route(&request.method, path));
+        found.is_some_and(|(_, route)| route.idempotent)
+    }
+
     /// Clears a suspect after it completed: it did not cause the observed crashes.
     fn clear_suspect(&self, digest: &Digest) {
         let fingerprint = fingerprint(digest);
--- a/crates/foxtailgauge-daemon/src/executor/local_server.rs
+++ b/crates/foxtailgauge-daemon/src/executor/local_server.rs
@@ -11,6 +11,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Status with which a backend server refuses a request without running it.
+pub(crate) const SHED_STATUS: u16 = 503;
 /// Timeout for opening a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -211,7 +213,9 @@
     /// Sends a request to the backend server and reads the complete response.
     ///
     /// The peer may have closed a reused connection unnoticed, in which case it is unknown whether
-    /// the request arrived; `requires_new_connection` rules out reuse.
+    /// the request arrived, and what it sends there may belong to an earlier request;
+    /// `requires_new_connection` rules out reuse. A connection that has carried a refusal is not used
+    /// again: the refusal names no request, so a repetition of it would end the next one.
     pub(crate) async fn exchange(
         &self,
         request: HttpRequest<'_>,
@@ -220,25 +224,26 @@
     ) -> Result<HttpResponse, HttpError> {
         let mut connection = self.connection(requires_new_connection).await?;
         let response = connection.exchange(request, limit_bytes).await?;
-        if connection.is_reusable() {
+        if response.status != SHED_STATUS && connection.is_reusable() {
             self.release(connection);
         }
         Ok(response)
     }
 
     async fn connection(&self, requires_new_connection: bool) -> Result<HttpConnection, HttpError> {
-        let (idle, addr) = {
-            let mut inner = lock(&self.inner);
-            let idle = if requires_new_connection {
-                None
-            } else {
-                inner.idle.pop()
-            };
-            (idle, inner.announcement.addr)
-        };
-        match idle {
-            Some(connection) => Ok(connection),
-            None => open(addr).await,
+        while let Some(connection) = self.idle_connection(requires_new_connection) {
+            if connection.is_reusable() {
+                return Ok(connection);
+            }
+        }
+        let addr = lock(&self.inner).announcement.addr;
+        open(addr).await
+    }
+
+    fn idle_connection(&self, requires_new_connection: bool) -> Option<HttpConnection> {
+        match requires_new_connection {
+            true => None,
+            false => lock(&self.inner).idle.pop(),
         }
     }
 
--- a/crates/foxtailgauge-daemon/tests/support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/support/mod.rs
@@ -464,7 +464,7 @@
     }
 }
 
-fn send(addr: SocketAddr, request: HttpRequest<'_>, timeout: Duration) -> Option<HttpResponse> {
+pub fn send(addr: SocketAddr, request: HttpRequest<'_>, timeout: Duration) -> Option<HttpResponse> {
     task::block_on(async {
         let exchange = fetch(addr, request, 64 << 20);
         async_std::future::timeout(timeout, exchange)
