Stop of a daemon: wait until the outcomes of its actions are recorded

Callers saw: an action that ended while its daemon stopped, with an election of the ledger going on, stayed unknown. Its retries got in_progress and, once the claim had expired, outcome_unknown for good, although the backend server had answered. Nothing false was reported.

Cause: the slot of an action is free before its response is recorded, and the drain waits for slots only; the process ended with the record on its way.

The drain now also waits for actions between claim and record, records that are sent again in the background included, within the same timeout.

--- a/crates/foxtailgauge-daemon/src/executor/call_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/call_executor.rs
@@ -104,7 +104,8 @@
         }
     }
 
-    /// Drains all backend servers; returns when no request is in flight or the timeout elapses.
+    /// Drains all backend servers; returns when no request is in flight and the outcomes of all actions
+    /// are recorded, or the timeout elapses.
     pub(crate) async fn drain(&self, timeout: Duration) {
         let servers: Vec<Arc<LocalServer>> = lock(&self.servers).values().cloned().collect();
         for server in &servers {
@@ -112,7 +113,11 @@
         }
         self.publish();
         let deadline = Instant::now() + timeout;
-        while Instant::now() < deadline && servers.iter().any(|server| server.in_flight() > 0) {
+        let is_busy = || {
+            let has_requests = servers.iter().any(|server| server.in_flight() > 0);
+            has_requests || self.ledger.is_recording()
+        };
+        while Instant::now() < deadline && is_busy() {
             async_std::task::sleep(Duration::from_millis(10)).await;
         }
     }
@@ -280,6 +285,7 @@
         deadline: Instant,
         requester: Weak<()>,
     ) -> CallReply {
+        let _recording = self.ledger.begin_recording();
         let digest = digest_of(&request);
         let claimant = Claimant {
             executor: self.shared.settings.name.clone(),
--- a/crates/foxtailgauge-daemon/src/gateway/ledger_client.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/ledger_client.rs
@@ -3,12 +3,13 @@
 use crate::control::replica_client::{ReplicaClient, SubmitError};
 use crate::emit;
 use crate::events;
-use crate::shared::Shared;
+use crate::shared::{ForwardingGuard, Shared};
 use foxtailgauge_core::{
     ActionKey, AttemptId, Backoff, Claimant, Digest, LedgerAnswer, LedgerCommand,
     REPORT_INTERVAL_MS,
 };
 use foxtailgauge_wire::{SubmitReply, SubmitRequest};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,8 @@
 pub(crate) struct LedgerClient {
     shared: Arc<Shared>,
     replicas: ReplicaClient,
+    /// Actions whose outcome is not recorded yet; shared by all clones.
+    unrecorded: Arc<AtomicU32>,
 }
 
 impl LedgerClient {
@@ -35,9 +38,20 @@
         LedgerClient {
             shared: Arc::clone(shared),
             replicas,
+            unrecorded: Arc::default(),
         }
     }
 
+    /// Counts an action as not recorded yet until the returned guard is dropped.
+    pub(crate) fn begin_recording(&self) -> ForwardingGuard {
+        ForwardingGuard::new(&self.unrecorded)
+    }
+
+    /// Whether the outcome of an action is not recorded yet.
+    pub(crate) fn is_recording(&self) -> bool {
+        self.unrecorded.load(Ordering::Relaxed) > 0
+    }
+
     /// Whether this daemon knows of recent contact with a majority of replicas. Without it, nothing
     /// that is submitted would be answered in time.
     pub(crate) fn has_quorum(&self) -> bool {
@@ -82,7 +96,11 @@
         }
         emit!(self.shared.log, events::LEDGER_RETRY);
         let ledger = self.clone();
-        async_std::task::spawn(async move { ledger.retry_until_timeout(command).await });
+        let recording = self.begin_recording();
+        async_std::task::spawn(async move {
+            ledger.retry_until_timeout(command).await;
+            drop(recording);
+        });
     }
 
     async fn retry_until_timeout(&self, command: LedgerCommand) {
--- a/crates/foxtailgauge-daemon/tests/key_outcomes.rs
+++ b/crates/foxtailgauge-daemon/tests/key_outcomes.rs
@@ -111,15 +111,27 @@
     })
 }
 
+/// Takes all backend servers but one out of use.
+fn use_only_server(fleet: &Fleet, kept: usize) {
+    for n in (0..fleet.plan.daemons.len()).filter(|n| *n != kept) {
+        fleet.server(n).leave();
+    }
+    wait_for("one server", || {
+        let status = fleet.status()?;
+        let ready: u32 = status.domains.iter().map(|d| d.ready_servers).sum();
+        (ready == 1).then_some(())
+    });
+    // The other daemons learn of it within a few batches of changes.
+    std::thread::sleep(Duration::from_millis(500));
+}
+
 #[test]
 fn action_whose_gateway_was_killed_before_its_claim_does_not_run_later() {
     let mut fleet = start(Deployment::Trio, 2, false);
     fleet.apply_all();
     let leader = ledger_leader(&fleet);
     let executor = (0..6).find(|n| *n != leader).expect("another daemon");
-    for n in (0..6).filter(|n| *n != executor) {
-        fleet.server(n).leave();
-    }
+    use_only_server(&fleet, executor);
     let is_replica = |n: &usize| fleet.plan.daemons[*n].replica;
     let gateway = (0..6).rfind(|n| !is_replica(n) && *n != executor);
     let gateway = gateway.expect("a daemon that is not a replica");
@@ -143,6 +155,41 @@
     assert_eq!(fleet.run_count(&key), 1);
 }
 
+/// Guards against a run whose response is lost when its daemon stops during an election of the ledger.
+#[test]
+fn action_that_ends_while_its_daemon_stops_is_recorded() {
+    let mut fleet = start(Deployment::Trio, 2, false);
+    fleet.apply_all();
+    let leader = ledger_leader(&fleet);
+    let others = (0..6).filter(|n| !fleet.plan.daemons[*n].replica);
+    let [gateway, executor] = others.collect::<Vec<_>>()[..2] else {
+        panic!("two daemons that are not replicas")
+    };
+    use_only_server(&fleet, executor);
+    call_until_ran(&fleet, gateway, &Call::billable("/layouts/1"));
+    fleet.set_behaviour(executor, r#"{"run_ms": 500}"#);
+
+    let call = Call::billable("/layouts/1");
+    let key = call.key.clone().expect("a billable request has a key");
+    let told = std::thread::scope(|scope| {
+        let (addr, call) = (fleet.plan.daemons[gateway].caller_addr, &call);
+        let caller = scope.spawn(move || call_at(addr, call));
+        wait_for("the run", || (fleet.run_count(&key) == 1).then_some(()));
+        fleet.pause(leader);
+        assert!(fleet.stop(executor).success());
+        fleet.resume(leader);
+        caller.join().unwrap().map(|r| outcome(&r).to_owned())
+    });
+    assert_ne!(told.as_deref(), Some("not-run"));
+    let resent = wait_for("an answer of the ledger", || {
+        let response = fleet.call(gateway, &call)?;
+        (error_code(&response) != "ledger_unavailable").then_some(response)
+    });
+    let seen = (outcome(&resent), error_code(&resent));
+    assert_eq!(seen, ("ran", "none".to_owned()), "first told {told:?}");
+    assert_eq!(fleet.run_count(&key), 1);
+}
+
 /// What a caller was told about one key, in order; `none` for a connection that broke.
 struct KeyReport {
     key: String,
