Announcements don't reopen a server of a stopping daemon

On own routes, a stop closed the gates of the colocated backend servers, and the next announcement, which servers repeat as long as they run, opened them again: other gateways sent requests to a daemon that was about to exit.

A stopping daemon applies each announcement as that of a leaving server. It is answered as before.

--- a/crates/foxtailgauge-daemon/src/executor/call_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/call_executor.rs
@@ -51,8 +51,11 @@
     }
 
     /// Applies an announcement; returns the number of running and queued requests of the backend
-    /// server.
-    pub(crate) fn announce(&self, announcement: Announcement) -> u32 {
+    /// server. A stopping daemon closes each announced server.
+    pub(crate) fn announce(&self, mut announcement: Announcement) -> u32 {
+        if self.shared.stop.is_begun() {
+            announcement.entry.state = ServerState::Leaving;
+        }
         let name = announcement.entry.name.clone();
         let entry = announcement.entry.clone();
         let (server, has_changed) = {
--- a/crates/foxtailgauge-daemon/tests/planned_stops.rs
+++ b/crates/foxtailgauge-daemon/tests/planned_stops.rs
@@ -313,27 +313,53 @@
                 deadline_ms = 20000\nidempotent = false\n";
     let change = serde_json::json!({
         "change_id": "c1", "base_revision": 0, "text": text, "author": "test"});
+    put(&mesh.admin_addr(0), "/v1/teams/rybar/config", &change);
+    announce(mesh, home, server);
+}
+
+fn announce(mesh: &Mesh, home: usize, server: &Server) {
     let announcement = serde_json::json!({
         "service": "rybar/desk", "addr": server.addr, "slots": 20, "state": "ready",
         "lease_ms": 60_000});
-    for (addr, target, body) in [
-        (
-            mesh.admin_addr(0),
-            "/v1/teams/rybar/config",
-            change.to_string(),
-        ),
-        (
-            mesh.announce_addr(home),
-            "/v1/servers/desk-1",
-            announcement.to_string(),
-        ),
-    ] {
-        let text = request("PUT", target, "", &body);
-        wait_for(target, || {
-            let response = exchange(&addr, &text)?;
-            (status(&response) == 200).then_some(())
-        });
+    put(
+        &mesh.announce_addr(home),
+        "/v1/servers/desk-1",
+        &announcement,
+    );
+}
+
+/// Sends a request until it is accepted.
+fn put(addr: &str, target: &str, body: &serde_json::Value) {
+    let text = request("PUT", target, "", &body.to_string());
+    wait_for(target, || {
+        let response = exchange(addr, &text)?;
+        (status(&response) == 200).then_some(())
+    });
+}
+
+/// Guards against announcements, which servers repeat, that open a gate which the stop has closed.
+#[test]
+fn announcement_does_not_reopen_a_server_of_a_stopping_daemon() {
+    let (mut mesh, _servers) = start(&[1]);
+    let own = Server::start();
+    serve_own_route(&mesh, 1, &own);
+    let call = || {
+        let text = request("GET", "/plans/1", "", "");
+        exchange(&mesh.callers_addr(2), &text).map(|response| status(&response))
+    };
+    wait_for("a response", || (call() == Some(200)).then_some(()));
+    mesh.terminate(1);
+    wait_for("the end of the offer", || {
+        (call() == Some(503)).then_some(())
+    });
+    own.clear_received();
+    announce(&mesh, 1, &own);
+    for _ in 0..20 {
+        assert_eq!(call(), Some(503));
+        std::thread::sleep(Duration::from_millis(20));
     }
+    assert_eq!(own.received_count(), 0);
+    mesh.wait_for_exit(1);
 }
 
 /// Guards against requests at own routes that run on another instance and are cut by a stop, also
