A stopping daemon closes idle connections and accepts no more at the end of the drain

Cause: after the drain the daemon went on accepting connections and requests, to answer them 503, until its process ended; what arrived while it ended stayed unread until then. The end of the drain now closes a channel that ends the tasks which accept connections, and connections without requests are closed: a caller learns at once that its request was not read.

--- a/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
@@ -65,7 +65,7 @@
     },
 }
 
-/// Accepts and serves callers' connections until the daemon exits.
+/// Accepts and serves callers' connections until the drain of a stop ends.
 pub(crate) fn serve(shared: &Arc<Shared>, gateway: &Arc<Gateway>, listener: TcpListener) {
     let callers = Arc::new(CallerHttp {
         shared: Arc::clone(shared),
@@ -73,9 +73,8 @@
     });
     let open_connections = Arc::new(AtomicUsize::new(0));
     task::spawn(async move {
-        loop {
+        while let Some(stream) = socket::accept_until_drained(&listener, &callers.shared).await {
             let shared = &callers.shared;
-            let stream = socket::accept(&listener, &shared.log).await;
             let is_full =
                 open_connections.load(Ordering::Relaxed) >= shared.settings.limits.connections;
             // Without it, small responses wait for the caller's acknowledgements.
--- a/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
@@ -148,10 +148,9 @@
         }
     }
 
-    /// Accepts and serves callers' connections until the daemon exits.
+    /// Accepts and serves callers' connections until the drain of a stop ends.
     pub(crate) async fn serve(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            let stream = socket::accept(&listener, &self.shared.log).await;
+        while let Some(stream) = socket::accept_until_drained(&listener, &self.shared).await {
             async_std::task::spawn(Arc::clone(&self).serve_connection(stream));
         }
     }
--- a/crates/foxtailgauge-daemon/src/gateway/front/connection.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/connection.rs
@@ -128,7 +128,7 @@
             has_progress |= self.poll_write(cx);
             has_progress |= self.read_inbox(cx);
             has_progress |= self.poll_timer(cx);
-            has_progress |= self.end_stream();
+            has_progress |= self.end_at_drain_end();
             if let Some(end) = self.end {
                 return Poll::Ready(end);
             }
@@ -148,16 +148,21 @@
         }
     }
 
-    /// Breaks off a streamed response that is not complete at the end of the drain.
-    fn end_stream(&mut self) -> bool {
-        let is_over = self.drain_end.is_some_and(|end| Instant::now() >= end);
-        if !is_over || self.end.is_some() || !self.entries.front().is_some_and(Entry::is_streaming)
-        {
+    /// Breaks off a streamed response that is not complete at the end of the drain, and closes a
+    /// connection without requests: the process may end before it reads another one.
+    fn end_at_drain_end(&mut self) -> bool {
+        let stop = self.responder.stop().filter(|stop| stop.is_drained());
+        let (Some(stop), None) = (stop, self.end) else {
             return false;
+        };
+        if self.pipeline.is_empty() {
+            self.end = Some(End::Closed);
+            return true;
         }
-        if let Some(stop) = self.responder.stop() {
-            stop.record_cut(self.entries.len());
+        if !self.entries.front().is_some_and(Entry::is_streaming) {
+            return false;
         }
+        stop.record_cut(self.entries.len());
         self.break_off(&BodyError::TimedOut);
         true
     }
--- a/crates/foxtailgauge-daemon/src/socket.rs
+++ b/crates/foxtailgauge-daemon/src/socket.rs
@@ -3,11 +3,14 @@
 
 use crate::emit;
 use crate::events;
+use crate::shared::Shared;
 use async_std::net::{TcpListener, TcpStream};
+use futures::future::{select, Either};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::net::sockopt;
 use slog::Logger;
 use std::io;
+use std::pin::pin;
 use std::time::Duration;
 
 /// Time without acknowledgement of sent data or of a probe (`TCP_USER_TIMEOUT`) after which a
@@ -36,6 +39,18 @@
     }
 }
 
+/// Accepts the next connection; `None` at the end of the drain of a stop.
+pub(crate) async fn accept_until_drained(
+    listener: &TcpListener,
+    shared: &Shared,
+) -> Option<TcpStream> {
+    let accepting = pin!(accept(listener, &shared.log));
+    match select(accepting, pin!(shared.stop.drained())).await {
+        Either::Left((stream, _)) => Some(stream),
+        Either::Right(_) => None,
+    }
+}
+
 /// Disables Nagle's algorithm, so that small messages are sent at once, and enables the detection
 /// of an unresponsive peer.
 pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
--- a/crates/foxtailgauge-daemon/src/stop.rs
+++ b/crates/foxtailgauge-daemon/src/stop.rs
@@ -5,7 +5,9 @@
 use crate::events;
 use crate::peer_server::DaemonContext;
 use crate::settings::Settings;
+use async_std::channel::{bounded, Receiver, Sender};
 use foxtailgauge_core::{LateRequest, StopPlan};
+use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -30,6 +32,8 @@
     started: OnceLock<Instant>,
     /// Whether no request is taken any more.
     is_closed: AtomicBool,
+    /// Closed at the end of the drain, which ends the tasks that accept connections.
+    accepting: (Sender<Infallible>, Receiver<Infallible>),
     /// Requests that got a final response while they may have been running.
     unknown: AtomicU32,
     /// Requests whose connection was closed without a complete response.
@@ -44,6 +48,7 @@
             plan: StopPlan::new(mesh.map_or(DEFAULT_GRACE, |mesh| mesh.stop_grace)),
             started: OnceLock::new(),
             is_closed: AtomicBool::default(),
+            accepting: bounded(1),
             unknown: AtomicU32::default(),
             cut: AtomicU32::default(),
         }
@@ -60,6 +65,17 @@
         Some(*started + self.plan.drain_time())
     }
 
+    /// Completes at the end of the drain.
+    pub(crate) async fn drained(&self) {
+        // Nothing is sent: the channel is closed.
+        let _ = self.accepting.1.recv().await;
+    }
+
+    /// Whether the drain has ended.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.accepting.0.is_closed() || self.is_over()
+    }
+
     /// Whether a request that has not been passed on may be.
     pub(crate) fn takes(&self, request: impl FnOnce() -> LateRequest) -> bool {
         match self.started.get() {
@@ -115,6 +131,7 @@
         emit!(shared.log, events::STOP_UNFINISHED, "requests" => unfinished.requests,
             "running" => unfinished.running);
     }
+    stop.accepting.0.close();
     shared.announce_stop();
     let exit_at = started + stop.plan.exit_time();
     let earliest = Instant::now() + LEAVE_PROPAGATION_TIME;
