--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -98,6 +98,9 @@
     pub zone: String,
     /// Service of the colocated backend server; empty for a replica.
     pub service: String,
+    pub is_replica: bool,
+    /// Whether the machine was removed for good.
+    is_removed: bool,
     child: Option<Child>,
 }
 
@@ -107,7 +110,7 @@
     pub record: Record,
     dir: PathBuf,
     port: u16,
-    replicas: usize,
+    first_sidecar: usize,
     version: u64,
     /// Value of the placeholder `bounds`.
     bounds: String,
@@ -147,6 +150,8 @@
                     true => String::new(),
                     false => services[n - replicas].to_owned(),
                 },
+                is_replica,
+                is_removed: false,
                 child: None,
             });
         }
@@ -157,7 +162,7 @@
             daemons,
             record: record.clone(),
             dir,
-            replicas,
+            first_sidecar: replicas,
             version: 0,
             bounds: bounds.to_owned(),
         };
@@ -198,9 +203,44 @@
         self.addr(n, APP)
     }
 
+    /// Replicas that have not been removed.
+    pub fn replicas(&self) -> impl Iterator<Item = usize> + '_ {
+        let daemons = self.daemons.iter().enumerate();
+        daemons
+            .filter(|(_, daemon)| daemon.is_replica && !daemon.is_removed)
+            .map(|(n, _)| n)
+    }
+
+    /// Ends a replica for good and starts another one in its zone, at a new address and with an
+    /// empty disk.
+    pub fn replace_replica(&mut self, n: usize, after: Duration) -> Result<usize, String> {
+        self.kill(n);
+        self.daemons[n].is_removed = true;
+        self.record
+            .line(format!("{} is removed", self.daemons[n].name));
+        std::thread::sleep(after);
+        let next = self.daemons.len();
+        let zone = self.daemons[n].zone.clone();
+        let block = self.daemons[n]
+            .ip
+            .rsplit_once('.')
+            .map_or("127.0.0", |(block, _)| block);
+        self.daemons.push(Daemon {
+            name: format!("core-{zone}-{next}"),
+            ip: format!("{block}.{}", next + 10),
+            zone,
+            service: String::new(),
+            is_replica: true,
+            is_removed: false,
+            child: None,
+        });
+        self.start_daemon(next, false)?;
+        Ok(next)
+    }
+
     /// Index of the first sidecar.
     pub fn first_sidecar(&self) -> usize {
-        self.replicas
+        self.first_sidecar
     }
 
     /// Starts a daemon with the command and the template of the deploy file.
@@ -209,10 +249,9 @@
         let settings = self.settings(n, is_first_start)?;
         std::fs::write(&file, settings).map_err(|error| error.to_string())?;
         let deploy = std::fs::read_to_string("deploy/system.toml").map_err(|e| e.to_string())?;
-        let role = if n < self.replicas {
-            "replica"
-        } else {
-            "sidecar"
+        let role = match self.daemons[n].is_replica {
+            true => "replica",
+            false => "sidecar",
         };
         let command = run_of(&deploy, role).ok_or("no command in the deploy file")?;
         let mut words = command.split(' ').map(|word| match word {
@@ -243,16 +282,14 @@
 
     fn settings(&self, n: usize, is_first_start: bool) -> Result<String, String> {
         let daemon = &self.daemons[n];
-        let is_replica = n < self.replicas;
-        let template = if is_replica {
+        let template = if daemon.is_replica {
             "deploy/replica.ini"
         } else {
             "deploy/sidecar.ini"
         };
         let mut text = std::fs::read_to_string(template).map_err(|error| error.to_string())?;
-        let seeds: Vec<String> = (0..self.replicas.min(3))
-            .map(|n| self.platform(n))
-            .collect();
+        // What the operator's list holds when the file is written, at most three.
+        let seeds: Vec<String> = self.replicas().map(|n| self.platform(n)).take(3).collect();
         let data_dir = self.dir.join(format!("{}.data", daemon.name));
         let values = [
             ("node", daemon.name.clone()),
@@ -333,7 +370,8 @@
             body.len()
         );
         let deadline = Instant::now() + Duration::from_secs(20);
-        for n in (0..self.replicas).cycle() {
+        let replicas: Vec<usize> = self.replicas().collect();
+        for n in replicas.into_iter().cycle() {
             let addr = self.platform(n);
             let answer = exchange(&addr, request.as_bytes(), Duration::from_secs(4));
             match answer.map_or(0, |answer| answer.status) {
@@ -357,7 +395,8 @@
     /// Waits until all sidecars are ready and a request to each route succeeds at each of them.
     pub fn wait_until_served(&self, probes: &[(&str, &str)]) -> Result<(), String> {
         let deadline = Instant::now() + Duration::from_secs(20);
-        for n in self.replicas..self.daemons.len() {
+        let sidecars = (0..self.daemons.len()).filter(|n| !self.daemons[*n].is_replica);
+        for n in sidecars {
             for (method, path) in probes {
                 loop {
                     let sent = send(&self.outbound(n), method, path, b"", 2_000);
