--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,7 @@
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/case-1 ] || exit 2
-exec timeout -k 2 118 target/review/case-1 review/1
+target/review/case-1 review/1
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -66,6 +66,31 @@
     }
 }
 
+/// Time after which a case that hangs is given up.
+const WATCHDOG: Duration = Duration::from_secs(112);
+
+/// Processes that are running, by id.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn running() -> std::sync::MutexGuard<'static, Vec<u32>> {
+    RUNNING.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Ends all processes and the case with the code for one that could not run.
+fn watch() {
+    std::thread::spawn(|| {
+        std::thread::sleep(WATCHDOG);
+        for pid in running().iter() {
+            let _ = Command::new("kill")
+                .arg("-KILL")
+                .arg(pid.to_string())
+                .status();
+        }
+        println!("NOT RUN: no end within {WATCHDOG:?}");
+        std::process::exit(2);
+    });
+}
+
 /// Result of a case.
 pub enum Verdict {
     Held(String),
@@ -78,6 +103,7 @@
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
     let record = Record::create(&folder.join("record.txt"));
     record.line(format!("trouble: {}", has_trouble()));
+    watch();
     let for_case = record.clone();
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| case(&for_case)));
     let (code, text) = match verdict {
@@ -276,6 +302,7 @@
             self.daemons[n].name,
             child.id()
         ));
+        running().push(child.id());
         self.daemons[n].child = Some(child);
         Ok(())
     }
@@ -337,9 +364,8 @@
     pub fn kill(&mut self, n: usize) {
         self.record
             .line(format!("KILL to {}", self.daemons[n].name));
-        if let Some(mut child) = self.daemons[n].child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if let Some(child) = self.daemons[n].child.take() {
+            end(child);
         }
     }
 
@@ -427,9 +453,8 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         for daemon in &mut self.daemons {
-            if let Some(mut child) = daemon.child.take() {
-                let _ = child.kill();
-                let _ = child.wait();
+            if let Some(child) = daemon.child.take() {
+                end(child);
             }
         }
         match std::env::var("KEEP_LOGS") {
@@ -441,6 +466,13 @@
     }
 }
 
+/// Sends SIGKILL and waits for the end of the process.
+fn end(mut child: Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    running().retain(|pid| *pid != child.id());
+}
+
 /// Bounds as the platform fills them into a template: a table, rendered as JSON.
 pub fn bounds_as_table(list: &str) -> String {
     let fields: Vec<String> = list
