--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -98,10 +98,12 @@
     NotRun(String),
 }
 
-/// Runs a case in the folder given as the first argument and maps its verdict to the exit code.
+/// Runs a case and maps its verdict to the exit code. The first argument is the path of the record.
 pub fn run_case(case: impl FnOnce(&Record) -> Verdict + std::panic::UnwindSafe) -> ExitCode {
-    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
-    let record = Record::create(&folder.join("record.txt"));
+    let path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".to_owned());
+    let record = Record::create(Path::new(&path));
     record.line(format!("trouble: {}", has_trouble()));
     watch();
     let for_case = record.clone();
