Daemons follow the replicas when all that their settings name are replaced

In our own fleet, operators saw more: a change sent to a successor that does not lead was never acknowledged.

Cause: a list of addresses read once, for a group whose members change. Sources, client of the replicas (changes, reads, ledger, rollouts, status), collectors, formation and rejoining all used the seeds of the start.

A sidecar that is out of contact tries other replicas each round, and returns to its relay between them.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -64,6 +64,7 @@
 mod run_times;
 mod server_statement;
 mod snapshot;
+mod source_choice;
 mod stored_route;
 mod subscriber_table;
 mod sync;
@@ -136,13 +137,14 @@
 pub use rollout_judge::{tallies_since, Decision, RolloutFigures, RolloutJudge, RouteTallies};
 pub use server_statement::{DeliveredStatements, ProcessStatement, RequestRate, ServerStatement};
 pub use snapshot::{Delta, Snapshot, SnapshotError, SnapshotHistory, Update};
+pub use source_choice::SourceChoice;
 pub use subscriber_table::SubscriberTable;
 pub use sync::{
     identity_hash, Freshness, MemberSet, PollReply, PollRequest, ReportReply, ReportRequest,
     VersionCount, REPORT_INTERVAL_MS, STALE_SOURCE_MS, SUBSCRIBER_LEASE_MS,
 };
 pub use throttle::{Throttle, THROTTLE_RETRY_AFTER};
-pub use tree::{relays, sources, Source};
+pub use tree::{relays, sources, ReplicaAddrs, Source};
 pub use usage::{
     AdmissionShare, RunKey, RunOutcome, RunTally, RunTimes, ServerWarmth, ShareReply, UsageReply,
     UsageReport, UsageRequest, WorkspaceUsage, MAX_REPORT_TALLIES, MAX_REPORT_WORKSPACES,
--- a/crates/foxtailgauge-core/src/tree.rs
+++ b/crates/foxtailgauge-core/src/tree.rs
@@ -1,9 +1,11 @@
 //! Distribution tree: a daemon reads the configuration from a replica or from a relay of its
 //! failure domain.
 
-use crate::directory::InstanceState;
+use crate::directory::{InstanceState, Presence};
 use crate::ids::DaemonName;
 use sha2::{Digest, Sha256};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashSet};
 
 /// A source of configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,45 +28,111 @@
     let mut instances: Vec<&InstanceState> = live
         .filter(|state| state.failure_domain == failure_domain)
         .collect();
-    instances.sort_by_key(|s| {
-        (
-            !s.is_replica,
-            std::cmp::Reverse(weight(failure_domain, &s.name)),
-        )
-    });
+    instances.sort_by_key(|s| (!s.is_replica, Reverse(weight(failure_domain, &s.name))));
     instances.truncate(count);
     instances
 }
 
+/// Number of replicas outside its relays that a daemon tries before it returns to its relays.
+const FALLBACK_REPLICAS: usize = 3;
+
+/// Control addresses of the replicas, as far as a daemon knows them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaAddrs {
+    /// Replicas that the directory lists as live.
+    pub live: Vec<String>,
+    /// Seeds of which the directory knows nothing, then replicas that are lost and seeds that the
+    /// directory lists as gone.
+    pub others: Vec<String>,
+}
+
+impl ReplicaAddrs {
+    /// Replicas in `known` and the seeds, without duplicates. The order within each part differs
+    /// between daemons.
+    ///
+    /// Seeds are only a first contact: replicas are replaced, and then the directory alone has their
+    /// addresses.
+    pub fn new<'a>(
+        own_name: &str,
+        known: impl Iterator<Item = &'a InstanceState>,
+        seeds: &[String],
+    ) -> Self {
+        let mut live = BTreeSet::new();
+        let mut lost = BTreeSet::new();
+        let mut gone = BTreeSet::new();
+        for instance in known.filter(|instance| instance.is_replica) {
+            let part = match instance.presence {
+                Presence::Live => &mut live,
+                Presence::Lost => &mut lost,
+                Presence::Stopped => &mut gone,
+            };
+            part.insert(instance.control_addr.clone());
+        }
+        let seeds: BTreeSet<String> = seeds.iter().cloned().collect();
+        let unknown = seeds.iter().filter(|seed| {
+            let parts = [&live, &lost, &gone];
+            !parts.iter().any(|part| part.contains(*seed))
+        });
+        let gone_seeds = seeds.intersection(&gone).chain(&lost);
+        let by_weight = |addrs: Vec<String>| {
+            let mut addrs = addrs;
+            addrs.sort_by_key(|addr| Reverse(weight(own_name, addr)));
+            addrs
+        };
+        let mut others = by_weight(unknown.cloned().collect());
+        let last: BTreeSet<String> = gone_seeds.cloned().collect();
+        others.extend(by_weight(last.difference(&live).cloned().collect()));
+        ReplicaAddrs {
+            live: by_weight(live.into_iter().collect()),
+            others,
+        }
+    }
+
+    /// All addresses, those that are most likely to reply first.
+    pub fn in_order(&self) -> impl Iterator<Item = &String> {
+        self.live.iter().chain(&self.others)
+    }
+}
+
 /// Returns the sources that a daemon should try, in order, without duplicate addresses.
 ///
 /// A relay reads from replicas. Every other daemon tries the relays of its failure domain first and
-/// the replicas after them.
+/// [`FALLBACK_REPLICAS`] replicas after them. Others follow in the next `round`, for a daemon that none of
+/// these answered.
 pub fn sources<'a>(
     own_name: &str,
     own_domain: &str,
-    live: impl Iterator<Item = &'a InstanceState> + Clone,
-    replica_addrs: &[String],
+    known: impl Iterator<Item = &'a InstanceState> + Clone,
+    seeds: &[String],
     relay_count: usize,
+    round: usize,
 ) -> Vec<Source> {
+    let live = known.clone().filter(|instance| instance.is_live());
     let relays = relays(live, own_domain, relay_count);
     let is_relay = relays.iter().any(|relay| relay.name == own_name);
     let mut ordered: Vec<Source> = Vec::new();
     if !is_relay {
         let mut by_weight = relays;
-        by_weight.sort_by_key(|relay| std::cmp::Reverse(weight(own_name, &relay.name)));
+        by_weight.sort_by_key(|relay| Reverse(weight(own_name, &relay.name)));
         ordered.extend(by_weight.into_iter().map(|relay| Source {
             name: Some(relay.name.clone()),
             control_addr: relay.control_addr.clone(),
         }));
     }
-    let mut replicas: Vec<&String> = replica_addrs.iter().collect();
-    replicas.sort_by_key(|addr| std::cmp::Reverse(weight(own_name, addr)));
-    ordered.extend(replicas.into_iter().map(|addr| Source {
-        name: None,
-        control_addr: addr.clone(),
-    }));
-    let mut seen = std::collections::HashSet::new();
+    let replicas = ReplicaAddrs::new(own_name, known, seeds);
+    let mut replicas: Vec<&String> = replicas.in_order().collect();
+    let count = replicas.len().max(1);
+    replicas.rotate_left(round.wrapping_mul(FALLBACK_REPLICAS) % count);
+    ordered.extend(
+        replicas
+            .into_iter()
+            .take(FALLBACK_REPLICAS)
+            .map(|addr| Source {
+                name: None,
+                control_addr: addr.clone(),
+            }),
+    );
+    let mut seen = HashSet::new();
     ordered.retain(|source| seen.insert(source.control_addr.clone()));
     ordered
 }
--- a/crates/foxtailgauge-core/tests/distribution.rs
+++ b/crates/foxtailgauge-core/tests/distribution.rs
@@ -433,7 +433,7 @@
         .collect();
     assert_eq!(relays.len(), 2);
     let sources_of =
-        |name: &str, domain: &str| sources(name, domain, directory.live(), &replica_addrs, 2);
+        |name: &str, domain: &str| sources(name, domain, directory.all(), &replica_addrs, 2, 0);
     for n in 0..8 {
         let name = format!("b{n}");
         let first = sources_of(&name, "b")[0].control_addr.clone();
@@ -446,7 +446,7 @@
         sources_of("a0", "a").last().unwrap().control_addr,
         sources_of("a0", "a")[1].control_addr
     );
-    let unknown = sources("new", "c", directory.live(), &replica_addrs, 2);
+    let unknown = sources("new", "c", directory.all(), &replica_addrs, 2, 0);
     assert_eq!(
         unknown[0].control_addr, "a3:1",
         "a domain without relays takes a replica as source"
--- /dev/null
+++ b/crates/foxtailgauge-core/tests/sources.rs
@@ -0,0 +1,186 @@
+//! Sources of a daemon while replicas are replaced, and the choice among them.
+
+use foxtailgauge_core::{sources, InstanceState, Presence, ReplicaAddrs, Source, SourceChoice};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+fn instance(name: &str, domain: &str, is_replica: bool, presence: Presence) -> InstanceState {
+    InstanceState {
+        name: name.to_owned(),
+        failure_domain: domain.to_owned(),
+        incarnation: 1,
+        sequence: 1,
+        control_addr: format!("{name}:1"),
+        calls_addr: format!("{name}:2"),
+        is_replica,
+        presence,
+        servers: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+fn replica(name: &str, presence: Presence) -> InstanceState {
+    instance(name, &name[..1], true, presence)
+}
+
+fn addrs(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| format!("{name}:1")).collect()
+}
+
+#[test]
+fn replicas_of_the_directory_come_before_seeds() {
+    use Presence::{Live, Lost, Stopped};
+    let seeds = ["a1:1", "b1:1", "c1:1"].map(str::to_owned);
+    struct Case {
+        name: &'static str,
+        known: Vec<InstanceState>,
+        live: &'static [&'static str],
+        others: &'static [&'static str],
+    }
+    let table = [
+        Case {
+            name: "nothing is known",
+            known: vec![],
+            live: &[],
+            others: &["a1", "b1", "c1"],
+        },
+        Case {
+            name: "the seeds are the replicas",
+            known: vec![
+                replica("a1", Live),
+                replica("b1", Live),
+                replica("c1", Live),
+            ],
+            live: &["a1", "b1", "c1"],
+            others: &[],
+        },
+        Case {
+            name: "all seeds were replaced",
+            known: vec![
+                replica("a1", Lost),
+                replica("b1", Stopped),
+                replica("c1", Lost),
+                replica("a2", Live),
+                replica("b2", Live),
+                replica("c2", Live),
+            ],
+            live: &["a2", "b2", "c2"],
+            others: &["a1", "b1", "c1"],
+        },
+        Case {
+            name: "a lost replica may be back; one that announced its stop is not",
+            known: vec![replica("a2", Lost), replica("b2", Stopped)],
+            live: &[],
+            others: &["a1", "b1", "c1", "a2"],
+        },
+        Case {
+            name: "the address of a lost replica belongs to another one now",
+            known: vec![
+                replica("a1", Lost),
+                InstanceState {
+                    control_addr: "a1:1".to_owned(),
+                    ..replica("a2", Live)
+                },
+            ],
+            live: &["a1"],
+            others: &["b1", "c1"],
+        },
+        Case {
+            name: "other daemons are no replicas",
+            known: vec![instance("d1", "a", false, Live)],
+            live: &[],
+            others: &["a1", "b1", "c1"],
+        },
+    ];
+    for case in table {
+        let found = ReplicaAddrs::new("me", case.known.iter(), &seeds);
+        let set = |list: &[String]| list.iter().cloned().collect::<BTreeSet<_>>();
+        assert_eq!(set(&found.live), addrs(case.live), "{}", case.name);
+        assert_eq!(set(&found.others), addrs(case.others), "{}", case.name);
+        let count = found.in_order().count();
+        assert_eq!(count, case.live.len() + case.others.len(), "{}", case.name);
+    }
+}
+
+#[test]
+fn unknown_seeds_come_before_lost_replicas() {
+    let known = [replica("a1", Presence::Lost), replica("b1", Presence::Lost)];
+    let seeds = ["a1:1".to_owned(), "new:1".to_owned()];
+    for name in ["d1", "d2", "d3", "d4"] {
+        let found = ReplicaAddrs::new(name, known.iter(), &seeds);
+        assert_eq!(found.others[0], "new:1", "{name}");
+    }
+}
+
+#[test]
+fn each_round_has_the_relay_and_other_replicas() {
+    let names: Vec<String> = ('b'..='k').map(|domain| format!("{domain}1")).collect();
+    let mut known: Vec<_> = names
+        .iter()
+        .map(|name| replica(name, Presence::Live))
+        .collect();
+    known.push(replica("a1", Presence::Live));
+    let seeds = ["b1:1".to_owned()];
+    let mut tried = BTreeSet::new();
+    for round in 0..4 {
+        let found = sources("d1", "a", known.iter(), &seeds, 1, round);
+        assert_eq!(found[0].control_addr, "a1:1", "round {round}");
+        assert!(found.len() <= 4, "round {round}: {found:?}");
+        tried.extend(found.into_iter().map(|source| source.control_addr));
+    }
+    assert_eq!(tried.len(), known.len(), "{tried:?}");
+}
+
+fn source(name: &str) -> Source {
+    Source {
+        name: None,
+        control_addr: name.to_owned(),
+    }
+}
+
+#[test]
+fn source_without_a_reply_is_avoided_until_all_were_tried() {
+    let now = Instant::now();
+    let candidates = ["relay", "r1", "r2"].map(source);
+    let mut choice = SourceChoice::default();
+    for (n, expected) in ["relay", "r1", "r2"].into_iter().enumerate() {
+        let at = now + Duration::from_millis(100 * n as u64);
+        let chosen = choice.choose(&candidates, None, at);
+        assert_eq!(chosen, Some(source(expected)));
+        assert_eq!(choice.round(), 0);
+        choice.failed(expected, at);
+    }
+    let later = now + Duration::from_secs(1);
+    assert_eq!(
+        choice.choose(&candidates, None, later),
+        Some(source("relay"))
+    );
+    assert_eq!(choice.round(), 1, "others are candidates next");
+    choice.has_contact();
+    assert_eq!(choice.round(), 0);
+    let much_later = now + Duration::from_secs(6);
+    let kept = choice.choose(&candidates, Some(source("r2")), much_later);
+    assert_eq!(kept, Some(source("r2")), "a recent source is kept");
+    assert_eq!(choice.choose(&[], Some(source("r2")), much_later), None);
+}
+
+#[test]
+fn other_daemons_are_asked_once_known_replicas_do_not_reply() {
+    let now = Instant::now();
+    let ms = Duration::from_millis;
+    let mut choice = SourceChoice::default();
+    assert!(!choice.begin_search(now));
+    choice.failed("relay", now);
+    assert!(!choice.begin_search(now), "one source may have restarted");
+    choice.avoid("r1", now);
+    assert!(!choice.begin_search(now), "a stale source does reply");
+    choice.failed("r2", now);
+    assert!(choice.begin_search(now));
+    assert!(
+        !choice.begin_search(now + ms(900)),
+        "a second has not passed"
+    );
+    assert!(choice.begin_search(now + ms(1_000)));
+    choice.has_contact();
+    assert!(!choice.begin_search(now + ms(3_000)));
+}
--- a/crates/foxtailgauge-daemon/src/control/formation.rs
+++ b/crates/foxtailgauge-daemon/src/control/formation.rs
@@ -7,6 +7,7 @@
 
 use crate::control::replica::{start_group, ReplicaHandles};
 use crate::control::replica_client::ReplicaClient;
+use crate::control::replica_search;
 use crate::control::store::{read_frame, write_frame, StoreError};
 use crate::emit;
 use crate::events;
@@ -18,6 +19,7 @@
 use foxtailgauge_wire::{FormationState, Group, SubmitReply, SubmitRequest};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Name of the file with a replica's identity.
@@ -26,6 +28,8 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between rounds of formation queries.
 const ROUND_DELAY: Duration = Duration::from_millis(100);
+/// Rounds of queries after which the seeds are read again: those of the start may all be gone.
+const ROUNDS_PER_RELOAD: u64 = 10;
 /// Time without contact to a leader after which a replica requests to join again.
 const REJOIN_AFTER: Duration = Duration::from_secs(4);
 /// Timeout of a request to join as a learner.
@@ -121,7 +125,7 @@
 /// exists without this replica.
 async fn find_group(context: &DaemonContext, replica: ReplicaId, own_addr: &str) -> Membership {
     let shared = &context.shared;
-    let listed = &shared.settings.replicas;
+    let listed = &shared.settings.seeds;
     let may_form = match shared.settings.formation {
         Formation::Listed => true,
         Formation::Seeds => listed.iter().any(|addr| addr == own_addr),
@@ -129,9 +133,16 @@
     };
     let is_coordinator = may_form && listed.iter().all(|addr| own_addr <= addr.as_str());
     let client = ReplicaClient::new(shared);
+    let mut round: u64 = 0;
     loop {
+        round += 1;
         let mut forming = vec![(replica, own_addr.to_owned())];
-        let others = listed.iter().filter(|addr| *addr != own_addr);
+        // Those that form the group agree on its members by the list of their start.
+        let seeds = match may_form {
+            true => Arc::new(listed.clone()),
+            false => shared.seeds.addrs(),
+        };
+        let others = seeds.iter().filter(|addr| *addr != own_addr);
         let queries = others.map(|addr| client.formation(addr, STATUS_TIMEOUT));
         for reply in futures::future::join_all(queries).await {
             match reply {
@@ -149,6 +160,9 @@
             emit!(shared.log, events::GROUP_FORMED, "members" => forming.len());
             return Membership::of_voters(forming);
         }
+        if round % ROUNDS_PER_RELOAD == 0 {
+            shared.seeds.reload(&shared.log);
+        }
         async_std::task::sleep(ROUND_DELAY).await;
     }
 }
@@ -173,7 +187,11 @@
         let status = handles.map(|handles| handles.group(group).status());
         status.is_some_and(|status| status.members.members.contains_key(&replica))
     };
+    let mut is_first = true;
     while !is_member() {
+        if !std::mem::take(&mut is_first) {
+            replica_search::run(shared).await;
+        }
         request_join(context, group, replica, control_addr).await;
         async_std::task::sleep(ROUND_DELAY * 5).await;
     }
@@ -187,6 +205,7 @@
         let handles = context.shared.replica.get();
         let age_ms = handles.and_then(|handles| handles.group(group).quorum_age_ms());
         if age_ms.is_none_or(|age_ms| u128::from(age_ms) > REJOIN_AFTER.as_millis()) {
+            replica_search::run(&context.shared).await;
             request_join(context, group, replica, control_addr).await;
         }
     }
--- a/crates/foxtailgauge-daemon/src/control/mod.rs
+++ b/crates/foxtailgauge-daemon/src/control/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod formation;
 pub(crate) mod replica;
 pub(crate) mod replica_client;
+pub(crate) mod replica_search;
+pub(crate) mod seeds;
 pub(crate) mod source;
 pub(crate) mod state_machine;
 pub mod store;
--- a/crates/foxtailgauge-daemon/src/control/replica_client.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica_client.rs
@@ -3,8 +3,9 @@
 use crate::control::replica::group_of;
 use crate::peer_client::{PeerError, PeerReply, PeerRequest};
 use crate::shared::{lock, Shared};
+use foxtailgauge_core::ReplicaAddrs;
 use foxtailgauge_wire::{decode, encode_compressed, Group, SubmitReply, SubmitRequest};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -61,7 +62,7 @@
         let group = group_of(&request);
         let mut is_outcome_unknown = false;
         let mut hint = lock(&self.leaders).get(&group).cloned();
-        let mut next_index = rand::random::<u32>() as usize;
+        let mut addrs: VecDeque<String> = VecDeque::new();
         loop {
             let time_left = deadline.saturating_duration_since(Instant::now());
             if time_left.is_zero() {
@@ -71,10 +72,13 @@
                     false => SubmitError::Unavailable,
                 });
             }
-            let replicas = &self.shared.settings.replicas;
-            let addr = hint
-                .take()
-                .unwrap_or_else(|| replicas[next_index % replicas.len()].clone());
+            if addrs.is_empty() {
+                addrs = self.next_round();
+            }
+            let Some(addr) = hint.take().or_else(|| addrs.pop_front()) else {
+                async_std::task::sleep(ROUND_DELAY.min(time_left)).await;
+                continue;
+            };
             match self
                 .submit_to(&addr, &request, time_left.min(ATTEMPT_TIMEOUT))
                 .await
@@ -92,12 +96,19 @@
                 }
             }
             if hint.is_none() {
-                next_index = next_index.wrapping_add(1);
                 async_std::task::sleep(ROUND_DELAY.min(time_left)).await;
             }
         }
     }
 
+    /// The known replicas in the order of one round: live ones first, from a random one on.
+    fn next_round(&self) -> VecDeque<String> {
+        let ReplicaAddrs { mut live, others } = self.shared.replica_addrs();
+        let first = rand::random::<u32>() as usize % live.len().max(1);
+        live.rotate_left(first);
+        live.into_iter().chain(others).collect()
+    }
+
     async fn submit_to(
         &self,
         addr: &str,
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/control/replica_search.rs
@@ -0,0 +1,96 @@
+//! Search for replicas by a daemon that reaches none of those it knows: it reads its seeds again and
+//! asks other daemons.
+
+use crate::emit;
+use crate::events;
+use crate::peer_client::{PeerReply, PeerRequest};
+use crate::shared::Shared;
+use foxtailgauge_core::{InstanceState, Presence, ReplicaAddrs};
+use foxtailgauge_wire::{decode, encode_compressed, SubmitReply, SubmitRequest};
+use rand::seq::IndexedRandom;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Time for one daemon to answer, connecting included.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Replicas that are asked, and other daemons.
+const ASKED_REPLICAS: usize = 3;
+const ASKED_OTHERS: usize = 4;
+
+/// Directory entries of all replicas, those of lost and stopped ones included: they replace entries
+/// by which the asking daemon takes them for live.
+pub(crate) fn known_replicas(shared: &Shared) -> Vec<InstanceState> {
+    shared.with_directory(|directory| {
+        let replicas = directory.all().filter(|instance| instance.is_replica);
+        replicas.cloned().collect()
+    })
+}
+
+/// Reads the seeds again, asks them and some other daemons for the replicas, and merges the answers
+/// into the directory.
+pub(crate) async fn run(shared: &Shared) {
+    shared.seeds.reload(&shared.log);
+    let asked = asked_daemons(shared);
+    let asking = asked.iter().map(|addr| ask(shared, addr));
+    let answers: Vec<_> = futures::future::join_all(asking).await;
+    let answered = answers.iter().flatten().count();
+    emit!(shared.log, events::REPLICAS_SEARCHED, "asked" => asked.len(), "answered" => answered);
+    for instance in answers.into_iter().flatten().flatten() {
+        let name = instance.name.clone();
+        shared.merge_instances(vec![instance], &name);
+    }
+}
+
+/// The seeds, and a random choice of the known replicas and of the other daemons. Lost ones may have
+/// come back unnoticed by a daemon without a source.
+fn asked_daemons(shared: &Shared) -> BTreeSet<String> {
+    let settings = &shared.settings;
+    let mut rng = rand::rng();
+    let mut asked = BTreeSet::new();
+    shared.with_directory(|directory| {
+        let others = directory.all().filter(|instance| {
+            instance.presence != Presence::Stopped && instance.name != settings.name
+        });
+        let (replicas, others): (Vec<_>, Vec<_>) = others.partition(|i| i.is_replica);
+        let replicas = replicas.choose_multiple(&mut rng, ASKED_REPLICAS);
+        let others = others.choose_multiple(&mut rand::rng(), ASKED_OTHERS);
+        asked.extend(replicas.chain(others).map(|i| i.control_addr.clone()));
+    });
+    asked.extend(shared.seeds.addrs().iter().cloned());
+    asked.remove(&settings.advertise_control);
+    asked
+}
+
+async fn ask(shared: &Shared, addr: &str) -> Option<Vec<InstanceState>> {
+    let bytes = encode_compressed(&SubmitRequest::ReadReplicas).ok()?;
+    shared.metrics.record_payload("sent", "submit", bytes.len());
+    let client = &shared.clients.control;
+    let calling = client.call(addr, PeerRequest::Submit(bytes), ANSWER_TIMEOUT);
+    let reply = async_std::future::timeout(ANSWER_TIMEOUT, calling).await;
+    let Ok(Ok(PeerReply::Payload(bytes))) = reply else {
+        return None;
+    };
+    match decode(&bytes) {
+        Ok(SubmitReply::Replicas(replicas)) => Some(replicas),
+        _ => None,
+    }
+}
+
+impl Shared {
+    /// Control addresses of the replicas as this daemon knows them now, in the order in which it
+    /// should try them. Not empty, as the settings name at least one seed.
+    pub(crate) fn replica_addrs(&self) -> ReplicaAddrs {
+        let seeds = self.seeds.addrs();
+        let mut addrs = self.with_directory(|directory| {
+            ReplicaAddrs::new(&self.settings.name, directory.all(), &seeds)
+        });
+        // A replica knows the members of its group before it has a source.
+        let members = self.replica.get().map(|r| r.config.status().members);
+        for member in members.unwrap_or_default().members.into_values() {
+            if !addrs.in_order().any(|addr| *addr == member.control_addr) {
+                addrs.live.push(member.control_addr);
+            }
+        }
+        addrs
+    }
+}
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -1,6 +1,7 @@
 //! Subscriber side of distribution: polls a source for configuration and directory, and reports to
 //! it.
 
+use crate::control::replica_search;
 use crate::emit;
 use crate::events;
 use crate::peer_client::{PeerReply, PeerRequest};
@@ -8,13 +9,13 @@
 use crate::timer::sleep_until;
 use foxtailgauge_core::{
     sources, Backoff, Cursor, Freshness, InstanceState, PollReply, PollRequest, ReportReply,
-    Source, Update, REPORT_INTERVAL_MS,
+    Source, SourceChoice, Update, REPORT_INTERVAL_MS,
 };
 use foxtailgauge_wire::{decode, encode};
 use futures::future::{select, Either};
 use rand::Rng;
 use serde::de::DeserializeOwned;
-use std::collections::HashMap;
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -25,12 +26,11 @@
 /// Interval between reports while a rollout runs: with two tiers of sources the contact with a quorum
 /// is known with an age of about 1 s.
 const ROLLOUT_REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Time for which a source is avoided after a failure.
-const AVOID_TIME: Duration = Duration::from_secs(5);
 /// Longest interval between two probes of other daemons; each is randomly shortened by up to half.
 const PROBE_INTERVAL: Duration = Duration::from_secs(10);
-/// Number of daemons of the same failure domain that are asked for known versions before the first
-/// version is applied.
+/// Number of replicas, and of daemons of the same failure domain, that are asked for known versions
+/// before the first version is applied.
+const VERSION_QUERY_REPLICAS: usize = 3;
 const VERSION_QUERY_NEIGHBOURS: usize = 3;
 /// Timeout of a query for known versions.
 const VERSION_QUERY_TIMEOUT: Duration = Duration::from_millis(250);
@@ -58,7 +58,7 @@
 struct Subscriber {
     shared: Arc<Shared>,
     current: Mutex<CurrentSource>,
-    avoided: Mutex<HashMap<String, Instant>>,
+    choice: Mutex<SourceChoice>,
     /// Notified when the daemon has switched to a new source.
     source_changed: event_listener::Event,
     /// Notified when the source does not reply to a report, or is stale.
@@ -76,7 +76,7 @@
             reported: None,
             source_epoch: 0,
         }),
-        avoided: Mutex::new(HashMap::new()),
+        choice: Mutex::default(),
         source_changed: event_listener::Event::new(),
         source_abandoned: event_listener::Event::new(),
     });
@@ -111,37 +111,24 @@
             return source.into_iter().collect();
         }
         let settings = &shared.settings;
+        let round = lock(&self.choice).round();
+        let seeds = shared.seeds.addrs();
         shared.with_directory(|directory| {
             sources(
                 &settings.name,
                 &settings.failure_domain,
-                directory.live(),
-                &settings.replicas,
+                directory.all(),
+                &seeds,
                 settings.distribution.relays,
+                round,
             )
         })
     }
 
-    /// The preferred source that is not avoided, else the one whose avoidance ends first. A recent
-    /// source is kept unless it is avoided.
     fn choose_source(&self) -> Option<Source> {
         let candidates = self.candidates();
-        let now = Instant::now();
-        let avoided = lock(&self.avoided);
-        let avoided_until =
-            |source: &Source| avoided.get(&source.control_addr).copied().unwrap_or(now);
-        let recent = self
-            .recent_source()
-            .filter(|source| avoided_until(source) <= now);
-        if recent.is_some() && !candidates.is_empty() {
-            return recent;
-        }
-        let available = candidates
-            .iter()
-            .find(|source| avoided_until(source) <= now);
-        available
-            .or_else(|| candidates.iter().min_by_key(|source| avoided_until(source)))
-            .cloned()
+        let recent = self.recent_source();
+        lock(&self.choice).choose(&candidates, recent, Instant::now())
     }
 
     /// The current source, if it was chosen within `MIN_SOURCE_TIME`.
@@ -151,9 +138,22 @@
         current.source.clone().filter(|_| is_recent)
     }
 
-    fn avoid(&self, source: &Source) {
-        let avoided_until = Instant::now() + AVOID_TIME;
-        lock(&self.avoided).insert(source.control_addr.clone(), avoided_until);
+    /// Avoids a source that did not reply. Starts a search if the known replicas may all be gone.
+    fn source_failed(&self, source: &Source) {
+        let now = Instant::now();
+        let mut choice = lock(&self.choice);
+        choice.failed(&source.control_addr, now);
+        if choice.begin_search(now) {
+            let shared = Arc::clone(&self.shared);
+            async_std::task::spawn(async move { replica_search::run(&shared).await });
+        }
+    }
+
+    fn record_freshness(&self, freshness: &Freshness) {
+        self.shared.record_source_freshness(freshness);
+        if freshness.quorum_age_ms.is_some() && !freshness.has_lost_contact() {
+            lock(&self.choice).has_contact();
+        }
     }
 
     /// Makes a source the current one; returns its serial.
@@ -229,9 +229,9 @@
                 last_read = Some((serial, cursor));
             }
             PollOutcome::RetryAfter(delay) => async_std::task::sleep(delay).await,
-            PollOutcome::Abandoned => subscriber.avoid(&source),
+            PollOutcome::Abandoned => {}
             PollOutcome::Failed => {
-                subscriber.avoid(&source);
+                subscriber.source_failed(&source);
                 let delay = backoff.next_delay(&mut rand::rng());
                 async_std::task::sleep(delay).await;
             }
@@ -280,7 +280,7 @@
             freshness,
         }) => {
             merge_instances(shared, source, instances);
-            shared.record_source_freshness(&freshness);
+            subscriber.record_freshness(&freshness);
             let update: Option<Update> = match update.as_deref().map(|bytes| decode(bytes)) {
                 None => None,
                 Some(Ok(update)) => Some(update),
@@ -333,8 +333,10 @@
             .take(VERSION_QUERY_NEIGHBOURS)
             .collect()
     });
-    let addrs = settings.replicas.iter().cloned().chain(neighbours);
-    let queries = addrs.map(|control_addr| async move {
+    let replicas = shared.replica_addrs();
+    let replicas = replicas.in_order().take(VERSION_QUERY_REPLICAS);
+    let addrs: BTreeSet<String> = replicas.cloned().chain(neighbours).collect();
+    let queries = addrs.into_iter().map(|control_addr| async move {
         let source = Source {
             name: None,
             control_addr,
@@ -381,7 +383,7 @@
         emit!(shared.log, events::SOURCE_STALE, "source" => &source.control_addr,
             "version" => freshness.version, "highest_heard" => shared.highest_known_version(),
             "quorum_age_ms" => freshness.quorum_age_ms);
-        subscriber.avoid(source);
+        lock(&subscriber.choice).avoid(&source.control_addr, Instant::now());
         // A poll in progress would otherwise block until its timeout.
         subscriber.source_abandoned.notify(usize::MAX);
     }
@@ -435,11 +437,11 @@
         .await;
     let Some(reply) = reply else {
         emit!(shared.log, events::SOURCE_FAILED, "source" => &source.control_addr);
-        subscriber.avoid(&source);
+        subscriber.source_failed(&source);
         subscriber.source_abandoned.notify(usize::MAX);
         return;
     };
-    shared.record_source_freshness(&reply.freshness);
+    subscriber.record_freshness(&reply.freshness);
     abandon_if_stale(subscriber, &source, &reply.freshness);
     let mut current = lock(&subscriber.current);
     if current.serial != serial {
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::shared::{Clients, Shared};
 use crate::stop;
 use crate::usage;
+use async_std::channel::{bounded, Receiver};
 use async_std::net::TcpListener;
 use async_std::task;
 use error_stack::{Report, ResultExt};
@@ -73,13 +74,14 @@
 pub fn run(settings: Settings) -> Result<(), Report<DaemonError>> {
     let (log, _flush_guard) =
         logger::build(settings.log_level, &settings.name, &settings.failure_domain);
-    let stop_requests = stop_signal(log.clone())?;
+    let signals = handle_signals(log.clone())?;
     task::block_on(async {
         let listeners = listen(&settings.listen, &log).await?;
         let store_dir = settings.store_dir.clone();
         let (context, replicas) = build(settings, log);
         let shared = Arc::clone(&context.shared);
         start(&context, replicas.clone(), listeners);
+        task::spawn(reload_seeds(Arc::clone(&shared), signals.reload));
         mesh::start(&context, &replicas, &shared.log).await?;
         emit!(shared.log, events::STARTED, "pid" => std::process::id());
         if let Some(dir) = store_dir {
@@ -90,7 +92,7 @@
         subscriber::start(&shared);
         usage::start(&shared);
         // The channel closes if the signal thread ends, which also stops the daemon.
-        let _ = stop_requests.recv().await;
+        let _ = signals.stop.recv().await;
         stop::run(&context).await;
         Ok(())
     })
@@ -195,22 +197,37 @@
     listener.change_context(DaemonError::Listen(address))
 }
 
-/// Handles signals on a thread; returns a channel that receives a message at SIGTERM or SIGINT.
-fn stop_signal(log: Logger) -> Result<async_std::channel::Receiver<()>, Report<DaemonError>> {
+/// Signals to the daemon.
+struct SignalReceivers {
+    /// Receives a message at SIGTERM or SIGINT.
+    stop: Receiver<()>,
+    /// Receives a message at SIGHUP. Of several in a row, the later ones may be left out.
+    reload: Receiver<()>,
+}
+
+/// Handles signals on a thread.
+fn handle_signals(log: Logger) -> Result<SignalReceivers, Report<DaemonError>> {
     let handled_signals = [SIGTERM, SIGINT, SIGHUP];
     let mut signals = Signals::new(handled_signals).change_context(DaemonError::Signals)?;
-    let (sender, receiver) = async_std::channel::bounded(1);
+    let (stop_sender, stop) = bounded(1);
+    let (reload_sender, reload) = bounded(1);
     std::thread::spawn(move || {
-        let is_stop = |signal| {
-            if signal == SIGHUP {
-                emit!(log, events::RELOAD_REQUESTED);
+        for signal in signals.forever() {
+            if signal != SIGHUP {
+                // The receiver is dropped only if the daemon is stopping already.
+                let _ = stop_sender.try_send(());
+                return;
             }
-            signal != SIGHUP
-        };
-        if signals.forever().any(is_stop) {
-            // The receiver is dropped only if the daemon is stopping already.
-            let _ = sender.try_send(());
+            emit!(log, events::RELOAD_REQUESTED);
+            // A queued message covers this signal: the file is read after the message is taken.
+            let _ = reload_sender.try_send(());
         }
     });
-    Ok(receiver)
+    Ok(SignalReceivers { stop, reload })
+}
+
+async fn reload_seeds(shared: Arc<Shared>, reload: Receiver<()>) {
+    while reload.recv().await.is_ok() {
+        shared.seeds.reload(&shared.log);
+    }
 }
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -38,8 +38,10 @@
     STOPPED = 1003, Info, "daemon stopped";
     LISTEN_FAILED = 1004, Critical, "cannot listen on address";
     TASK_FAILED = 1005, Error, "connection or task ended with an error";
-    RELOAD_REQUESTED = 1006, Info, "reload requested: settings take effect at the next start";
+    RELOAD_REQUESTED = 1006, Info, "reload requested: seeds are read again, other settings take effect at the next start";
     ACCEPT_FAILED = 1007, Warning, "cannot accept connections: retrying";
+    SEEDS_CHANGED = 1009, Info, "seeds in the settings file have changed";
+    SEEDS_UNREADABLE = 1010, Warning, "seeds cannot be read from the settings file: the previous ones stay";
     STOP_UNFINISHED = 1008, Warning, "requests are in progress at the end of a stop: given up";
     STORE_OPENED = 2001, Info, "store opened";
     STORE_TAIL_TRUNCATED = 2002, Warning, "incomplete last batch of the log truncated";
@@ -58,6 +60,7 @@
     SOURCE_FAILED = 3102, Warning, "configuration source does not respond";
     SOURCE_STALE = 3103, Warning, "configuration source is behind or has no contact with a majority";
     SOURCE_BUSY = 3104, Info, "configuration source accepts no new sessions at present";
+    REPLICAS_SEARCHED = 3105, Info, "no known replica responds: other daemons asked for the replicas";
     ROLLOUT_UNANSWERED = 3404, Warning, "no definite answer from the replicas to the order of a rollout";
     ROLLOUT_ORDERED = 3401, Info, "rollout ordered";
     ROLLOUT_MOVED = 3402, Info, "rollout changed its phase or share";
--- a/crates/foxtailgauge-daemon/src/peer_server.rs
+++ b/crates/foxtailgauge-daemon/src/peer_server.rs
@@ -3,6 +3,7 @@
 use crate::capacity;
 use crate::control::consensus_link;
 use crate::control::replica::group_of;
+use crate::control::replica_search;
 use crate::control::source;
 use crate::emit;
 use crate::events;
@@ -315,6 +316,9 @@
             let (loads, left_out) = capacity::local_loads(context, service.as_deref());
             SubmitReply::ServerLoads { loads, left_out }
         }
+        (SubmitRequest::ReadReplicas, _) => {
+            SubmitReply::Replicas(replica_search::known_replicas(&context.shared))
+        }
         (SubmitRequest::WorkspaceLoads, _) => match capacity::local_workspaces(&context.shared) {
             Some((loads, silent_collectors)) => SubmitReply::WorkspaceLoads {
                 loads,
--- a/crates/foxtailgauge-daemon/src/settings.rs
+++ b/crates/foxtailgauge-daemon/src/settings.rs
@@ -52,6 +52,8 @@
 /// Settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// File that they were read from.
+    pub file: PathBuf,
     /// Unique name of the daemon.
     pub name: String,
     /// Failure domain of the instance.
@@ -62,8 +64,9 @@
     pub advertise_control: String,
     /// Call address advertised to other daemons.
     pub advertise_calls: String,
-    /// Control addresses of the replicas.
-    pub replicas: Vec<String>,
+    /// Control addresses of the replicas, or of some of them, when the file was written. Replicas are
+    /// replaced while a daemon runs: `Shared::replica_addrs` has the addresses to use.
+    pub seeds: Vec<String>,
     /// How the initial group of replicas is formed.
     pub formation: Formation,
     /// Data directory; set on replicas only.
@@ -191,6 +194,19 @@
     }
 }
 
+/// Reads the seeds of a settings file anew.
+pub(crate) fn read_seeds(file: &Path) -> Result<Vec<String>, SettingsError> {
+    let mut reader = Reader::open(file)?;
+    let listen = reader.listen();
+    let (seeds, _) = reader.replicas(listen.as_ref());
+    match reader.problems.is_empty() {
+        true => Ok(seeds),
+        false => Err(SettingsError {
+            problems: reader.problems,
+        }),
+    }
+}
+
 pub(crate) struct Reader<'a> {
     file: &'a Path,
     ini: Ini,
@@ -306,12 +322,13 @@
             self.add_problem("replicas", "control", found, allowed);
         }
         Some(Settings {
+            file: self.file.to_owned(),
             name: name?,
             failure_domain: failure_domain?,
             advertise_control,
             advertise_calls,
             listen,
-            replicas,
+            seeds: replicas,
             formation,
             store_dir,
             cluster_key: cluster_key?,
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::control::consensus_link::ConsensusLinks;
 use crate::control::replica::ReplicaHandles;
+use crate::control::seeds::Seeds;
 use crate::emit;
 use crate::events;
 use crate::gateway::route_view::RouteView;
@@ -127,6 +128,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) incarnation: Incarnation,
     pub(crate) clients: Clients,
+    /// First contacts among the replicas.
+    pub(crate) seeds: Seeds,
     /// Counts that are summed over all daemons.
     pub(crate) usage: Usage,
     pub(crate) balancer: Mutex<Balancer>,
@@ -171,6 +174,7 @@
             usage: Usage::default(),
             forwarding: Arc::default(),
             stop: StopState::new(&settings),
+            seeds: Seeds::new(&settings),
             settings,
             log,
             metrics,
--- a/crates/foxtailgauge-daemon/src/usage/collecting.rs
+++ b/crates/foxtailgauge-daemon/src/usage/collecting.rs
@@ -66,7 +66,7 @@
     let members = members.unwrap_or_default().members;
     let mut collectors: BTreeSet<String> = members.into_values().map(|m| m.control_addr).collect();
     if collectors.is_empty() {
-        collectors.extend(shared.settings.replicas.iter().cloned());
+        collectors.extend(shared.replica_addrs().in_order().cloned());
     }
     let daemons = shared.with_directory(|directory| {
         let has_not_stopped = |presence| presence != Presence::Stopped;
--- a/crates/foxtailgauge-daemon/tests/mesh_settings.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_settings.rs
@@ -41,7 +41,7 @@
     assert_eq!(settings.listen.control.to_string(), "10.0.0.7:7600");
     assert_eq!(settings.listen.calls.to_string(), "10.0.0.7:7601");
     assert_eq!(settings.listen.admin.to_string(), "127.0.0.1:7603");
-    assert_eq!(settings.replicas, ["10.0.0.5:7600", "10.0.1.5:7600"]);
+    assert_eq!(settings.seeds, ["10.0.0.5:7600", "10.0.1.5:7600"]);
     assert_eq!(settings.formation, Formation::JoinOnly);
     assert!(
         settings.store_dir.is_none(),
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -23,6 +23,9 @@
 /// Read timeout of one exchange, as a paused daemon never responds.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time from the end of a replica until its successor starts.
+const SUCCESSOR_DELAY: Duration = Duration::from_secs(1);
+
 /// Time for which [`Script::RepeatRefusals`] runs a request.
 const RUN_TIME: Duration = Duration::from_millis(10);
 
@@ -425,8 +428,8 @@
     pub has_links: bool,
 }
 
-/// A running fleet: daemons are numbered from 0, replicas first, then sidecars. Kills its processes
-/// when dropped.
+/// A running fleet: daemons are numbered from 0, replicas first, then sidecars, then spare replicas.
+/// Kills its processes when dropped.
 pub struct Mesh {
     dir: tempfile::TempDir,
     first_port: u16,
@@ -440,6 +443,8 @@
     pub bounds: &'static str,
     /// Grace period of stops in the settings of daemons that are started from now on.
     pub stop_grace_ms: &'static str,
+    /// Replicas that the settings of daemons name that are started from now on.
+    pub seeds: Vec<usize>,
 }
 
 /// Ports of each daemon: the mesh range, then outbound, ready, platform and metrics.
@@ -459,7 +464,14 @@
     }
 
     pub fn start_with(topology: Topology) -> Self {
-        let daemons = topology.replicas + topology.sidecars;
+        Self::start_with_spares(topology, 0)
+    }
+
+    /// The spare replicas are not started. Replica `n` and spare replica `n` have the same failure
+    /// domain.
+    pub fn start_with_spares(topology: Topology, spares: usize) -> Self {
+        let started = topology.replicas + topology.sidecars;
+        let daemons = started + spares;
         let ips: Vec<IpAddr> = (0..daemons)
             .flat_map(|n| [Self::ip(n), Self::link_ip(n)])
             .map(|ip| ip.parse().expect("invalid address"))
@@ -473,6 +485,7 @@
             link_mbps: None,
             bounds: "",
             stop_grace_ms: "3000",
+            seeds: (0..topology.replicas).collect(),
         };
         if topology.has_links {
             let links = (0..daemons).flat_map(|n| mesh.links(n)).collect();
@@ -481,11 +494,11 @@
         }
         std::fs::write(mesh.path("key"), "a key of more than sixteen bytes")
             .expect("cannot write the key file");
-        for n in 0..daemons {
+        for n in 0..started {
             mesh.start_daemon(n, true);
         }
         // A report to a daemon that does not listen yet would be lost.
-        for n in 0..daemons {
+        for n in 0..started {
             let platform = mesh.platform_addr(n);
             wait_for("a listening daemon", || TcpStream::connect(&platform).ok());
         }
@@ -495,8 +508,7 @@
     /// Starts a daemon that is not running; its log is appended to. On their first start, replicas
     /// may form a new group.
     pub fn start_daemon(&mut self, n: usize, is_first_start: bool) {
-        let file = self.path(&format!("d{n}.ini"));
-        std::fs::write(&file, self.settings(n, is_first_start)).expect("cannot write the settings");
+        let file = self.write_settings(n, is_first_start);
         let log = std::fs::File::options()
             .create(true)
             .append(true)
@@ -513,6 +525,30 @@
         self.children[n] = Some(child);
     }
 
+    /// Writes the settings of a daemon, which may be running.
+    pub fn write_settings(&self, n: usize, is_first_start: bool) -> PathBuf {
+        let file = self.path(&format!("d{n}.ini"));
+        std::fs::write(&file, self.settings(n, is_first_start)).expect("cannot write the settings");
+        file
+    }
+
+    /// Number of the spare replica `n`.
+    pub fn spare(&self, n: usize) -> usize {
+        self.topology.replicas + self.topology.sidecars + n
+    }
+
+    fn is_replica(&self, n: usize) -> bool {
+        n < self.topology.replicas || n >= self.spare(0)
+    }
+
+    /// Removes a replica for good and starts a spare one in its place, which finds the others by the
+    /// seeds.
+    pub fn replace(&mut self, removed: usize, spare: usize) {
+        self.kill(removed);
+        std::thread::sleep(SUCCESSOR_DELAY);
+        self.start_daemon(spare, false);
+    }
+
     pub fn path(&self, name: &str) -> PathBuf {
         self.dir.path().join(name)
     }
@@ -536,6 +572,8 @@
     }
 
     fn domain(&self, n: usize) -> String {
+        let first_spare = self.spare(0);
+        let n = n.checked_sub(first_spare).unwrap_or(n);
         format!("z{}", n % self.topology.domains)
     }
 
@@ -566,9 +604,9 @@
         let (ip, domain) = (Self::ip(n), self.domain(n));
         let key = self.path("key");
         let seed = |n: usize| format!("{}:{}", self.advertised_ip(n), self.platform_port());
-        let seeds: Vec<String> = (0..self.topology.replicas).map(seed).collect();
+        let seeds: Vec<String> = self.seeds.iter().copied().map(seed).collect();
         let seeds = seeds.join(",");
-        let is_replica = n < self.topology.replicas;
+        let is_replica = self.is_replica(n);
         let mut role = match is_replica {
             true => format!("[store]\ndir = {}\n", self.store_dir(n).display()),
             false => String::new(),
--- a/crates/foxtailgauge-wire/src/submit.rs
+++ b/crates/foxtailgauge-wire/src/submit.rs
@@ -2,10 +2,10 @@
 
 use foxtailgauge_core::{
     ActionKey, AuditEntry, Change, ChangeAnswer, ConfigProblem, ConfigVersion, DaemonName, Digest,
-    Document, FailureDomain, LedgerAnswer, LedgerCommand, MemberSet, Membership, ReplicaId,
-    Revision, RevisionRecord, Role, Rollout, RolloutAnswer, RolloutCommand, RolloutRecord,
-    ServerLoad, ServiceName, Summary, TeamName, Term, UsageReply, UsageRequest, VersionCount,
-    WorkspaceLoad, WorkspaceName,
+    Document, FailureDomain, InstanceState, LedgerAnswer, LedgerCommand, MemberSet, Membership,
+    ReplicaId, Revision, RevisionRecord, Role, Rollout, RolloutAnswer, RolloutCommand,
+    RolloutRecord, ServerLoad, ServiceName, Summary, TeamName, Term, UsageReply, UsageRequest,
+    VersionCount, WorkspaceLoad, WorkspaceName,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -125,6 +125,8 @@
         /// Hash of the request, as in a claim.
         request: Digest,
     },
+    /// Reads the replicas that a daemon knows.
+    ReadReplicas,
 }
 
 /// Reply to a [`SubmitRequest`].
@@ -189,6 +191,8 @@
     },
     /// The answer to a claim of the action if it would not be granted.
     Action(Option<LedgerAnswer>),
+    /// Directory entries of replicas, those of lost and stopped ones included.
+    Replicas(Vec<InstanceState>),
 }
 
 /// Whether a replica belongs to a group.
