Replicas take part again after any refused operation of their disks

Cause: the thread of a group ended for good unless the bytes of a write were refused for lack of space. A file that cannot be created and a sync that fails (quota, delayed allocation) are reported elsewhere. With the second such replica the group had no quorum. A replica that starts ended with an error, and so did its settings check on a full disk.

Every refused operation now leads to the wait that a lack of space led to; damage still ends the replica. After a failed sync the files are written again from what was read, as the disk may hold less than a read returns. A start waits too; the threads start after its last step that can fail. A stopped replica no longer shows itself as leader to its own daemon. SIGTERM ends a start that waits.

--- a/crates/foxtailgauge-daemon/src/control/formation.rs
+++ b/crates/foxtailgauge-daemon/src/control/formation.rs
@@ -5,7 +5,7 @@
 //! members. A replica that finds a group without itself is new or has lost its disk; it joins as a
 //! learner.
 
-use crate::control::replica::{start_group, ReplicaHandles};
+use crate::control::replica::{open_group, OpenedGroup, ReplicaHandles};
 use crate::control::replica_client::ReplicaClient;
 use crate::control::replica_search;
 use crate::control::store::{read_frame, write_frame, StoreError};
@@ -30,6 +30,8 @@
 const ROUND_DELAY: Duration = Duration::from_millis(100);
 /// Rounds of queries after which the seeds are read again: those of the start may all be gone.
 const ROUNDS_PER_RELOAD: u64 = 10;
+/// Delay before a start that the disk refused is tried again.
+const START_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time without contact to a leader after which a replica requests to join again.
 const REJOIN_AFTER: Duration = Duration::from_secs(4);
 /// Timeout of a request to join as a learner.
@@ -45,8 +47,23 @@
     is_started: bool,
 }
 
-/// Finds or forms the groups and starts this replica in them.
+/// Finds or forms the groups and starts this replica in them. While the disk refuses operations, it
+/// tries again.
 pub(crate) async fn start(context: &DaemonContext, dir: &Path) -> Result<(), Report<StoreError>> {
+    loop {
+        match try_start(context, dir).await {
+            Err(error) if error.current_context().is_transient() => {
+                emit!(context.shared.log, events::STORE_FAILED, "error" => format!("{error:?}"));
+                async_std::task::sleep(START_RETRY_DELAY).await;
+            }
+            outcome => return outcome,
+        }
+    }
+}
+
+/// Starts the threads of the groups as the last step that can fail: two threads must not write to one
+/// store.
+async fn try_start(context: &DaemonContext, dir: &Path) -> Result<(), Report<StoreError>> {
     let shared = &context.shared;
     let file = dir.join(IDENTITY_FILE);
     let mut identity = load_identity(&file)?;
@@ -64,11 +81,14 @@
     };
     identity.initial = Some(initial.clone());
     write_frame(&file, &identity)?;
-    let handles = start_groups(context, dir, &identity, &initial)?;
+    let [config, ledger] = open_groups(context, dir, &identity, &initial)?;
     identity.is_started = true;
     write_frame(&file, &identity)?;
     // Set only once, at the start of the daemon.
-    let _ = shared.replica.set(handles);
+    let _ = shared.replica.set(ReplicaHandles {
+        config: config.start(),
+        ledger: ledger.start(),
+    });
     set_state(FormationState::Formed {
         initial: initial.clone(),
     });
@@ -98,16 +118,16 @@
     Ok(identity)
 }
 
-fn start_groups(
+fn open_groups(
     context: &DaemonContext,
     dir: &Path,
     identity: &Identity,
     initial: &Membership,
-) -> Result<ReplicaHandles, Report<StoreError>> {
+) -> Result<[OpenedGroup; 2], Report<StoreError>> {
     // A replica that was started before must not start as a new one if its files are missing.
     let initial_entries = (!identity.is_started).then_some(initial);
-    let start = |group| {
-        start_group(
+    let open = |group| {
+        open_group(
             &context.shared,
             group,
             identity.replica,
@@ -115,10 +135,7 @@
             initial_entries,
         )
     };
-    Ok(ReplicaHandles {
-        config: start(Group::Config)?,
-        ledger: start(Group::Ledger)?,
-    })
+    Ok([open(Group::Config)?, open(Group::Ledger)?])
 }
 
 /// Waits until the group is formed. Returns its initial membership, or an empty one if the group
--- a/crates/foxtailgauge-daemon/src/control/replica.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica.rs
@@ -19,7 +19,7 @@
 };
 use futures::channel::oneshot;
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,7 +31,7 @@
 const COMPACT_MAX_ENTRIES: usize = 4_096;
 /// Maximum time between two rounds; bounds the age of the published status.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(200);
-/// Interval at which a replica whose disk was full looks whether it has space again.
+/// Interval at which a replica looks whether its disk, which refused an operation, is usable again.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which the leader proposes the expiry of old ledger keys.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(60);
@@ -131,17 +131,34 @@
     }
 }
 
-/// Opens a group's store and starts its thread.
+/// A group whose thread is not started yet.
+pub(crate) struct OpenedGroup {
+    driver: Driver,
+    dir: PathBuf,
+}
+
+impl OpenedGroup {
+    /// Starts the thread.
+    pub(crate) fn start(self) -> GroupHandle {
+        let OpenedGroup { driver, dir } = self;
+        let (sender, receiver) = bounded(EVENT_QUEUE_CAPACITY);
+        let status = Arc::clone(&driver.status);
+        std::thread::spawn(move || run_group(driver, &dir, &receiver));
+        GroupHandle { sender, status }
+    }
+}
+
+/// Opens a group's store.
 ///
 /// `initial` is the group's initial membership, used if the store is empty. Without `initial`, a
 /// store that was never written is an error ([`StoreError::Missing`]).
-pub(crate) fn start_group(
+pub(crate) fn open_group(
     shared: &Arc<Shared>,
     group: Group,
     id: ReplicaId,
     dir: &Path,
     initial: Option<&Membership>,
-) -> Result<GroupHandle, Report<StoreError>> {
+) -> Result<OpenedGroup, Report<StoreError>> {
     let dir = dir.join(group.as_str());
     let (mut store, mut persisted, recovery) = GroupStore::open(&dir)?;
     if recovery.cut_bytes > 0 {
@@ -158,33 +175,35 @@
     }
     emit!(shared.log, events::STORE_OPENED,
         "group" => group.as_str(), "entries" => persisted.entries.len());
-    let (sender, receiver) = bounded(EVENT_QUEUE_CAPACITY);
     let driver = Driver::new(shared, group, id, store, persisted)?;
-    let status = Arc::clone(&driver.status);
-    std::thread::spawn(move || run_group(driver, &dir, &receiver));
-    Ok(GroupHandle { sender, status })
+    Ok(OpenedGroup { driver, dir })
 }
 
-/// Runs a group until the daemon exits, or until its store fails for another reason than a full
-/// disk. A replica must not go on without its store: it would forget its votes and acknowledged
-/// entries. After a write that the disk had no space for, it starts again from what is stored.
+/// Runs a group until the daemon exits, or until its store turns out to be damaged. A replica must not
+/// go on without its store: it would forget its votes and acknowledged entries. While the disk refuses
+/// operations it waits, and then starts again from what is stored.
 fn run_group(mut driver: Driver, dir: &Path, receiver: &Receiver<GroupEvent>) {
+    // Whether an operation failed after which the disk may hold less than a read returns.
+    let mut is_sync_in_doubt = false;
     loop {
         let Err(error) = async_std::task::block_on(driver.run(receiver.clone())) else {
             return;
         };
-        emit!(driver.shared.log, events::STORE_FAILED, "error" => format!("{error:?}"));
-        if !matches!(error.current_context(), StoreError::Full { .. }) {
-            return;
-        }
+        driver.publish_stopped();
+        let mut error = error;
         driver = loop {
+            emit!(driver.shared.log, events::STORE_FAILED, "error" => format!("{error:?}"));
+            if !error.current_context().is_transient() {
+                return;
+            }
+            is_sync_in_doubt |= !matches!(error.current_context(), StoreError::Full { .. });
             std::thread::sleep(REOPEN_INTERVAL);
-            match driver.reopened(dir) {
+            match driver.reopened(dir, is_sync_in_doubt) {
                 Ok(reopened) => break reopened,
-                Err(error) => emit!(driver.shared.log, events::STORE_FAILED,
-                    "error" => format!("{error:?}")),
+                Err(next) => error = next,
             }
         };
+        is_sync_in_doubt = false;
     }
 }
 
@@ -289,10 +308,13 @@
     }
 
     /// A driver of the same group that starts from what the store holds. Fails while the disk has no
-    /// space.
-    fn reopened(&self, dir: &Path) -> Result<Self, Report<StoreError>> {
+    /// space or refuses other operations.
+    fn reopened(&self, dir: &Path, is_sync_in_doubt: bool) -> Result<Self, Report<StoreError>> {
         let (mut store, persisted, _) = GroupStore::open(dir)?;
-        store.check_space()?;
+        match is_sync_in_doubt {
+            true => store.rewrite(&persisted)?,
+            false => store.check_space()?,
+        }
         emit!(self.shared.log, events::STORE_OPENED,
             "group" => self.group.as_str(), "entries" => persisted.entries.len());
         let id = self.node.id();
@@ -635,6 +657,13 @@
         sync_seconds.observe(time.as_secs_f64());
     }
 
+    /// Publishes that this replica does not take part. The age of its contact goes on.
+    fn publish_stopped(&self) {
+        let mut cell = lock(&self.status);
+        cell.status.role = Role::Follower;
+        cell.status.leader = None;
+    }
+
     /// Logs changes of role and membership, and updates the status that [`GroupHandle`] returns.
     fn publish_status(&mut self) {
         let role = (self.node.role(), self.node.term());
--- a/crates/foxtailgauge-daemon/src/control/store.rs
+++ b/crates/foxtailgauge-daemon/src/control/store.rs
@@ -86,6 +86,20 @@
 
 impl std::error::Error for StoreError {}
 
+impl StoreError {
+    /// Whether the store may be usable later without help: the disk refuses operations at present, and
+    /// what it holds is not damaged.
+    pub fn is_transient(&self) -> bool {
+        match self {
+            StoreError::Io { .. } | StoreError::Full { .. } => true,
+            StoreError::Damaged { .. }
+            | StoreError::Gap { .. }
+            | StoreError::Missing { .. }
+            | StoreError::Encode => false,
+        }
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 enum LogRecord {
     HardState(HardState),
@@ -176,6 +190,15 @@
         std::fs::remove_file(&path).change_context_lazy(|| io_error(&path))
     }
 
+    /// Writes all files again, with what they were read to hold. After a failed sync, the disk may hold
+    /// less than a read returns; what this has written is durable.
+    pub fn rewrite(&mut self, persisted: &PersistedState) -> Result<(), Report<StoreError>> {
+        if let Some(snapshot) = &persisted.snapshot {
+            write_frame(&self.dir.join(SNAPSHOT_FILE), snapshot)?;
+        }
+        self.replace_log(persisted.hard_state, &persisted.entries)
+    }
+
     /// Replaces the log by a snapshot and the entries after it.
     ///
     /// The snapshot is written and synced before the log is replaced, so that a crash between the
@@ -187,6 +210,14 @@
         entries: &[Entry],
     ) -> Result<(), Report<StoreError>> {
         write_frame(&self.dir.join(SNAPSHOT_FILE), snapshot)?;
+        self.replace_log(hard_state, entries)
+    }
+
+    fn replace_log(
+        &mut self,
+        hard_state: HardState,
+        entries: &[Entry],
+    ) -> Result<(), Report<StoreError>> {
         let mut records = vec![LogRecord::HardState(hard_state)];
         records.extend(entries.iter().cloned().map(LogRecord::Entry));
         let path = self.dir.join(LOG_FILE);
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -29,11 +29,15 @@
 use async_std::task;
 use error_stack::{Report, ResultExt};
 use foxtailgauge_wire::handshake::{ConnectionKind, Hello};
+use futures::future::{select, Either};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::Logger;
+use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::pin::pin;
 use std::sync::Arc;
 
 /// Number of client threads for calls to other daemons.
@@ -84,20 +88,32 @@
         task::spawn(reload_seeds(Arc::clone(&shared), signals.reload));
         mesh::start(&context, &replicas, &shared.log).await?;
         emit!(shared.log, events::STARTED, "pid" => std::process::id());
-        if let Some(dir) = store_dir {
-            formation::start(&context, &dir)
-                .await
-                .change_context(DaemonError::Store)?;
-        }
-        subscriber::start(&shared);
-        usage::start(&shared);
         // The channel closes if the signal thread ends, which also stops the daemon.
-        let _ = signals.stop.recv().await;
+        let stop = signals.stop.recv();
+        let taking_part = pin!(take_part(&context, store_dir.as_deref()));
+        if let Either::Left((outcome, _)) = select(taking_part, stop).await {
+            outcome?;
+        }
         stop::run(&context).await;
         Ok(())
     })
 }
 
+/// Starts the replica, if there is a store, and what depends on it. Returns only if the store cannot be
+/// used.
+async fn take_part(
+    context: &DaemonContext,
+    store_dir: Option<&Path>,
+) -> Result<Infallible, Report<DaemonError>> {
+    if let Some(dir) = store_dir {
+        let starting = formation::start(context, dir).await;
+        starting.change_context(DaemonError::Store)?;
+    }
+    subscriber::start(&context.shared);
+    usage::start(&context.shared);
+    std::future::pending().await
+}
+
 fn build(settings: Settings, log: Logger) -> (DaemonContext, ReplicaClient) {
     let metrics = Metrics::new();
     let clients = clients(&settings, &metrics);
--- a/crates/foxtailgauge-daemon/src/settings_files.rs
+++ b/crates/foxtailgauge-daemon/src/settings_files.rs
@@ -2,15 +2,25 @@
 
 use ini::Ini;
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::path::Path;
 
-/// Creates a directory if it does not exist and checks that it is readable and writable.
+/// Creates a directory if it does not exist and checks that it is readable and writable. A disk
+/// without space passes: the setting is right, and the replica waits for space.
 pub(crate) fn check_dir(dir: &Path) -> std::io::Result<()> {
     std::fs::create_dir_all(dir)?;
     std::fs::read_dir(dir)?;
     let probe = dir.join(".probe");
-    std::fs::write(&probe, b"probe")?;
-    std::fs::remove_file(&probe)
+    let written = std::fs::write(&probe, b"probe");
+    match written {
+        Err(error) if error.kind() == ErrorKind::StorageFull => {
+            // Without space the file may not even have been created.
+            let _ = std::fs::remove_file(&probe);
+            Ok(())
+        }
+        Err(error) => Err(error),
+        Ok(()) => std::fs::remove_file(&probe),
+    }
 }
 
 /// Reads the SHA-256 hashes of the admin tokens by team; the error describes the fault in the file.
--- a/crates/foxtailgauge-daemon/tests/settings.rs
+++ b/crates/foxtailgauge-daemon/tests/settings.rs
@@ -56,6 +56,15 @@
     assert_eq!(settings.distribution.batch_interval.as_millis(), 50);
 }
 
+/// Guards against daemons that cannot be started while a disk is full: the replica waits for space.
+#[test]
+fn full_disk_is_no_fault_of_the_settings() {
+    let test_dir = TestDir::new();
+    std::fs::create_dir(test_dir.path("data")).unwrap();
+    std::os::unix::fs::symlink("/dev/full", test_dir.path("data/.probe")).unwrap();
+    load_settings(&test_dir.write(&test_dir.valid())).unwrap();
+}
+
 #[test]
 fn each_problem_reports_section_and_key() {
     let test_dir = TestDir::new();
--- a/crates/foxtailgauge-daemon/tests/store.rs
+++ b/crates/foxtailgauge-daemon/tests/store.rs
@@ -59,6 +59,26 @@
     assert_eq!(persisted.entries, [entry(1, 1), entry(2, 3)]);
 }
 
+#[test]
+fn rewritten_store_holds_what_was_read() {
+    let dir = tempfile::tempdir().unwrap();
+    write_log(dir.path());
+    let log = dir.path().join("log");
+    let before = std::fs::read(&log).unwrap();
+    let (mut store, persisted, _) = GroupStore::open(dir.path()).unwrap();
+    store.rewrite(&persisted).unwrap();
+    assert_ne!(
+        std::fs::read(&log).unwrap(),
+        before,
+        "one batch, in a new file"
+    );
+    store.persist(&batch(&[entry(4, 3)]), HARD_STATE).unwrap();
+    let (_, read, recovery) = GroupStore::open(dir.path()).unwrap();
+    assert_eq!(read.hard_state, persisted.hard_state);
+    assert_eq!(indexes(&read.entries), [1, 2, 3, 4]);
+    assert_eq!(recovery.cut_bytes, 0);
+}
+
 #[test]
 fn incomplete_last_batch_is_truncated_at_every_length() {
     let source = tempfile::tempdir().unwrap();
