A report with a number at the end of its range no longer hides later ones

What callers would see (report of other operators, shown in our own fleet): one odd report of a backend server, and the daemon stops following that server: its reports are answered 200 and have no effect, `draining` included. In a storm of odd reports 780 of 934 requests failed.

Cause: `sequence` and `born` were taken as they came, and a report counts only if this pair is greater than in every earlier one.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -73,6 +73,8 @@
     Accepted,
     /// A newer report has already been applied.
     Stale,
+    /// The process started later than the time that has passed allows.
+    FutureStart,
     /// The report is for a service that does not run on this instance.
     OtherService,
 }
@@ -136,6 +138,9 @@
             if servers.values().any(is_stale) {
                 return ReportOutcome::Stale;
             }
+            if servers.values().any(|s| s.is_future_start(&report)) {
+                return ReportOutcome::FutureStart;
+            }
             // A new process has replaced an earlier one at the same address.
             servers.retain(|name, s| *name == report.server || s.addr() != report.addr);
             match servers.get(&report.server) {
--- a/crates/foxtailgauge-daemon/src/executor/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_server.rs
@@ -13,6 +13,11 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+/// Start of a process in a report that does not state it.
+const START_NOT_STATED: u64 = 0;
+/// Longest time by which a clock is set between the starts of two processes.
+const MAX_CLOCK_CHANGE: Duration = Duration::from_secs(24 * 3_600);
+
 /// Delivers a slot or a refusal to a queued request.
 type SlotSender = oneshot::Sender<Result<SlotGuard, QueueRefusal>>;
 
@@ -329,6 +334,21 @@
         inner.addr == report.addr && inner.sequence.0 > report.sequence.0
     }
 
+    /// Whether a report states a start that lies further after that of the known process than time has
+    /// passed. It would make the reports of the real process look old. The clock of this instance does
+    /// not matter.
+    pub(crate) fn is_future_start(&self, report: &ServerReport) -> bool {
+        let inner = lock(&self.inner);
+        let (known_ms, _) = inner.sequence;
+        if (self.name != report.server && inner.addr != report.addr) || known_ms == START_NOT_STATED
+        {
+            return false;
+        }
+        let allowed = inner.process_since.elapsed() + MAX_CLOCK_CHANGE;
+        let allowed_ms = u64::try_from(allowed.as_millis()).unwrap_or(u64::MAX);
+        report.sequence.0 > known_ms.saturating_add(allowed_ms)
+    }
+
     /// Applies a newer report; returns whether the directory entry changed. A report that arrives
     /// `confirm_after` the first one or later confirms the backend server: after it left, it would
     /// have sent none.
--- a/crates/foxtailgauge-daemon/src/platform_http.rs
+++ b/crates/foxtailgauge-daemon/src/platform_http.rs
@@ -252,6 +252,11 @@
         }
         match self.executor.apply_report(report) {
             ReportOutcome::Accepted | ReportOutcome::Stale => (StatusCode::OK, b"{}".into()),
+            ReportOutcome::FutureStart => {
+                emit!(self.shared.log, events::REPORT_REFUSED, "server" => server,
+                    "error" => "process starts in the future");
+                error_response(StatusCode::BAD_REQUEST, "process starts in the future")
+            }
             ReportOutcome::OtherService => {
                 emit!(self.shared.log, events::REPORT_REFUSED, "server" => server,
                     "error" => "service does not run on this instance");
