Bounds of the platform are read in the form in which it states them

No deployment had the limits of retries that it states.

Cause: the platform fills in a table as JSON; it was read as a list without known names, and no bound came into force, without a word.

Bounds are read as a table, as a list and as texts in one line; any other text ends the start with its line.

Evidence: mesh_settings::every_value_that_the_templates_pass_is_in_force renders both templates as the platform does and failed before (6 s, no limits); stop_uses_the_grace_period_of_the_platform now plays both forms and checks drain_ms (9400).

--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -42,6 +42,7 @@
     ACCEPT_FAILED = 1007, Warning, "cannot accept connections: retrying";
     SEEDS_CHANGED = 1009, Info, "seeds in the settings file have changed";
     SEEDS_UNREADABLE = 1010, Warning, "seeds cannot be read from the settings file: the previous ones stay";
+    BOUND_UNSTATED = 1011, Info, "bound stated by neither the settings nor the platform: default used";
     STOP_UNFINISHED = 1008, Warning, "requests are in progress at the end of a stop: given up";
     STORE_OPENED = 2001, Info, "store opened";
     STORE_TAIL_TRUNCATED = 2002, Warning, "incomplete last batch of the log truncated";
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -39,5 +39,5 @@
 #[doc(hidden)]
 pub use gateway::front::function_responder::serve_with_function;
 pub use hop::metadata::HopRequest;
-pub use mesh_settings::MeshSettings;
+pub use mesh_settings::{MeshSettings, UnstatedBound};
 pub use settings::{load as load_settings, Formation, Settings, SettingsError, SettingsProblem};
--- a/crates/foxtailgauge-daemon/src/mesh.rs
+++ b/crates/foxtailgauge-daemon/src/mesh.rs
@@ -3,6 +3,8 @@
 use crate::admin_http;
 use crate::control::replica_client::ReplicaClient;
 use crate::daemon::{bind, peer_identity, serve_http, DaemonError};
+use crate::emit;
+use crate::events;
 use crate::executor::forward_executor::ForwardExecutor;
 use crate::gateway::forward_gateway::ForwardGateway;
 use crate::peer_server::DaemonContext;
@@ -30,6 +32,9 @@
     let (Some(mesh), Some(executor)) = (&shared.settings.mesh, &context.forward) else {
         return Ok(());
     };
+    for bound in &mesh.unstated {
+        emit!(log, events::BOUND_UNSTATED, "key" => bound.key, "used" => &bound.used);
+    }
     async_std::task::spawn(Arc::clone(executor).expire_leases());
     async_std::task::spawn(Arc::clone(executor).follow_rollouts());
     let platform = Arc::new(PlatformHttp::new(
--- a/crates/foxtailgauge-daemon/src/mesh_settings.rs
+++ b/crates/foxtailgauge-daemon/src/mesh_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of host-routed plain HTTP (section `mesh`).
 
 use crate::settings::Reader;
-use foxtailgauge_core::{is_valid_name, TeamName};
+use foxtailgauge_core::{is_valid_name, RetryLimits, TeamName};
 use foxtailgauge_platform::{parse_bounds, Bounds};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,22 +44,39 @@
     pub report_interval: Duration,
     /// Time from the request to stop until the process is killed.
     pub stop_grace: Duration,
+    /// Bounds that neither the settings nor the platform state.
+    pub unstated: Vec<UnstatedBound>,
 }
 
-/// Reads the platform's list of bounds; without one, none is stated.
+/// A bound for which a default is used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnstatedBound {
+    /// Key that would set it.
+    pub key: &'static str,
+    /// What is used in its place.
+    pub used: String,
+}
+
+/// Reads the platform's bounds; without any, none is stated.
 pub(crate) fn read_bounds(reader: &mut Reader) -> Bounds {
     let Some(text) = reader.non_empty_value("mesh", "bounds") else {
         return Bounds::default();
     };
     parse_bounds(&text).unwrap_or_else(|error| {
-        let allowed = "NAME=VALUE, separated by commas, with numbers within their ranges";
+        let allowed =
+            "NAME=VALUE, separated by commas, or a JSON table, with numbers within their ranges";
         reader.add_problem("mesh", "bounds", error.to_string(), allowed);
         Bounds::default()
     })
 }
 
-/// Reads section `mesh`; `None` if it has no `workspace`.
-pub(crate) fn read(reader: &mut Reader, bounds: &Bounds) -> Option<MeshSettings> {
+/// Reads section `mesh`; `None` if it has no `workspace`. `retries` is the bound on retries, if the
+/// settings or the platform state one.
+pub(crate) fn read(
+    reader: &mut Reader,
+    bounds: &Bounds,
+    retries: Option<RetryLimits>,
+) -> Option<MeshSettings> {
     let workspace = reader.value("mesh", "workspace")?;
     if !is_valid_name(&workspace) {
         let allowed = "1 to 64 characters a-z, 0-9 and -";
@@ -70,6 +87,20 @@
         let allowed = "1 to 64 characters a-z, 0-9 and -";
         reader.add_problem("mesh", "service", format!("`{service}`"), allowed);
     }
+    let stop_grace = read_stop_grace(reader, bounds.stop_grace);
+    let mut unstated = Vec::new();
+    if stop_grace.is_none() {
+        unstated.push(UnstatedBound {
+            key: "stop_grace_ms",
+            used: DEFAULT_STOP_GRACE.as_millis().to_string(),
+        });
+    }
+    if retries.is_none() {
+        unstated.push(UnstatedBound {
+            key: "retry_budget_percent",
+            used: "retry_percent of each service".to_owned(),
+        });
+    }
     Some(MeshSettings {
         workspace,
         outbound: reader.optional_address("outbound"),
@@ -78,14 +109,15 @@
         metrics: reader.optional_address("metrics"),
         service,
         report_interval: reader.duration_ms("mesh", "report_interval_ms", 50..=60_000, 1_500),
-        stop_grace: read_stop_grace(reader, bounds.stop_grace),
+        stop_grace: stop_grace.unwrap_or(DEFAULT_STOP_GRACE),
+        unstated,
     })
 }
 
-/// The key takes precedence over `listed`, the grace period in the platform's list.
-fn read_stop_grace(reader: &mut Reader, listed: Option<Duration>) -> Duration {
+/// The key takes precedence over `listed`, the grace period in the platform's bounds.
+fn read_stop_grace(reader: &mut Reader, listed: Option<Duration>) -> Option<Duration> {
     match reader.non_empty_value("mesh", "stop_grace_ms") {
-        Some(_) => reader.duration_ms("mesh", "stop_grace_ms", 500..=600_000, 0),
-        None => listed.unwrap_or(DEFAULT_STOP_GRACE),
+        Some(_) => Some(reader.duration_ms("mesh", "stop_grace_ms", 500..=600_000, 0)),
+        None => listed,
     }
 }
--- a/crates/foxtailgauge-daemon/src/settings.rs
+++ b/crates/foxtailgauge-daemon/src/settings.rs
@@ -314,7 +314,7 @@
         let listen = listen?;
         let advertise_control = self.advertised_address("control", listen.control);
         let advertise_calls = self.advertised_address("calls", listen.calls);
-        let mesh = mesh_settings::read(self, &bounds);
+        let mesh = mesh_settings::read(self, &bounds, limits.retries);
         let is_in_list = replicas.contains(&advertise_control);
         if store_dir.is_some() && formation == Formation::Listed && !is_in_list {
             let found = format!("no `{advertise_control}`");
--- a/crates/foxtailgauge-daemon/tests/mesh_settings.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_settings.rs
@@ -3,6 +3,9 @@
 
 use foxtailgauge_core::RetryLimits;
 use foxtailgauge_daemon::{load_settings, Formation, Settings, SettingsError};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
 
 const VALID: &str = "[instance]
 name = d1
@@ -82,6 +85,9 @@
         ("service =", "bounds = budget_slack=many", "bounds"),
         ("service =", "bounds = budget_slack=1", "bounds"),
         ("service =", "bounds = grace_s=soon", "bounds"),
+        ("service =", "bounds = {\"grace_s\":\"soon\"}", "bounds"),
+        ("service =", "bounds = {\"grace_s\":6", "bounds"),
+        ("service =", "bounds = soon", "bounds"),
         ("service =", "stop_grace_ms = 499", "stop_grace_ms"),
         (
             "[mesh]",
@@ -163,6 +169,111 @@
     }
 }
 
+/// Fills in a template like the platform does: a value of the fields, lists joined by commas, tables as
+/// JSON, nothing if there is no value.
+fn render(template: &str, fields: &Value) -> String {
+    let mut parts = template.split("{{");
+    let mut text = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let (path, rest) = part.split_once("}}").expect("an end of the placeholder");
+        let pointer = format!("/{}", path.replace('.', "/"));
+        text += &match fields.pointer(&pointer) {
+            None => String::new(),
+            Some(Value::String(value)) => value.clone(),
+            Some(Value::Array(list)) => {
+                let texts = list.iter().map(|item| match item {
+                    Value::String(text) => text.clone(),
+                    other => other.to_string(),
+                });
+                texts.collect::<Vec<_>>().join(",")
+            }
+            Some(other) => other.to_string(),
+        };
+        text += rest;
+    }
+    text
+}
+
+/// Fields of a process as the platform states them.
+fn fields(grace_s: u64, slack: u64) -> Value {
+    json!({
+        "node": "sidecar-a-1", "zone": "a", "ip": "10.1.0.41", "port_range": [7600, 7615],
+        "seed_nodes": ["10.1.0.45:8620", "10.2.0.28:8620", "10.3.0.12:8620"],
+        "first_start": true, "heartbeat_ms": 1700, "service": "desk",
+        "listen": {"outbound": "10.1.0.41:8629", "ready": "10.1.0.41:8625",
+            "control_plane": "10.1.0.41:8620"},
+        "limits": {"link_mbps": 170.0},
+        "bounds": {"seed_lag_s": 3, "contact_ms": 3000, "grace_s": grace_s,
+            "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": slack},
+    })
+}
+
+/// Guards against a value that the platform states and that is dropped without a word: the bounds come
+/// as a table, which was taken for a list without known names, so that no deployment had its grace
+/// period and its limits of retries.
+#[test]
+fn every_value_that_the_templates_pass_is_in_force() {
+    let dir = tempfile::tempdir().expect("temporary directory");
+    let templates = [
+        ("sidecar", include_str!("../../../deploy/sidecar.ini")),
+        ("replica", include_str!("../../../deploy/replica.ini")),
+    ];
+    for (role, template) in templates {
+        for (grace_s, slack) in [(6, 56), (10, 420), (4, 220)] {
+            let mut fields = fields(grace_s, slack);
+            if role == "replica" {
+                fields["data_dir"] = dir.path().join("store").display().to_string().into();
+                fields["service"] = Value::Null;
+            }
+            let text = render(template, &fields)
+                .replace("deploy/cluster.key", "KEY")
+                .replace("= null", "=");
+            let settings = load(&text).unwrap_or_else(|error| panic!("{role}: {error}"));
+            let mesh = settings.mesh.expect("mesh section");
+            assert_eq!(mesh.stop_grace, Duration::from_secs(grace_s), "{role}");
+            let limits = RetryLimits {
+                percent: 20.0,
+                slack_requests: slack as f64,
+            };
+            assert_eq!(settings.limits.retries, Some(limits), "{role}");
+            assert_eq!(mesh.unstated, [], "{role}");
+            assert_eq!(settings.name, "sidecar-a-1");
+            assert_eq!(settings.failure_domain, "a");
+            assert_eq!(settings.listen.control.to_string(), "10.1.0.41:7600");
+            assert_eq!(settings.seeds.len(), 3);
+            assert_eq!(mesh.report_interval, Duration::from_millis(1_700));
+            let addr = |addr: Option<SocketAddr>| addr.map(|addr| addr.to_string());
+            let platform = Some("10.1.0.41:8620".to_owned());
+            assert_eq!(addr(mesh.platform), platform, "{role}");
+            let metrics = Some("10.1.0.41:9464".to_owned());
+            assert_eq!(addr(mesh.metrics), metrics, "{role}");
+            if role == "sidecar" {
+                assert_eq!(settings.formation, Formation::JoinOnly);
+                assert_eq!(settings.limits.link_bytes_per_s, Some(170e6 / 8.0));
+                assert_eq!(addr(mesh.outbound), Some("10.1.0.41:8629".to_owned()));
+                assert_eq!(addr(mesh.ready), Some("10.1.0.41:8625".to_owned()));
+                assert_eq!(mesh.service.as_deref(), Some("desk"));
+            } else {
+                assert_eq!(settings.formation, Formation::Seeds);
+                assert!(settings.store_dir.is_some());
+            }
+        }
+    }
+}
+
+/// Guards against a bound that is missing without a word.
+#[test]
+fn bounds_that_nobody_states_are_listed_with_what_is_used() {
+    let settings = load(VALID).unwrap_or_else(|error| panic!("{error}"));
+    let unstated = settings.mesh.expect("mesh section").unstated;
+    let used: Vec<_> = unstated.iter().map(|b| (b.key, b.used.as_str())).collect();
+    let expected = [
+        ("stop_grace_ms", "6000"),
+        ("retry_budget_percent", "retry_percent of each service"),
+    ];
+    assert_eq!(used, expected);
+}
+
 /// Guards against a template that does not pass the platform's list to the settings, or overrides the
 /// grace period that it states.
 #[test]
--- a/crates/foxtailgauge-daemon/tests/planned_stops.rs
+++ b/crates/foxtailgauge-daemon/tests/planned_stops.rs
@@ -267,18 +267,25 @@
 /// flight that could have been answered.
 #[test]
 fn stop_uses_the_grace_period_of_the_platform() {
-    let (mut mesh, servers) = start(&[2]);
-    (mesh.bounds, mesh.stop_grace_ms) = ("contact_ms=3000,grace_s=10", "");
-    mesh.kill(1);
-    mesh.start_daemon(1, false);
-    bring_up(&mesh, &[2], &servers);
-    servers[0].set_script(Script::Slow(4_000));
-    mesh.terminate(1);
-    std::thread::sleep(Duration::from_millis(2_500));
-    let text = request("POST", "/commit/1", "a", "layout");
-    let response = exchange(&mesh.outbound_addr(1), &text).unwrap_or_default();
-    assert_eq!(status(&response), 200, "{response}");
-    mesh.wait_for_exit(1);
+    for bounds in [
+        "contact_ms=3000,grace_s=10",
+        "{\"contact_ms\":3000,\"grace_s\":10}",
+    ] {
+        let (mut mesh, servers) = start(&[2]);
+        (mesh.bounds, mesh.stop_grace_ms) = (bounds, "");
+        mesh.kill(1);
+        mesh.start_daemon(1, false);
+        bring_up(&mesh, &[2], &servers);
+        servers[0].set_script(Script::Slow(4_000));
+        mesh.terminate(1);
+        std::thread::sleep(Duration::from_millis(2_500));
+        let text = request("POST", "/commit/1", "a", "layout");
+        let response = exchange(&mesh.outbound_addr(1), &text).unwrap_or_default();
+        assert_eq!(status(&response), 200, "{bounds}: {response}");
+        mesh.wait_for_exit(1);
+        let stopping = mesh.grep(1, "\"event\":1002");
+        assert_eq!(stopping[0]["drain_ms"], 9_400, "{bounds}: {stopping:?}");
+    }
 }
 
 /// Guards against requests on a backend server that starts beside a stopping daemon, which the end of
