Crashes in the middle of a response, and of large requests, count against the request

Causes, two in the same path: a crash was looked for only if no head of a response had arrived, and a streamed response counted as completed at once; a request with a body above 64 KiB had no fingerprint.

A connection that breaks before the end of the response is followed by the check for a crash, also while a body is streamed.

The two faults share the callers of the fingerprint and are in one commit for that reason.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -121,8 +121,8 @@
 pub use placement::{AttemptHealth, AttemptReport, Placement, PlacementRequest};
 pub use planned_stop::{LateRequest, StopPlan};
 pub use quarantine::{
-    fingerprint, request_digest, Fingerprint, Suspect, SuspectIndex, SuspectLog, SuspectVerdict,
-    QUARANTINE_CRASHES, SUSPECT_TTL_MS,
+    fingerprint, large_request_digest, request_digest, Fingerprint, Suspect, SuspectIndex,
+    SuspectLog, SuspectVerdict, QUARANTINE_CRASHES, SUSPECT_TTL_MS,
 };
 pub use registry::{
     AuditEntry, Change, ChangeAnswer, Document, EarlierRegistry, Registry, RegistryV1, RegistryV2,
--- a/crates/foxtailgauge-core/src/quarantine.rs
+++ b/crates/foxtailgauge-core/src/quarantine.rs
@@ -53,7 +53,24 @@
     hasher.finalize().into()
 }
 
-/// First 8 bytes of a [`request_digest`], as a big-endian number.
+/// Hash over method, path, length and beginning of the body, which identify a request with a body that
+/// is too large to be held. `length` is `None` if it is not known in advance.
+///
+/// Requests whose bodies differ only behind the beginning, at the same length, have the same digest.
+pub fn large_request_digest(
+    method: &str,
+    path: &str,
+    length: Option<u64>,
+    beginning: &[u8],
+) -> Digest {
+    let mut hasher = Sha256::new();
+    hasher.update(b"large");
+    hasher.update(length.unwrap_or(u64::MAX).to_be_bytes());
+    hasher.update(request_digest(method, path, beginning));
+    hasher.finalize().into()
+}
+
+/// First 8 bytes of the digest of a request, as a big-endian number.
 pub fn fingerprint(digest: &Digest) -> Fingerprint {
     let mut prefix = [0; 8];
     prefix.copy_from_slice(&digest[..8]);
--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -15,7 +15,9 @@
 use crate::executor::server_health::{self, HealthAnswer};
 use crate::executor::server_response::{states_refusal, ResponseMeaning};
 use crate::executor::server_statement;
-use crate::hop::forward_body::{ForwardBody, MAX_BUFFERED_BULK_BYTES, MAX_BUFFERED_BYTES};
+use crate::hop::forward_body::{
+    ForwardBody, SourceEnd, MAX_BUFFERED_BULK_BYTES, MAX_BUFFERED_BYTES,
+};
 use crate::hop::forward_headers::{attempt_id, header_text, millis_until, set_time_left};
 use crate::hop::metadata::{HopEnd, HopReply, HopRequest};
 use crate::mesh_settings::MeshSettings;
@@ -56,7 +58,7 @@
     /// Deadline of the caller.
     pub(crate) deadline: Instant,
     /// Identifies equal requests; `None` if the body is not buffered.
-    pub(crate) fingerprint: Option<Fingerprint>,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// Result of an attempt.
@@ -321,7 +323,7 @@
     }
 
     /// Runs a request. Dropping the future removes it from the queue or cancels its run.
-    pub(crate) async fn run(&self, request: ForwardRequest) -> ForwardReply {
+    pub(crate) async fn run(self: &Arc<Self>, request: ForwardRequest) -> ForwardReply {
         let server = lock(&self.servers).get(&request.hop.server).cloned();
         let Some(server) = server else {
             return without_response(HopEnd::Closed, WorkLoad::default());
@@ -335,7 +337,11 @@
         reply
     }
 
-    async fn run_on(&self, server: &Arc<ForwardServer>, request: ForwardRequest) -> ForwardReply {
+    async fn run_on(
+        self: &Arc<Self>,
+        server: &Arc<ForwardServer>,
+        request: ForwardRequest,
+    ) -> ForwardReply {
         let now = Instant::now();
         let admits = request.hop.is_nested
             || lock(&self.throttle).admits(
@@ -402,7 +408,7 @@
     }
 
     /// Runs a request of another daemon, if its reply is not expected to wait for the link.
-    pub(crate) async fn run_for_peer(&self, request: ForwardRequest) -> ForwardReply {
+    pub(crate) async fn run_for_peer(self: &Arc<Self>, request: ForwardRequest) -> ForwardReply {
         let hop = request.hop.clone();
         let server = lock(&self.servers).get(&hop.server).cloned();
         let (Some(gate), Some(server)) = (&self.reply_gate, server) else {
@@ -437,7 +443,7 @@
 
     /// Sends a request to its backend server and classifies the response.
     async fn exchange(
-        &self,
+        self: &Arc<Self>,
         server: &Arc<ForwardServer>,
         request: ForwardRequest,
         mut slot: SlotGuard,
@@ -504,7 +510,10 @@
                 match end {
                     HopEnd::Answered => {
                         slot.set_complete();
-                        self.record_completion(fingerprint);
+                        match body.bytes() {
+                            Some(_) => self.record_completion(fingerprint),
+                            None => self.follow_stream(&mut body, server, fingerprint),
+                        }
                     }
                     _ => {
                         slot.set_declined();
@@ -525,11 +534,31 @@
                 emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
                     "request" => header_text(id.as_ref()), "server" => name,
                     "error" => error.to_string());
+                drop(slot);
+                self.check_for_crash(server, fingerprint).await;
                 (HopEnd::Broken, None)
             }
         }
     }
 
+    /// Records how a streamed response ends: whole, or with a crash of its backend server.
+    fn follow_stream(
+        self: &Arc<Self>,
+        body: &mut ForwardBody,
+        server: &Arc<ForwardServer>,
+        fingerprint: Fingerprint,
+    ) {
+        let (executor, server) = (Arc::clone(self), Arc::clone(server));
+        body.set_source_end_listener(move |end| match end {
+            SourceEnd::Complete => executor.record_completion(fingerprint),
+            SourceEnd::Broken => {
+                async_std::task::spawn(async move {
+                    executor.check_for_crash(&server, fingerprint).await;
+                });
+            }
+        });
+    }
+
     fn handle_exchange_error(
         &self,
         server: &Arc<ForwardServer>,
@@ -548,18 +577,18 @@
         }
     }
 
-    fn record_completion(&self, fingerprint: Option<Fingerprint>) {
+    fn record_completion(&self, fingerprint: Fingerprint) {
         let mut completed = lock(&self.completed);
         if completed.len() >= MAX_COMPLETED_FINGERPRINTS {
             completed.clear();
         }
-        completed.extend(fingerprint);
+        completed.insert(fingerprint);
     }
 
     /// Checks whether a backend server whose connection broke has crashed. If so, the request is
     /// suspected of having caused the crash, and all daemons are notified before the caller gets
     /// a response.
-    async fn check_for_crash(&self, server: &Arc<ForwardServer>, fingerprint: Option<Fingerprint>) {
+    async fn check_for_crash(&self, server: &Arc<ForwardServer>, fingerprint: Fingerprint) {
         let addr = server.addr().to_string();
         let reconnect = async_std::future::timeout(CONNECT_TIMEOUT, connect(&addr)).await;
         match reconnect {
@@ -568,8 +597,8 @@
             Ok(Err(_)) | Err(_) => {}
         }
         self.mark_unreachable(server);
-        let suspect = fingerprint.filter(|f| !lock(&self.completed).contains(f));
-        if let Some(fingerprint) = suspect {
+        let has_completed = lock(&self.completed).contains(&fingerprint);
+        if !has_completed {
             emit!(self.shared.log, events::SERVER_DIED, "server" => server.name(),
                 "fingerprint" => fingerprint);
             self.shared.record_crash(fingerprint).await;
--- a/crates/foxtailgauge-daemon/src/executor/forward_hop.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_hop.rs
@@ -29,7 +29,7 @@
         .await;
     }
 
-    async fn serve_hop(&self, request: Request<Incoming>) -> Response<ForwardBody> {
+    async fn serve_hop(self: Arc<Self>, request: Request<Incoming>) -> Response<ForwardBody> {
         let now = Instant::now();
         let hop = header(request.headers(), HOP_HEADER).and_then(HopRequest::parse);
         let time_left_ms = header(request.headers(), headers::REMAINING_TIME_MS);
--- a/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
@@ -311,7 +311,7 @@
         route_match: &mut RouteMatch,
     ) -> Result<Response<ForwardBody>, Refusal> {
         let fingerprint = fingerprint_of(&call.parts, &body);
-        if let Some(until_ms) = fingerprint.and_then(|f| self.quarantined_until(call, f)) {
+        if let Some(until_ms) = self.quarantined_until(call, fingerprint) {
             let retry_after = Duration::from_millis(until_ms.saturating_sub(unix_ms()));
             return Err(Refusal::Quarantined { retry_after });
         }
--- a/crates/foxtailgauge-daemon/src/hop/forward_body.rs
+++ b/crates/foxtailgauge-daemon/src/hop/forward_body.rs
@@ -29,6 +29,17 @@
     fn on_end(&mut self);
 }
 
+/// How the source of a streamed body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SourceEnd {
+    /// All of the body was received.
+    Complete,
+    /// The connection to the sender failed before.
+    Broken,
+}
+
+type SourceEndListener = Box<dyn FnOnce(SourceEnd) + Send>;
+
 /// Chunks of a caller's body that wait to be forwarded; each is at most one read of its connection.
 const FEED_CHUNKS: usize = 2;
 
@@ -52,6 +63,8 @@
     limit: Option<u64>,
     deadline: Option<BodyDeadline>,
     observer: Option<Box<dyn BodyObserver>>,
+    /// Called once the source ends; not if the body is dropped before.
+    on_source_end: Option<SourceEndListener>,
     /// Wait before the piece at the start of `head`.
     pause: Option<BoxFuture<'static, ()>>,
 }
@@ -254,6 +267,11 @@
         self.rest.is_none().then_some(&self.head)
     }
 
+    /// The buffered bytes: all of a small body, the first part of a streamed one.
+    pub(crate) fn buffered(&self) -> &[u8] {
+        &self.head
+    }
+
     /// Number of buffered bytes: all of a small body, the first part of a streamed one.
     pub(crate) fn buffered_length(&self) -> u64 {
         self.head.len() as u64
@@ -269,10 +287,25 @@
         self.observer = Some(Box::new(observer));
     }
 
+    /// Sets what is called once the source of a streamed body ends.
+    pub(crate) fn set_source_end_listener(
+        &mut self,
+        listener: impl FnOnce(SourceEnd) + Send + 'static,
+    ) {
+        self.on_source_end = Some(Box::new(listener));
+    }
+
+    fn source_ended(&mut self, end: SourceEnd) {
+        if let Some(listener) = self.on_source_end.take() {
+            listener(end);
+        }
+    }
+
     /// Notifies the observer of the end if there is nothing left to pass on. The last piece of a
     /// body may be known to be the last, and the body is then not polled again.
     fn notify_if_ended(&mut self) {
         if self.is_end_stream() {
+            self.source_ended(SourceEnd::Complete);
             if let Some(mut observer) = self.observer.take() {
                 observer.on_end();
             }
@@ -368,7 +401,10 @@
                     self.notify_if_ended();
                     return Poll::Ready(None);
                 }
-                Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error))),
+                Poll::Ready(Some(Err(error))) => {
+                    self.source_ended(SourceEnd::Broken);
+                    return Poll::Ready(Some(Err(error)));
+                }
                 Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => self.head = data,
                     Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
--- a/crates/foxtailgauge-daemon/tests/mesh.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh.rs
@@ -3,8 +3,8 @@
 mod mesh_support;
 
 use mesh_support::{
-    body, document, exchange, header, read_message, report_process, status, wait_for, Mesh, Script,
-    Server,
+    body, document, exchange, header, read_message, report_process, status, wait_for, Mesh,
+    PartOfResponse, Script, Server,
 };
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -366,6 +366,84 @@
     assert!(body(&response).contains("quarantined"), "{response}");
 }
 
+/// Guards against crashes that are not counted because the backend server had begun its response: the
+/// request crashed the next server each time.
+#[test]
+fn request_that_crashes_servers_in_the_middle_of_a_response_is_refused() {
+    for part in PartOfResponse::ALL {
+        let (mesh, servers) = start_pair();
+        let script = Script::CrashInResponse(part);
+        servers.iter().for_each(|server| server.set_script(script));
+        let poison = |n: usize| {
+            let text = request("POST", "/commit/poison", "", "");
+            exchange(&mesh.outbound_addr(n), &text).unwrap_or_default()
+        };
+        for n in [1, 2] {
+            let response = poison(n);
+            assert_ne!(status(&response), 503, "{part:?}: {response}");
+            // A streamed response ends before the daemons are told of the crash.
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        for n in [1, 2] {
+            let response = poison(n);
+            assert_eq!(status(&response), 503, "{part:?}");
+            assert!(
+                body(&response).contains("quarantined"),
+                "{part:?}: {response}"
+            );
+        }
+    }
+}
+
+/// Guards against requests without an identity: one whose body is streamed crashed the next server each
+/// time. Another body is no suspect.
+#[test]
+fn large_request_that_crashes_servers_is_refused_and_others_are_not() {
+    for bytes in [66_000, 100_000, 190_000] {
+        let (mesh, servers) = start_pair();
+        let poison = "x".repeat(bytes);
+        let post = |n: usize, body: &str| {
+            let text = request("POST", "/commit/poison", "", body);
+            exchange(&mesh.outbound_addr(n), &text).unwrap_or_default()
+        };
+        servers
+            .iter()
+            .for_each(|server| server.set_script(Script::Crash));
+        for n in [1, 2] {
+            let response = post(n, &poison);
+            assert_eq!(status(&response), 502, "{bytes}: {response}");
+        }
+        for n in [1, 2] {
+            let response = post(n, &poison);
+            assert_eq!(status(&response), 503, "{bytes}");
+            assert!(
+                body(&response).contains("quarantined"),
+                "{bytes}: {response}"
+            );
+            let others = ["y".to_owned() + &poison[1..], poison.clone() + "x"];
+            for other in others {
+                let response = post(n, &other);
+                assert!(
+                    !body(&response).contains("quarantined"),
+                    "{bytes}: {response}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against backend servers that are taken for crashed because they break off a response.
+#[test]
+fn broken_response_of_a_running_server_is_no_crash() {
+    let (mesh, server) = start_single(4);
+    server.set_script(Script::Truncate);
+    for _ in 0..4 {
+        assert_eq!(status(&commit(&mesh)), 502);
+    }
+    server.set_script(Script::Echo);
+    assert_eq!(status(&commit(&mesh)), 200);
+}
+
 #[test]
 fn document_is_read_back_unchanged_and_concurrent_changes_have_one_winner() {
     let (mesh, _servers) = start_pair();
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -57,6 +57,8 @@
     /// Closes the connection without a response and, once a request for `/poison` was received,
     /// accepts no more connections.
     Crash,
+    /// Like `Crash`, after it has written a part of its response.
+    CrashInResponse(PartOfResponse),
     /// Responds 503 without stating that it did not run the request.
     BareUnavailable,
     /// Never responds, and reads nothing more on the connection.
@@ -73,6 +75,37 @@
     ByTarget,
 }
 
+/// What a backend server has written of its response when it crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartOfResponse {
+    /// Not all of the head.
+    HalfHead,
+    /// The head and some bytes of a small body.
+    SmallBody,
+    /// More than a daemon buffers, of a larger body.
+    LargeBody,
+}
+
+impl PartOfResponse {
+    pub const ALL: [PartOfResponse; 3] = [
+        PartOfResponse::HalfHead,
+        PartOfResponse::SmallBody,
+        PartOfResponse::LargeBody,
+    ];
+
+    fn bytes(self, id: &str) -> Vec<u8> {
+        let start = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal\r\n");
+        match self {
+            PartOfResponse::HalfHead => start,
+            PartOfResponse::SmallBody => start + "Content-Length: 1000\r\n\r\npart",
+            PartOfResponse::LargeBody => {
+                start + "Content-Length: 900000\r\n\r\n" + &"x".repeat(400_000)
+            }
+        }
+        .into_bytes()
+    }
+}
+
 /// Script that the target of a request names; `Echo` if none.
 fn script_of_target(request: &str) -> Script {
     let target = request.split(' ').nth(1).unwrap_or_default();
@@ -311,7 +344,11 @@
                 let _ = stream.write_all(text.as_bytes());
                 return;
             }
-            Script::Crash => {
+            Script::Crash | Script::CrashInResponse(_) => {
+                if let Script::CrashInResponse(part) = script {
+                    // The peer may have closed the connection.
+                    let _ = stream.write_all(&part.bytes(&id));
+                }
                 // After a request for `/poison` the listener stops at its next connection.
                 // Connecting here makes it stop before the caller sees the closed connection: a
                 // daemon that can connect again does not regard the server as crashed.
