A start that a disk refused once writes its stores again; replica addresses are built in plainer steps

After a failed sync at a start, the next attempt could take for durable what a read returned. It writes the files again, as a running replica does (full_disks::replica_joins_once_its_disk_has_space, which plays failed syncs at a start, passes before and after: a loss of power at that moment is not part of it).

--- a/crates/foxtailgauge-core/src/tree.rs
+++ b/crates/foxtailgauge-core/src/tree.rs
@@ -41,8 +41,7 @@
 pub struct ReplicaAddrs {
     /// Replicas that the directory lists as live.
     pub live: Vec<String>,
-    /// Seeds of which the directory knows nothing, then replicas that are lost and seeds that the
-    /// directory lists as gone.
+    /// Seeds of which the directory knows nothing, then lost replicas and seeds that are not live.
     pub others: Vec<String>,
 }
 
@@ -59,31 +58,27 @@
     ) -> Self {
         let mut live = BTreeSet::new();
         let mut lost = BTreeSet::new();
-        let mut gone = BTreeSet::new();
+        let mut stopped = BTreeSet::new();
         for instance in known.filter(|instance| instance.is_replica) {
             let part = match instance.presence {
                 Presence::Live => &mut live,
                 Presence::Lost => &mut lost,
-                Presence::Stopped => &mut gone,
+                Presence::Stopped => &mut stopped,
             };
-            part.insert(instance.control_addr.clone());
+            part.insert(&instance.control_addr);
         }
-        let seeds: BTreeSet<String> = seeds.iter().cloned().collect();
-        let unknown = seeds.iter().filter(|seed| {
-            let parts = [&live, &lost, &gone];
-            !parts.iter().any(|part| part.contains(*seed))
-        });
-        let gone_seeds = seeds.intersection(&gone).chain(&lost);
-        let by_weight = |addrs: Vec<String>| {
-            let mut addrs = addrs;
-            addrs.sort_by_key(|addr| Reverse(weight(own_name, addr)));
-            addrs
-        };
-        let mut others = by_weight(unknown.cloned().collect());
-        let last: BTreeSet<String> = gone_seeds.cloned().collect();
-        others.extend(by_weight(last.difference(&live).cloned().collect()));
+        let (known_seeds, unknown_seeds): (BTreeSet<&String>, BTreeSet<&String>) =
+            seeds.iter().partition(|seed| {
+                [&live, &lost, &stopped]
+                    .iter()
+                    .any(|part| part.contains(seed))
+            });
+        let not_live: BTreeSet<&String> = lost.union(&known_seeds).copied().collect();
+        let not_live = not_live.difference(&live).copied().collect();
+        let mut others = by_weight(own_name, unknown_seeds);
+        others.extend(by_weight(own_name, not_live));
         ReplicaAddrs {
-            live: by_weight(live.into_iter().collect()),
+            live: by_weight(own_name, live),
             others,
         }
     }
@@ -137,6 +132,13 @@
     ordered
 }
 
+/// Addresses in the order in which a daemon tries them.
+fn by_weight(own_name: &str, addrs: BTreeSet<&String>) -> Vec<String> {
+    let mut addrs: Vec<String> = addrs.into_iter().cloned().collect();
+    addrs.sort_by_key(|addr| Reverse(weight(own_name, addr)));
+    addrs
+}
+
 /// Rendezvous weight of `candidate` for `key`.
 fn weight(key: &str, candidate: &str) -> u64 {
     let mut hasher = Sha256::new();
--- a/crates/foxtailgauge-daemon/src/control/formation.rs
+++ b/crates/foxtailgauge-daemon/src/control/formation.rs
@@ -50,11 +50,13 @@
 /// Finds or forms the groups and starts this replica in them. While the disk refuses operations, it
 /// tries again.
 pub(crate) async fn start(context: &DaemonContext, dir: &Path) -> Result<(), Report<StoreError>> {
+    let mut is_retry = false;
     loop {
-        match try_start(context, dir).await {
+        match try_start(context, dir, is_retry).await {
             Err(error) if error.current_context().is_transient() => {
                 emit!(context.shared.log, events::STORE_FAILED, "error" => format!("{error:?}"));
                 async_std::task::sleep(START_RETRY_DELAY).await;
+                is_retry = true;
             }
             outcome => return outcome,
         }
@@ -63,7 +65,11 @@
 
 /// Starts the threads of the groups as the last step that can fail: two threads must not write to one
 /// store.
-async fn try_start(context: &DaemonContext, dir: &Path) -> Result<(), Report<StoreError>> {
+async fn try_start(
+    context: &DaemonContext,
+    dir: &Path,
+    is_retry: bool,
+) -> Result<(), Report<StoreError>> {
     let shared = &context.shared;
     let file = dir.join(IDENTITY_FILE);
     let mut identity = load_identity(&file)?;
@@ -81,7 +87,7 @@
     };
     identity.initial = Some(initial.clone());
     write_frame(&file, &identity)?;
-    let [config, ledger] = open_groups(context, dir, &identity, &initial)?;
+    let [config, ledger] = open_groups(context, dir, &identity, &initial, is_retry)?;
     identity.is_started = true;
     write_frame(&file, &identity)?;
     // Set only once, at the start of the daemon.
@@ -123,6 +129,7 @@
     dir: &Path,
     identity: &Identity,
     initial: &Membership,
+    is_sync_in_doubt: bool,
 ) -> Result<[OpenedGroup; 2], Report<StoreError>> {
     // A replica that was started before must not start as a new one if its files are missing.
     let initial_entries = (!identity.is_started).then_some(initial);
@@ -133,6 +140,7 @@
             identity.replica,
             dir,
             initial_entries,
+            is_sync_in_doubt,
         )
     };
     Ok([open(Group::Config)?, open(Group::Ledger)?])
--- a/crates/foxtailgauge-daemon/src/control/replica.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica.rs
@@ -150,7 +150,8 @@
 
 /// Opens a group's store.
 ///
-/// `initial` is the group's initial membership, used if the store is empty. Without `initial`, a
+/// `is_sync_in_doubt` is whether an earlier attempt failed, after which the disk may hold less than a
+/// read returns. `initial` is the group's initial membership, used if the store is empty. Without `initial`, a
 /// store that was never written is an error ([`StoreError::Missing`]).
 pub(crate) fn open_group(
     shared: &Arc<Shared>,
@@ -158,6 +159,7 @@
     id: ReplicaId,
     dir: &Path,
     initial: Option<&Membership>,
+    is_sync_in_doubt: bool,
 ) -> Result<OpenedGroup, Report<StoreError>> {
     let dir = dir.join(group.as_str());
     let (mut store, mut persisted, recovery) = GroupStore::open(&dir)?;
@@ -166,6 +168,9 @@
             "group" => group.as_str(), "cut_bytes" => recovery.cut_bytes);
     }
     let is_empty = persisted.entries.is_empty() && persisted.snapshot.is_none();
+    if is_sync_in_doubt {
+        store.rewrite(&persisted)?;
+    }
     match initial {
         Some(initial) if is_empty => persisted = initialize(&mut store, initial)?,
         None if is_empty && persisted.hard_state == Default::default() => {
