--- a/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
+++ b/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
@@ -167,6 +167,19 @@
     wait_for("the document", || newest_version(&mesh, late));
 }
 
+/// Guards against a signal that is not handled until the group is found.
+#[test]
+fn replica_that_waits_for_its_group_ends_at_sigterm() {
+    let mut mesh = start(3, 0, 1, false);
+    let late = mesh.spare(0);
+    mesh.seeds = vec![late];
+    mesh.start_daemon(late, false);
+    wait_for("the start", || mesh.grep(late, "\"event\":1001").pop());
+    mesh.terminate(late);
+    mesh.wait_for_exit(late);
+    assert_eq!(newest_version(&mesh, 0), Some(1));
+}
+
 /// Guards against a sidecar that restarts while its settings name removed replicas, and is never ready
 /// again; with and without a signal once they name others.
 #[test]
