A test of stops waits until its upload is passed on before the stop

Trace: the test waited for the five requests that the backend server records, not for the upload, of which it never gets the end. Under load SIGTERM came before the daemon had passed the upload on; it was refused as not run, which is true and no fault of the daemon. The test now waits for the sixth request at the daemon's counter of requests sent to its server; the check of the answer is unchanged.

--- a/crates/foxtailgauge-daemon/tests/planned_stops.rs
+++ b/crates/foxtailgauge-daemon/tests/planned_stops.rs
@@ -187,6 +187,17 @@
     (String::from_utf8_lossy(&bytes).into_owned(), is_clean)
 }
 
+/// Requests that daemon 1 has passed on to its backend server.
+fn requests_sent(mesh: &Mesh) -> u64 {
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    let response = exchange(&mesh.metrics_addr(1), text).unwrap_or_default();
+    let line = response
+        .lines()
+        .find(|line| line.starts_with("foxtailgauge_server_requests_total"));
+    let value = line.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+    value.expect("a counter of requests")
+}
+
 /// Guards against requests that outlast the grace period and are cut without a response, against a
 /// streamed response that looks complete when it is cut, and against a stop that doesn't log them.
 #[test]
@@ -208,6 +219,7 @@
         (1, stream.replace("HTTP/1.1", "HTTP/1.0"), 200),
     ];
     let arrivals = servers[0].received_count();
+    let sent = requests_sent(&mesh);
     let streams: Vec<TcpStream> = cases
         .iter()
         .map(|(gateway, text, _)| {
@@ -220,6 +232,10 @@
     wait_for("the arrivals", || {
         (servers[0].received_count() == arrivals + 5).then_some(())
     });
+    // The server does not record the upload, which is not complete.
+    wait_for("the upload", || {
+        (requests_sent(&mesh) == sent + 6).then_some(())
+    });
     let stopped_at = Instant::now();
     mesh.terminate(1);
     let readers: Vec<_> = streams
