The test of callers that read nothing waits until nothing is in progress

Two causes, both in its wait: - no arrival within 500 ms was taken for the end, while requests waited for a busy machine: 503 overloaded. It now waits until the daemon's gauges show nothing running or waiting as well: if a caller held a slot, that would not come, and the wait fails. - with that, the wait can last longer than the entry of a server that reports once: 503 no_server in one of three runs. The server reports again.

--- a/crates/foxtailgauge-daemon/tests/pipelining.rs
+++ b/crates/foxtailgauge-daemon/tests/pipelining.rs
@@ -297,13 +297,27 @@
     }
 }
 
+/// Requests that run on the backend server beside daemon 1 or wait for it.
+fn requests_in_progress(mesh: &Mesh) -> f64 {
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    let response = exchange(&mesh.metrics_addr(1), text).unwrap_or_default();
+    let gauges = ["foxtailgauge_slots_used{", "foxtailgauge_queued{"];
+    let values = gauges.map(|gauge| {
+        let line = response.lines().find(|line| line.starts_with(gauge));
+        let value = line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        value.expect(gauge)
+    });
+    values.iter().sum()
+}
+
 /// Guards against memory and slots held by callers that send requests and read no response.
 #[test]
 fn callers_that_read_nothing_hold_little_memory_and_no_slot() {
     const CALLERS: usize = 20;
     /// Twice what the bounds of a connection allow.
     const MAX_GROWTH_KB: u64 = CALLERS as u64 * 2_000;
-    let (mesh, server, _turn) = start(6);
+    const SLOTS: u32 = 6;
+    let (mesh, server, _turn) = start(SLOTS);
     server.set_script(Script::Echo);
     let idle_kb = mesh.memory_kb(1);
     let row = request("GET", "/view/1", "", &"x".repeat(50_000)).repeat(16);
@@ -316,11 +330,18 @@
             stream
         })
         .collect();
-    // Until the responses have filled the buffers of the connections.
+    // Until the responses have filled the buffers of the connections. On a busy machine nothing may
+    // arrive for a while although requests wait; its entry expires unless the server reports again.
+    let platform = mesh.platform_addr(1);
+    let mut sequence = 1;
     wait_for("the end of the arrivals", || {
+        sequence += 1;
+        let report = (1, sequence);
+        mesh_support::report_process(&platform, "i-1", &server.addr, "ready", report, SLOTS);
         let count = server.received_count();
         std::thread::sleep(Duration::from_millis(500));
-        (server.received_count() == count).then_some(())
+        let is_settled = server.received_count() == count && requests_in_progress(&mesh) == 0.0;
+        is_settled.then_some(())
     });
     let growth_kb = mesh.memory_kb(1).saturating_sub(idle_kb);
     assert!(growth_kb < MAX_GROWTH_KB, "{growth_kb} kB");
