--- a/crates/foxtailgauge-daemon/src/usage/reporting.rs
+++ b/crates/foxtailgauge-daemon/src/usage/reporting.rs
@@ -66,8 +66,8 @@
 }
 
 /// Control addresses of the collectors in the order in which this daemon uses them: itself, those of
-/// its failure domain, the other live ones, those that the directory does not list as live; each in an
-/// order that differs between daemons.
+/// its failure domain, the others; each in an order that differs between daemons. Those that the directory
+/// does not list as live are used only while it lists none: a live one that is slow is the better choice.
 pub(crate) fn collectors(shared: &Shared) -> Vec<String> {
     let settings = &shared.settings;
     let own_hash = identity_hash(&settings.name, shared.incarnation);
@@ -85,9 +85,10 @@
             .collect()
     });
     ordered.sort();
-    let mut addrs: Vec<String> = ordered.into_iter().map(|(_, addr)| addr).collect();
-    addrs.extend(shared.replica_addrs().others);
-    addrs
+    match ordered.is_empty() {
+        true => shared.replica_addrs().others,
+        false => ordered.into_iter().map(|(_, addr)| addr).collect(),
+    }
 }
 
 async fn report_to(
