A backend server that restarts after a long life is not taken for an odd entry

Cause: a start was compared with that of the known process plus the time since this daemon first heard it, which is short after a restart of the daemon.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -23,7 +23,7 @@
 use crate::mesh_settings::MeshSettings;
 use crate::rollout::gate::RolloutGate;
 use crate::rollout::run_record::RunRecord;
-use crate::shared::{lock, Shared};
+use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::{
     Candidate, Fingerprint, ServerEntry, ServerLoad, Throttle, WorkItem, WorkLoad,
     THROTTLE_RETRY_AFTER,
@@ -75,7 +75,7 @@
     Accepted,
     /// A newer report has already been applied.
     Stale,
-    /// The process started later than the time that has passed allows.
+    /// The process is said to start in the future.
     FutureStart,
     /// The report is for a service that does not run on this instance.
     OtherService,
@@ -133,6 +133,7 @@
         let service = format!("{}/{}", self.settings.workspace, report.service);
         let lease = self.settings.report_interval * LEASE_REPORT_INTERVALS;
         let confirm_after = self.settings.report_interval / 2;
+        let now_ms = unix_ms();
         let mut unconfirmed = None;
         let has_changed = {
             let mut servers = lock(&self.servers);
@@ -140,7 +141,7 @@
             if servers.values().any(is_stale) {
                 return ReportOutcome::Stale;
             }
-            if servers.values().any(|s| s.is_future_start(&report)) {
+            if servers.values().any(|s| s.is_future_start(&report, now_ms)) {
                 return ReportOutcome::FutureStart;
             }
             // A new process has replaced an earlier one at the same address.
--- a/crates/foxtailgauge-daemon/src/executor/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_server.rs
@@ -3,7 +3,7 @@
 use crate::shared::lock;
 use foxtailgauge_core::{
     ArrivalDecision, Pace, ProcessStatement, QueueAction, QueueRefusal, RequestRate, RouteName,
-    ServerEntry, ServerLoad, ServerState, ServerStatement, ServerWarmth, Ticket, WorkItem,
+    ServerEntry, ServerLoad, ServerState, ServerStatement, ServerWarmth, Ticket, UnixMs, WorkItem,
     WorkLoad, WorkQueue,
 };
 use foxtailgauge_platform::ServerReport;
@@ -334,19 +334,22 @@
         inner.addr == report.addr && inner.sequence.0 > report.sequence.0
     }
 
-    /// Whether a report states a start that lies further after that of the known process than time has
-    /// passed. It would make the reports of the real process look old. The clock of this instance does
-    /// not matter.
-    pub(crate) fn is_future_start(&self, report: &ServerReport) -> bool {
+    /// Whether a report states a start that neither this instance's clock, at `now_ms`, nor the time since
+    /// the known process was first heard allows. It would make the reports of the real process look old.
+    ///
+    /// Either alone is not enough: a clock may be wrong by years, and a process may be older than this
+    /// daemon.
+    pub(crate) fn is_future_start(&self, report: &ServerReport, now_ms: UnixMs) -> bool {
         let inner = lock(&self.inner);
         let (known_ms, _) = inner.sequence;
         if (self.name != report.server && inner.addr != report.addr) || known_ms == START_NOT_STATED
         {
             return false;
         }
-        let allowed = inner.process_since.elapsed() + MAX_CLOCK_CHANGE;
-        let allowed_ms = u64::try_from(allowed.as_millis()).unwrap_or(u64::MAX);
-        report.sequence.0 > known_ms.saturating_add(allowed_ms)
+        let to_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let next_ms = known_ms.saturating_add(to_ms(inner.process_since.elapsed()));
+        let latest_ms = next_ms.max(now_ms).saturating_add(to_ms(MAX_CLOCK_CHANGE));
+        report.sequence.0 > latest_ms
     }
 
     /// Applies a newer report; returns whether the directory entry changed. A report that arrives
