What the second reading found: work that grows with the fleet, seeds that were not asked, a slot freed too early

Names: SourceChoice::record_contact and record_no_reply were has_contact and failed; is_retry and is_sync_in_doubt were one thing. The tests' newest_version stands once; the template test renders a missing value as the platform does, without a replacement afterwards.

--- a/crates/foxtailgauge-core/src/source_choice.rs
+++ b/crates/foxtailgauge-core/src/source_choice.rs
@@ -37,13 +37,13 @@
     }
 
     /// Avoids a source that did not reply.
-    pub fn failed(&mut self, addr: &str, now: Instant) {
+    pub fn record_no_reply(&mut self, addr: &str, now: Instant) {
         self.avoid(addr, now);
         self.failures = self.failures.saturating_add(1);
     }
 
     /// Records a reply of a source that has contact with a quorum.
-    pub fn has_contact(&mut self) {
+    pub fn record_contact(&mut self) {
         self.failures = 0;
         self.round = 0;
     }
--- a/crates/foxtailgauge-core/tests/sources.rs
+++ b/crates/foxtailgauge-core/tests/sources.rs
@@ -148,7 +148,7 @@
         let chosen = choice.choose(&candidates, None, at);
         assert_eq!(chosen, Some(source(expected)));
         assert_eq!(choice.round(), 0);
-        choice.failed(expected, at);
+        choice.record_no_reply(expected, at);
     }
     let later = now + Duration::from_secs(1);
     assert_eq!(
@@ -156,7 +156,7 @@
         Some(source("relay"))
     );
     assert_eq!(choice.round(), 1, "others are candidates next");
-    choice.has_contact();
+    choice.record_contact();
     assert_eq!(choice.round(), 0);
     let much_later = now + Duration::from_secs(6);
     let kept = choice.choose(&candidates, Some(source("r2")), much_later);
@@ -170,17 +170,17 @@
     let ms = Duration::from_millis;
     let mut choice = SourceChoice::default();
     assert!(!choice.begin_search(now));
-    choice.failed("relay", now);
+    choice.record_no_reply("relay", now);
     assert!(!choice.begin_search(now), "one source may have restarted");
     choice.avoid("r1", now);
     assert!(!choice.begin_search(now), "a stale source does reply");
-    choice.failed("r2", now);
+    choice.record_no_reply("r2", now);
     assert!(choice.begin_search(now));
     assert!(
         !choice.begin_search(now + ms(900)),
         "a second has not passed"
     );
     assert!(choice.begin_search(now + ms(1_000)));
-    choice.has_contact();
+    choice.record_contact();
     assert!(!choice.begin_search(now + ms(3_000)));
 }
--- a/crates/foxtailgauge-daemon/src/control/formation.rs
+++ b/crates/foxtailgauge-daemon/src/control/formation.rs
@@ -20,7 +20,7 @@
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Name of the file with a replica's identity.
 const IDENTITY_FILE: &str = "replica";
@@ -28,8 +28,9 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between rounds of formation queries.
 const ROUND_DELAY: Duration = Duration::from_millis(100);
-/// Rounds of queries after which the seeds are read again: those of the start may all be gone.
-const ROUNDS_PER_RELOAD: u64 = 10;
+/// Interval at which the seeds are read again while no group is found: those of the start may all be
+/// gone.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay before a start that the disk refused is tried again.
 const START_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time without contact to a leader after which a replica requests to join again.
@@ -50,13 +51,13 @@
 /// Finds or forms the groups and starts this replica in them. While the disk refuses operations, it
 /// tries again.
 pub(crate) async fn start(context: &DaemonContext, dir: &Path) -> Result<(), Report<StoreError>> {
-    let mut is_retry = false;
+    let mut is_sync_in_doubt = false;
     loop {
-        match try_start(context, dir, is_retry).await {
+        match try_start(context, dir, is_sync_in_doubt).await {
             Err(error) if error.current_context().is_transient() => {
                 emit!(context.shared.log, events::STORE_FAILED, "error" => format!("{error:?}"));
                 async_std::task::sleep(START_RETRY_DELAY).await;
-                is_retry = true;
+                is_sync_in_doubt = true;
             }
             outcome => return outcome,
         }
@@ -68,7 +69,7 @@
 async fn try_start(
     context: &DaemonContext,
     dir: &Path,
-    is_retry: bool,
+    is_sync_in_doubt: bool,
 ) -> Result<(), Report<StoreError>> {
     let shared = &context.shared;
     let file = dir.join(IDENTITY_FILE);
@@ -87,7 +88,7 @@
     };
     identity.initial = Some(initial.clone());
     write_frame(&file, &identity)?;
-    let [config, ledger] = open_groups(context, dir, &identity, &initial, is_retry)?;
+    let [config, ledger] = open_groups(context, dir, &identity, &initial, is_sync_in_doubt)?;
     identity.is_started = true;
     write_frame(&file, &identity)?;
     // Set only once, at the start of the daemon.
@@ -158,9 +159,8 @@
     };
     let is_coordinator = may_form && listed.iter().all(|addr| own_addr <= addr.as_str());
     let client = ReplicaClient::new(shared);
-    let mut round: u64 = 0;
+    let mut reloaded_at = Instant::now();
     loop {
-        round += 1;
         let mut forming = vec![(replica, own_addr.to_owned())];
         // Those that form the group agree on its members by the list of their start.
         let seeds = match may_form {
@@ -185,7 +185,8 @@
             emit!(shared.log, events::GROUP_FORMED, "members" => forming.len());
             return Membership::of_voters(forming);
         }
-        if round % ROUNDS_PER_RELOAD == 0 {
+        if reloaded_at.elapsed() >= RELOAD_INTERVAL {
+            reloaded_at = Instant::now();
             shared.seeds.reload(&shared.log);
         }
         async_std::task::sleep(ROUND_DELAY).await;
@@ -212,13 +213,12 @@
         let status = handles.map(|handles| handles.group(group).status());
         status.is_some_and(|status| status.members.members.contains_key(&replica))
     };
-    let mut is_first = true;
     while !is_member() {
-        if !std::mem::take(&mut is_first) {
-            replica_search::run(shared).await;
-        }
         request_join(context, group, replica, control_addr).await;
         async_std::task::sleep(ROUND_DELAY * 5).await;
+        if !is_member() {
+            replica_search::run(shared).await;
+        }
     }
 }
 
--- a/crates/foxtailgauge-daemon/src/control/replica_client.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica_client.rs
@@ -72,7 +72,8 @@
                     false => SubmitError::Unavailable,
                 });
             }
-            if addrs.is_empty() {
+            // With a known leader the directory, which grows with the fleet, is not read.
+            if hint.is_none() && addrs.is_empty() {
                 addrs = self.next_round();
             }
             let Some(addr) = hint.take().or_else(|| addrs.pop_front()) else {
--- a/crates/foxtailgauge-daemon/src/control/replica_search.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica_search.rs
@@ -53,8 +53,9 @@
         });
         let (replicas, others): (Vec<_>, Vec<_>) = others.partition(|i| i.is_replica);
         let replicas = replicas.choose_multiple(&mut rng, ASKED_REPLICAS);
-        let others = others.choose_multiple(&mut rand::rng(), ASKED_OTHERS);
-        asked.extend(replicas.chain(others).map(|i| i.control_addr.clone()));
+        asked.extend(replicas.map(|i| i.control_addr.clone()));
+        let others = others.choose_multiple(&mut rng, ASKED_OTHERS);
+        asked.extend(others.map(|i| i.control_addr.clone()));
     });
     asked.extend(shared.seeds.addrs().iter().cloned());
     asked.remove(&settings.advertise_control);
@@ -78,7 +79,7 @@
 
 impl Shared {
     /// Control addresses of the replicas as this daemon knows them now, in the order in which it
-    /// should try them. Not empty, as the settings name at least one seed.
+    /// should try them. Reads the whole directory. Not empty, as the settings name at least one seed.
     pub(crate) fn replica_addrs(&self) -> ReplicaAddrs {
         let seeds = self.seeds.addrs();
         let mut addrs = self.with_directory(|directory| {
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -28,8 +28,8 @@
 const ROLLOUT_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Longest interval between two probes of other daemons; each is randomly shortened by up to half.
 const PROBE_INTERVAL: Duration = Duration::from_secs(10);
-/// Number of replicas, and of daemons of the same failure domain, that are asked for known versions
-/// before the first version is applied.
+/// Number of live replicas, and of daemons of the same failure domain, that are asked for known versions
+/// besides the seeds before the first version is applied.
 const VERSION_QUERY_REPLICAS: usize = 3;
 const VERSION_QUERY_NEIGHBOURS: usize = 3;
 /// Timeout of a query for known versions.
@@ -142,17 +142,18 @@
     fn source_failed(&self, source: &Source) {
         let now = Instant::now();
         let mut choice = lock(&self.choice);
-        choice.failed(&source.control_addr, now);
+        choice.record_no_reply(&source.control_addr, now);
         if choice.begin_search(now) {
             let shared = Arc::clone(&self.shared);
             async_std::task::spawn(async move { replica_search::run(&shared).await });
         }
     }
 
+    /// Records what a source replied. One in contact with a quorum ends the search for others.
     fn record_freshness(&self, freshness: &Freshness) {
         self.shared.record_source_freshness(freshness);
         if freshness.quorum_age_ms.is_some() && !freshness.has_lost_contact() {
-            lock(&self.choice).has_contact();
+            lock(&self.choice).record_contact();
         }
     }
 
@@ -333,9 +334,14 @@
             .take(VERSION_QUERY_NEIGHBOURS)
             .collect()
     });
-    let replicas = shared.replica_addrs();
-    let replicas = replicas.in_order().take(VERSION_QUERY_REPLICAS);
-    let addrs: BTreeSet<String> = replicas.cloned().chain(neighbours).collect();
+    // The seeds may be current where the directory of a stale source is not, and the other way round.
+    let replicas = shared.replica_addrs().live.into_iter();
+    let replicas = replicas.take(VERSION_QUERY_REPLICAS);
+    let seeds = shared.seeds.addrs();
+    let addrs: BTreeSet<String> = replicas
+        .chain(seeds.iter().cloned())
+        .chain(neighbours)
+        .collect();
     let queries = addrs.into_iter().map(|control_addr| async move {
         let source = Source {
             name: None,
--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -535,7 +535,6 @@
                 emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
                     "request" => header_text(id.as_ref()), "server" => name,
                     "error" => error.to_string());
-                drop(slot);
                 self.check_for_crash(server, fingerprint).await;
                 (HopEnd::Broken, None)
             }
--- a/crates/foxtailgauge-daemon/tests/full_disks.rs
+++ b/crates/foxtailgauge-daemon/tests/full_disks.rs
@@ -2,8 +2,7 @@
 
 mod mesh_support;
 
-use mesh_support::{body, document, exchange, wait_for, Mesh, Topology};
-use serde_json::Value;
+use mesh_support::{document, newest_version, wait_for, Mesh, Topology};
 use std::os::unix::fs::symlink;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -50,13 +49,6 @@
     }
 }
 
-fn newest_version(mesh: &Mesh, n: usize) -> Option<u64> {
-    let read = "GET /foxtailgauge/config HTTP/1.1\r\nHost: x\r\n\r\n";
-    let response = exchange(&mesh.platform_addr(n), read)?;
-    let document: Value = serde_json::from_str(body(&response)).ok()?;
-    u64::from_str_radix(document["version"].as_str()?, 16).ok()
-}
-
 /// Makes one change on top of the newest document, through any replica; whether it is acknowledged.
 fn change(mesh: &Mesh, replicas: usize) -> bool {
     (0..replicas).any(|n| {
--- a/crates/foxtailgauge-daemon/tests/mesh_faults.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_faults.rs
@@ -4,7 +4,8 @@
 mod mesh_support;
 
 use mesh_support::{
-    body, document, exchange, header, read_message, report, status, wait_for, Mesh, Script, Server,
+    body, document, exchange, header, newest_version, read_message, report, status, wait_for, Mesh,
+    Script, Server,
 };
 use rustix::process::Signal;
 use std::io::Write;
@@ -325,14 +326,6 @@
     assert_eq!(mesh.put_document(version, &document(version + 1)), 200);
 }
 
-/// Version of the newest document that a replica returns; `None` without a definite response.
-fn newest_version(mesh: &Mesh, n: usize) -> Option<u64> {
-    let read = "GET /foxtailgauge/config HTTP/1.1\r\nHost: x\r\n\r\n";
-    let response = exchange(&mesh.platform_addr(n), read)?;
-    let document: serde_json::Value = serde_json::from_str(body(&response)).ok()?;
-    u64::from_str_radix(document["version"].as_str()?, 16).ok()
-}
-
 /// All replicas end right after a change was acknowledged; as many as may be lost at once come back
 /// without their disks.
 #[test]
--- a/crates/foxtailgauge-daemon/tests/mesh_settings.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_settings.rs
@@ -178,7 +178,7 @@
         let (path, rest) = part.split_once("}}").expect("an end of the placeholder");
         let pointer = format!("/{}", path.replace('.', "/"));
         text += &match fields.pointer(&pointer) {
-            None => String::new(),
+            None | Some(Value::Null) => String::new(),
             Some(Value::String(value)) => value.clone(),
             Some(Value::Array(list)) => {
                 let texts = list.iter().map(|item| match item {
@@ -225,9 +225,7 @@
                 fields["data_dir"] = dir.path().join("store").display().to_string().into();
                 fields["service"] = Value::Null;
             }
-            let text = render(template, &fields)
-                .replace("deploy/cluster.key", "KEY")
-                .replace("= null", "=");
+            let text = render(template, &fields).replace("deploy/cluster.key", "KEY");
             let settings = load(&text).unwrap_or_else(|error| panic!("{role}: {error}"));
             let mesh = settings.mesh.expect("mesh section");
             assert_eq!(mesh.stop_grace, Duration::from_secs(grace_s), "{role}");
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -818,6 +818,14 @@
     }
 }
 
+/// Version of the newest document that a daemon returns; `None` without a definite response.
+pub fn newest_version(mesh: &Mesh, n: usize) -> Option<u64> {
+    let read = "GET /foxtailgauge/config HTTP/1.1\r\nHost: x\r\n\r\n";
+    let response = exchange(&mesh.platform_addr(n), read)?;
+    let document: serde_json::Value = serde_json::from_str(body(&response)).ok()?;
+    u64::from_str_radix(document["version"].as_str()?, 16).ok()
+}
+
 /// Sends an operator's document once; `None` without a response.
 pub fn put_document(platform: &str, base: u64, document: &serde_json::Value) -> Option<u16> {
     let body = document.to_string();
--- a/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
+++ b/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
@@ -3,7 +3,9 @@
 mod mesh_support;
 
 use foxtailgauge_bench::relay::LinkFault;
-use mesh_support::{body, document, exchange, header, status, wait_for, Mesh, Server, Topology};
+use mesh_support::{
+    body, document, exchange, header, newest_version, status, wait_for, Mesh, Server, Topology,
+};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::time::{Duration, Instant};
@@ -49,13 +51,6 @@
     }
 }
 
-fn newest_version(mesh: &Mesh, n: usize) -> Option<u64> {
-    let read = "GET /foxtailgauge/config HTTP/1.1\r\nHost: x\r\n\r\n";
-    let response = exchange(&mesh.platform_addr(n), read)?;
-    let document: Value = serde_json::from_str(body(&response)).ok()?;
-    u64::from_str_radix(document["version"].as_str()?, 16).ok()
-}
-
 /// A document with one more route than [`document`].
 fn document_with_report_route(version: u64) -> Value {
     let mut document = document(version);
