The test of allotments waits until the removed replicas are listed as lost

Cause: in the test. It counted reports to removed collectors from the moment the first sidecar had shares, which is about 6 s after the last replica was killed; the directory lists a killed daemon as live until its lease of 6 s has ended. The failed runs show 7 live daemons at the first count and 6 at the second, and one line 4503 that is 1.8 s older than the line 3201 by which d0 was marked as lost.

--- a/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
+++ b/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
@@ -282,21 +282,28 @@
         "rate_per_s": RATE_PER_S, "burst": RATE_PER_S}]);
     put(&mesh, mesh.spare(0), 1, &with_allotment);
     let key = "Authorization: Bearer k-atelier\r\n";
-    wait_for("the allotment", || {
-        (status(&get(&mesh, 3, "/view/1", "")) == 401).then_some(())
-    });
-    // Without a backend server, an admitted request is answered with 503.
-    wait_for("shares of a collector", || {
-        (status(&get(&mesh, 3, "/view/1", key)) == 503).then_some(())
-    });
+    for n in 3..6 {
+        wait_for("the allotment", || {
+            (status(&get(&mesh, n, "/view/1", "")) == 401).then_some(())
+        });
+        // Without a backend server, an admitted request is answered with 503.
+        wait_for("shares of a collector", || {
+            (status(&get(&mesh, n, "/view/1", key)) == 503).then_some(())
+        });
+        // The replica that was killed last is listed until its lease has ended.
+        wait_for("a directory without removed replicas", || {
+            let local = admin_get(&mesh, n, "/v1/local")?;
+            (local["live_daemons"] == 6).then_some(())
+        });
+    }
     let removed = [0, 1, 2].map(|n| {
         let addr = mesh.platform_addr(n);
         let (ip, _) = addr.split_once(':').expect("a port");
         format!("\"collector\":\"{ip}:")
     });
-    let sent_to_removed = || -> usize {
+    let sent_to_removed = || -> Vec<Value> {
         let lines = (3..6).flat_map(|n| removed.iter().map(move |text| (n, text)));
-        lines.map(|(n, text)| mesh.grep(n, text).len()).sum()
+        lines.flat_map(|(n, text)| mesh.grep(n, text)).collect()
     };
     let before = sent_to_removed();
     std::thread::sleep(Duration::from_secs(2));
