Requests that crash backend servers stay refused when the daemons that saw the crashes are gone

What callers saw: a request that had been refused after two crashes ran again, and crashed further backend servers, once the sidecars that had recorded the crashes had restarted, or once 64 other requests had been in flight at crashes on one of them.

Cause: the records stood only in the entries of these daemons. A restart replaced the entry, a loss hid it from the gateways, and the oldest record made room for the newest, whatever it said.

Each gateway keeps what it has read, within 4,096 requests and 5 minutes. A quarantined request that no live daemon publishes any more is published by two others, for gateways that start later. Requests that are not quarantined make room first (docs/design/calls.md has the alternatives).

The tests of policy.rs have the same checks over the changed interface.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -122,7 +122,8 @@
 pub use planned_stop::{LateRequest, StopPlan};
 pub use quarantine::{
     fingerprint, large_request_digest, request_digest, Fingerprint, Suspect, SuspectIndex,
-    SuspectLog, SuspectVerdict, QUARANTINE_CRASHES, SUSPECT_TTL_MS,
+    SuspectLog, SuspectVerdict, MAX_KNOWN_SUSPECTS, MAX_SUSPECTS, QUARANTINE_CRASHES,
+    SUSPECT_TTL_MS,
 };
 pub use registry::{
     AuditEntry, Change, ChangeAnswer, Document, EarlierRegistry, Registry, RegistryV1, RegistryV2,
--- a/crates/foxtailgauge-core/src/tree.rs
+++ b/crates/foxtailgauge-core/src/tree.rs
@@ -140,7 +140,7 @@
 }
 
 /// Rendezvous weight of `candidate` for `key`.
-fn weight(key: &str, candidate: &str) -> u64 {
+pub(crate) fn weight(key: &str, candidate: &str) -> u64 {
     let mut hasher = Sha256::new();
     hasher.update(key);
     hasher.update([0]);
--- a/crates/foxtailgauge-core/tests/policy.rs
+++ b/crates/foxtailgauge-core/tests/policy.rs
@@ -256,10 +256,14 @@
 
 fn suspect_after_crash(request: u64, crash_ms: u64) -> Vec<Suspect> {
     let mut suspect_log = SuspectLog::default();
-    suspect_log.record_crash(request, crash_ms);
+    suspect_log.record_crash(request, &SuspectIndex::default(), crash_ms);
     suspect_log.current(crash_ms)
 }
 
+fn index_of<'a>(published: impl Iterator<Item = &'a Suspect>) -> SuspectIndex {
+    SuspectIndex::default().updated(published, 0)
+}
+
 #[test]
 fn crashing_request_is_suspected_then_quarantined() {
     let digest = request_digest("GET", "/plans/1", b"");
@@ -272,11 +276,11 @@
         suspect_after_crash(request, 5),
         suspect_after_crash(request, 10),
     );
-    let index = SuspectIndex::collect(one.iter());
+    let index = index_of(one.iter());
     assert_eq!(index.verdict(request, 6), SuspectVerdict::Suspect);
     assert_eq!(index.verdict(request + 1, 6), SuspectVerdict::Clear);
     // Two daemons recorded one crash each.
-    let index = SuspectIndex::collect(one.iter().chain(&two));
+    let index = index_of(one.iter().chain(&two));
     assert_eq!(QUARANTINE_CRASHES, 2);
     let until_ms = 10 + SUSPECT_TTL_MS;
     assert_eq!(
@@ -289,20 +293,21 @@
 #[test]
 fn completed_request_is_cleared_of_earlier_crashes() {
     let mut other = SuspectLog::default();
-    other.record_completion(1, 20);
+    other.record_completion(1, &SuspectIndex::default(), 20);
     let (early, late) = (suspect_after_crash(1, 10), suspect_after_crash(1, 30));
     let completed = other.current(20);
-    let index = SuspectIndex::collect(early.iter().chain(&completed));
+    let index = index_of(early.iter().chain(&completed));
     assert_eq!(index.verdict(1, 21), SuspectVerdict::Clear);
-    let index = SuspectIndex::collect(early.iter().chain(&completed).chain(&late));
+    let index = index_of(early.iter().chain(&completed).chain(&late));
     assert_eq!(
         index.verdict(1, 31),
         SuspectVerdict::Suspect,
         "the later crash should count"
     );
     let mut local = SuspectLog::default();
-    local.record_crash(1, 10);
-    local.record_completion(1, 20);
-    local.record_crash(1, 30);
+    let index = SuspectIndex::default();
+    local.record_crash(1, &index, 10);
+    local.record_completion(1, &index, 20);
+    local.record_crash(1, &index, 30);
     assert_eq!(local.current(31)[0].crashes_ms, [30]);
 }
--- a/crates/foxtailgauge-daemon/src/gateway/route_view.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/route_view.rs
@@ -3,7 +3,7 @@
 use crate::rollout::choice::{usable_role, Trial};
 use foxtailgauge_core::{
     Candidate, Directory, HostTable, InstanceState, ServerEntry, ServerKey, ServiceName, Snapshot,
-    SuspectIndex, VersionRole, WorkspaceTable,
+    SuspectIndex, UnixMs, VersionRole, WorkspaceTable,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -31,12 +31,14 @@
 
 impl RouteView {
     /// Builds the view of a configuration and a directory. The tables of `previous`, the view
-    /// before it, are reused if the configuration is the same.
+    /// before it, are reused if the configuration is the same; its suspects stay known.
     pub(crate) fn build(
         snapshot: &Arc<Snapshot>,
         directory: &Directory,
         previous: &RouteView,
+        now_ms: UnixMs,
     ) -> Self {
+        let published = directory.all().flat_map(|instance| &instance.suspects);
         let mut candidates: HashMap<ServiceName, Vec<Candidate>> = HashMap::new();
         let mut on_trial: HashMap<ServiceName, Vec<Candidate>> = HashMap::new();
         for instance in directory.live() {
@@ -75,7 +77,7 @@
         };
         RouteView {
             snapshot: Some(Arc::clone(snapshot)),
-            suspects: SuspectIndex::collect(directory.live().flat_map(|i| &i.suspects)),
+            suspects: previous.suspects.updated(published, now_ms),
             candidates,
             trials,
             hosts,
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -278,7 +278,7 @@
 
     fn rebuild_view(&self, snapshot: &Arc<Snapshot>) {
         let directory = lock(&self.directory);
-        let view = RouteView::build(snapshot, &directory, &self.view());
+        let view = RouteView::build(snapshot, &directory, &self.view(), unix_ms());
         self.metrics.daemons.set(directory.live().count() as i64);
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
     }
@@ -328,7 +328,10 @@
     /// Publishes that a request was in flight when a backend server crashed. Returns once all
     /// daemons that reply within the timeout know of it, so that they recognize a retry.
     pub(crate) async fn record_crash(&self, fingerprint: Fingerprint) {
-        self.republish(|own| own.suspect_log.record_crash(fingerprint, unix_ms()));
+        let index = &self.view().suspects;
+        self.republish(|own| {
+            own.suspect_log.record_crash(fingerprint, index, unix_ms());
+        });
         let recorded = lock(&self.own).sequence;
         let mut published = self.published_sequence.lock().await;
         // Crashes recorded during one publication are published together by the next one.
@@ -339,7 +342,25 @@
 
     /// Publishes that a suspected request ran to completion.
     pub(crate) fn record_completion(&self, fingerprint: Fingerprint) {
-        self.republish(|own| own.suspect_log.record_completion(fingerprint, unix_ms()));
+        let index = &self.view().suspects;
+        self.republish(|own| {
+            own.suspect_log
+                .record_completion(fingerprint, index, unix_ms());
+        });
+    }
+
+    /// Publishes quarantined requests whose daemons are gone, for gateways that start later.
+    pub(crate) fn adopt_suspects(&self) {
+        let (view, now_ms) = (self.view(), unix_ms());
+        let orphans = self.with_directory(|directory| {
+            let published = directory.live().flat_map(|instance| &instance.suspects);
+            let live = directory.live().map(|instance| &instance.name);
+            view.suspects
+                .orphans(published, &self.settings.name, live, now_ms)
+        });
+        if lock(&self.own).suspect_log.adopt(orphans, now_ms) {
+            self.republish(|_| {});
+        }
     }
 
     /// Publishes the own entry to all live daemons; returns its sequence.
--- a/crates/foxtailgauge-daemon/tests/mesh_faults.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_faults.rs
@@ -353,3 +353,50 @@
         }
     }
 }
+
+/// Guards against records of crashes that go with the daemons that saw them: a request that had been
+/// refused crashed further servers once these daemons had restarted.
+#[test]
+fn request_that_crashes_servers_is_refused_after_all_sidecars_restarted() {
+    let mut mesh = Mesh::start(3);
+    assert_eq!(mesh.put_document(0, &document(1)), 200);
+    for n in 1..=3 {
+        wait_for("readiness", || mesh.is_ready(n).then_some(()));
+    }
+    let commit = |mesh: &Mesh, n: usize, name: &str| {
+        let text = request("POST", &format!("/commit/{name}"), name);
+        exchange(&mesh.outbound_addr(n), &text).unwrap_or_default()
+    };
+    for n in [1, 2] {
+        let server = Server::start();
+        assert_eq!(
+            mesh.report(n, &format!("i-{n}"), &server.addr, "ready", 1),
+            200
+        );
+        wait_for("a response", || {
+            (status(&commit(&mesh, n, "first")) == 200).then_some(())
+        });
+        server.set_script(Script::Crash);
+        assert_eq!(status(&commit(&mesh, n, "poison")), 502);
+    }
+    for n in [1, 2, 3] {
+        mesh.kill(n);
+        mesh.start_daemon(n, false);
+        wait_for("readiness", || mesh.is_ready(n).then_some(()));
+        // The daemon's new entry reaches the others.
+        std::thread::sleep(Duration::from_secs(2));
+    }
+    let server = Server::start();
+    assert_eq!(mesh.report(3, "i-3", &server.addr, "ready", 1), 200);
+    for n in [3, 1, 2] {
+        wait_for("a response", || {
+            (status(&commit(&mesh, n, "other")) == 200).then_some(())
+        });
+        let response = commit(&mesh, n, "poison");
+        assert_eq!(status(&response), 503, "sidecar {n}: {response}");
+        assert!(body(&response).contains("quarantined"), "{response}");
+    }
+    let received = server.received.lock().expect("received requests");
+    let poison = |text: &&String| text.contains("/poison");
+    assert_eq!(received.iter().map(|a| &a.text).filter(poison).count(), 0);
+}
