No request starts behind a large response on its connection

What callers saw (read in the review, no run of theirs): a streamed response that breaks off ends the connection, and requests behind it that had reached their backend servers got no answer.

Cause: requests were started behind a response that was being streamed, or was known to be large, although they can be answered only if it arrives whole. They now wait for its end, as they do behind a bulk request. What has started before a response of another route turns out to be large can still be lost with it, five requests at most: HTTP/1.1 has no answer behind a part of a response.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -115,8 +115,8 @@
 };
 pub use pace::Pace;
 pub use pipeline::{
-    Pipeline, PipelineAction, PipelineId, LARGE_RESPONSE_BYTES, MAX_HELD_BYTES, MAX_PIPELINED,
-    MAX_RUNNING,
+    Pipeline, PipelineAction, PipelineId, RequestKind, LARGE_RESPONSE_BYTES, MAX_HELD_BYTES,
+    MAX_PIPELINED, MAX_RUNNING,
 };
 pub use placement::{AttemptHealth, AttemptReport, Placement, PlacementRequest};
 pub use planned_stop::{LateRequest, StopPlan};
--- a/crates/foxtailgauge-core/src/pipeline.rs
+++ b/crates/foxtailgauge-core/src/pipeline.rs
@@ -6,6 +6,9 @@
 //! Idempotent requests run concurrently and are answered in order. A non-idempotent request starts
 //! when all requests before it are answered, and no request behind it starts before its response
 //! has been sent. Behind a response that closes the connection, requests count as not read.
+//!
+//! A large response may break off after its beginning has been sent, and the connection ends with it. No
+//! request starts behind one that is expected or known to have such a response: it would run without an answer.
 
 use std::collections::VecDeque;
 
@@ -26,6 +29,17 @@
 /// Number of a request on its connection.
 pub type PipelineId = u64;
 
+/// What may run beside a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// Runs beside the requests before and behind it.
+    Idempotent,
+    /// Idempotent, and its response is expected to be large: runs beside the requests before it.
+    Bulk,
+    /// Runs alone.
+    NonIdempotent,
+}
+
 /// What the connection has to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PipelineAction {
@@ -51,21 +65,36 @@
     Waiting,
     Running,
     Ready { held_bytes: usize, closes: bool },
-    Sending { closes: bool },
+    Sending { closes: bool, is_large: bool },
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     id: PipelineId,
-    is_idempotent: bool,
+    kind: RequestKind,
     head_bytes: usize,
     state: State,
 }
 
+impl Entry {
+    fn has_large_response(&self) -> bool {
+        match self.state {
+            State::Ready { held_bytes, .. } => held_bytes >= LARGE_RESPONSE_BYTES,
+            State::Sending { is_large, .. } => is_large,
+            State::Waiting | State::Running => false,
+        }
+    }
+
+    /// Whether the requests behind it wait for its response.
+    fn is_barrier(&self) -> bool {
+        self.kind != RequestKind::Idempotent || self.has_large_response()
+    }
+}
+
 /// State of one connection.
 ///
 /// Invariants: at most the first entry is being sent; entries behind a response that closes are
-/// removed; an entry behind a non-idempotent one is waiting or refused.
+/// removed; an entry behind a bulk or a non-idempotent one is waiting or refused.
 #[derive(Debug, Default)]
 pub struct Pipeline {
     entries: VecDeque<Entry>,
@@ -102,10 +131,10 @@
     pub fn head_read(
         &mut self,
         id: PipelineId,
-        is_idempotent: bool,
+        kind: RequestKind,
         head_bytes: usize,
     ) -> Vec<PipelineAction> {
-        self.push(id, is_idempotent, head_bytes, State::Waiting);
+        self.push(id, kind, head_bytes, State::Waiting);
         self.advance()
     }
 
@@ -114,7 +143,8 @@
         self.is_ended = true;
         let closes = true;
         let held_bytes = 0;
-        self.push(id, true, 0, State::Ready { held_bytes, closes });
+        let state = State::Ready { held_bytes, closes };
+        self.push(id, RequestKind::Idempotent, 0, state);
         self.advance()
     }
 
@@ -147,7 +177,7 @@
         let Some(first) = self.entries.front().filter(|entry| entry.id == id) else {
             return Vec::new();
         };
-        let closes = first.state == State::Sending { closes: true };
+        let closes = matches!(first.state, State::Sending { closes: true, .. });
         self.entries.pop_front();
         if closes {
             return self.close();
@@ -182,11 +212,11 @@
         actions
     }
 
-    fn push(&mut self, id: PipelineId, is_idempotent: bool, head_bytes: usize, state: State) {
+    fn push(&mut self, id: PipelineId, kind: RequestKind, head_bytes: usize, state: State) {
         if !self.is_closed {
             self.entries.push_back(Entry {
                 id,
-                is_idempotent,
+                kind,
                 head_bytes,
                 state,
             });
@@ -205,7 +235,7 @@
     fn running(&self) -> usize {
         let is_running = |entry: &&Entry| match entry.state {
             State::Running => true,
-            State::Ready { held_bytes, .. } => held_bytes >= LARGE_RESPONSE_BYTES,
+            State::Ready { .. } => entry.has_large_response(),
             State::Waiting | State::Sending { .. } => false,
         };
         self.entries.iter().filter(is_running).count()
@@ -248,7 +278,8 @@
             return;
         };
         let closes = closes || is_last;
-        first.state = State::Sending { closes };
+        let is_large = first.has_large_response();
+        first.state = State::Sending { closes, is_large };
         let id = first.id;
         if closes {
             self.is_ended = true;
@@ -261,7 +292,7 @@
         let mut running = self.running();
         let is_full = self.held_bytes() >= MAX_HELD_BYTES;
         for (at, entry) in self.entries.iter_mut().enumerate() {
-            let may_start = entry.is_idempotent || at == 0;
+            let may_start = entry.kind != RequestKind::NonIdempotent || at == 0;
             if entry.state == State::Waiting {
                 if !may_start || running >= MAX_RUNNING || (is_full && at > 0) {
                     return;
@@ -270,7 +301,7 @@
                 running += 1;
                 actions.push(PipelineAction::Start(entry.id));
             }
-            if !entry.is_idempotent {
+            if entry.is_barrier() {
                 return;
             }
         }
--- a/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
@@ -17,7 +17,7 @@
 use crate::stop::StopState;
 use async_std::net::TcpListener;
 use async_std::task;
-use foxtailgauge_core::{CallerLimits, LateRequest};
+use foxtailgauge_core::{CallerLimits, LateRequest, RequestKind};
 use foxtailgauge_wire::Outcome;
 use futures::future::{BoxFuture, FutureExt};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -98,11 +98,14 @@
 }
 
 impl Responder for CallerHttp {
-    fn is_idempotent(&self, parts: &Parts) -> bool {
+    fn kind(&self, parts: &Parts) -> RequestKind {
         let view = self.shared.view();
         let snapshot = view.snapshot.as_ref();
         let found = snapshot.and_then(|s| s.route(parts.method.as_str(), parts.uri.path()));
-        found.is_some_and(|(_, route)| route.idempotent)
+        match found {
+            Some((_, route)) if route.idempotent => RequestKind::Idempotent,
+            Some(_) | None => RequestKind::NonIdempotent,
+        }
     }
 
     fn respond(
--- a/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
@@ -33,8 +33,8 @@
 use async_std::net::{TcpListener, TcpStream};
 use foxtailgauge_core::{
     AttemptEnd, Attempts, CallerLimits, CallerTimeouts, CallerTry, Candidate, DeliveredStatements,
-    Fingerprint, HostRoute, LateRequest, NextAction, PlacementRequest, RouteName, ServerKey,
-    ServiceName, SuspectVerdict, UnixMs, WorkspaceName,
+    Fingerprint, HostRoute, LateRequest, NextAction, PlacementRequest, RequestKind, RouteName,
+    ServerKey, ServiceName, SuspectVerdict, UnixMs, WorkspaceName,
 };
 use foxtailgauge_platform::headers;
 use futures::future::{BoxFuture, FutureExt};
@@ -545,11 +545,15 @@
 }
 
 impl Responder for ForwardGateway {
-    fn is_idempotent(&self, parts: &Parts) -> bool {
+    fn kind(&self, parts: &Parts) -> RequestKind {
         let view = self.shared.view();
         let host = header(&parts.headers, HOST.as_str()).or(parts.uri.host());
         let found = view.hosts.find(host.unwrap_or_default(), parts.uri.path());
-        found.is_some_and(|(_, route)| route.idempotent)
+        match found {
+            Some((_, route)) if route.idempotent && route.is_bulk => RequestKind::Bulk,
+            Some((_, route)) if route.idempotent => RequestKind::Idempotent,
+            Some(_) | None => RequestKind::NonIdempotent,
+        }
     }
 
     fn respond(
--- a/crates/foxtailgauge-daemon/src/gateway/front/connection.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/connection.rs
@@ -16,7 +16,7 @@
 use crate::stop::StopState;
 use async_std::net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
-use foxtailgauge_core::{Pipeline, PipelineAction, PipelineId, LARGE_RESPONSE_BYTES};
+use foxtailgauge_core::{Pipeline, PipelineAction, PipelineId, RequestKind, LARGE_RESPONSE_BYTES};
 use futures::future::{BoxFuture, FutureExt};
 use futures::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 use hyper::header::CONNECTION;
@@ -430,7 +430,10 @@
     fn accept(&mut self, head: RequestHead) {
         let RequestHead { parts, framing, .. } = head;
         let id = self.take_id();
-        let is_idempotent = !head.expects_continue && self.responder.is_idempotent(&parts);
+        let kind = match head.expects_continue {
+            true => RequestKind::NonIdempotent,
+            false => self.responder.kind(&parts),
+        };
         let body = match framing {
             BodyFraming::Length(0) => ForwardBody::default(),
             BodyFraming::Length(length)
@@ -462,7 +465,7 @@
             stage: Stage::Waiting(Box::new(Request::from_parts(parts, body))),
             _guard: self.responder.begin(),
         });
-        let mut actions = self.pipeline.head_read(id, is_idempotent, head_bytes);
+        let mut actions = self.pipeline.head_read(id, kind, head_bytes);
         if head.closes {
             actions.append(&mut self.pipeline.input_ended());
         }
--- a/crates/foxtailgauge-daemon/src/gateway/front/function_responder.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/function_responder.rs
@@ -10,7 +10,7 @@
 use crate::shared::ForwardingGuard;
 use crate::stop::StopState;
 use async_std::net::TcpStream;
-use foxtailgauge_core::CallerLimits;
+use foxtailgauge_core::{CallerLimits, RequestKind};
 use futures::future::{BoxFuture, FutureExt};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
@@ -34,8 +34,8 @@
 where
     F: Fn(String) -> BoxFuture<'static, String> + Send + Sync + 'static,
 {
-    fn is_idempotent(&self, _: &Parts) -> bool {
-        true
+    fn kind(&self, _: &Parts) -> RequestKind {
+        RequestKind::Idempotent
     }
 
     fn respond(
--- a/crates/foxtailgauge-daemon/src/gateway/front/request.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/request.rs
@@ -7,7 +7,7 @@
 use crate::hop::forward_body::{BodyFeed, ForwardBody};
 use crate::shared::ForwardingGuard;
 use crate::stop::StopState;
-use foxtailgauge_core::{CallerLimits, PipelineId};
+use foxtailgauge_core::{CallerLimits, PipelineId, RequestKind};
 use futures::future::{BoxFuture, FutureExt};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
@@ -18,8 +18,8 @@
 
 /// Makes the responses to the requests of a connection.
 pub(crate) trait Responder: Send + Sync + 'static {
-    /// Whether the request may run before the requests ahead of it are answered.
-    fn is_idempotent(&self, parts: &Parts) -> bool;
+    /// What may run beside the request on its connection.
+    fn kind(&self, parts: &Parts) -> RequestKind;
 
     /// Runs a request whose head was read at `read_at`. Dropping the future cancels it.
     fn respond(
