A released claim is not granted again behind the 64th voided attempt of its key

A key whose attempts were refused by backend servers more than 64 times could be claimed by a late copy of a claim that had been released: its caller is told that it did not run, and the key ends as unknown.

Cause: a release voided its attempt only below MAX_VOIDED_ATTEMPTS. It replaces the oldest voided attempt now, whose claim is the least likely one to be in transit; a record does not grow.

Evidence: ledger::released_claim_is_not_granted_again_however_many_attempts_were_voided failed at attempt 65 (granted) and passes. Replicas of mixed releases would differ for a key with over 64 voided attempts; releases are not mixed for longer than a replacement.

--- a/crates/foxtailgauge-core/src/ledger.rs
+++ b/crates/foxtailgauge-core/src/ledger.rs
@@ -10,7 +10,8 @@
 /// Time after a claim's deadline from which its executor certainly no longer runs the action, in
 /// milliseconds.
 pub const CLAIM_GRACE_MS: u64 = 5_000;
-/// Maximum number of voided attempts recorded per key; once it is reached, no attempt is voided.
+/// Maximum number of voided attempts recorded per key. Once it is reached, no attempt is voided but those
+/// whose claim is released; they replace the oldest.
 pub const MAX_VOIDED_ATTEMPTS: usize = 64;
 
 /// The process that runs a claimed action.
@@ -207,10 +208,12 @@
             }),
             LedgerCommand::Release { key, claimant } => self.end_claim(key, claimant, |record| {
                 record.state = RecordState::Open;
-                // A retried claim of this attempt may be in transit and must not be granted.
-                if record.voided.len() < MAX_VOIDED_ATTEMPTS {
-                    record.voided.push(claimant.attempt);
+                // A retried claim of this attempt may be in transit and must not be granted. Claims of the
+                // oldest voided attempt are the least likely ones to be.
+                if record.voided.len() >= MAX_VOIDED_ATTEMPTS {
+                    record.voided.remove(0);
                 }
+                record.voided.push(claimant.attempt);
             }),
             LedgerCommand::MarkUnknown { key, claimant } => {
                 self.end_claim(key, claimant, |record| {
--- a/crates/foxtailgauge-core/tests/ledger.rs
+++ b/crates/foxtailgauge-core/tests/ledger.rs
@@ -2,7 +2,7 @@
 
 use foxtailgauge_core::{
     Claimant, Ledger, LedgerAnswer, LedgerCommand, RecordedResponse, CLAIM_GRACE_MS,
-    MAX_KEY_SKEW_MS,
+    MAX_KEY_SKEW_MS, MAX_VOIDED_ATTEMPTS,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -182,6 +182,23 @@
     }
 }
 
+/// Guards against a late copy of a claim that is granted after its attempt was reported as not run: releases
+/// were not recorded behind the 64th voided attempt, and the key ended as unknown without a run.
+#[test]
+fn released_claim_is_not_granted_again_however_many_attempts_were_voided() {
+    let mut ledger = Ledger::default();
+    for number in 1..=3 * MAX_VOIDED_ATTEMPTS as u8 {
+        assert_eq!(
+            ledger.apply(&claim(number, NOW_MS)),
+            LedgerAnswer::Granted,
+            "{number}"
+        );
+        assert_eq!(ledger.apply(&release(number)), LedgerAnswer::Recorded);
+        let late = ledger.apply(&claim(number, NOW_MS + 1));
+        assert_eq!(late, LedgerAnswer::Voided, "{number}");
+    }
+}
+
 #[test]
 fn same_key_with_another_request_is_rejected() {
     let mut ledger = Ledger::default();
