A failure domain goes on to serve its callers when its partition ends

What callers saw: 503 no_server for 0.4 to 0.5 s at all daemons of a failure domain whose partition of more than 6 s ended, although their backend servers ran and had served them all the time.

Cause: the replicas mark the daemons of the domain as lost during the partition. When it ends, each daemon reads the marks of its neighbours and gives up their backend servers until these have refuted them. Ruled out: the rollout (the refused requests are no_server on both versions).

A mark of a daemon that has replied within the last 3 s waits until this time is over. A daemon that has failed has missed a lease of 6 s, so its mark is applied at once.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -36,6 +36,7 @@
 mod config_fields;
 mod consensus;
 mod decaying_sum;
+mod deferred_losses;
 mod directory;
 mod election;
 mod fair_turns;
@@ -94,6 +95,7 @@
     HardState, Node, PersistedState, ProposeError, ReadReady, Ready, Role, HEARTBEAT_INTERVAL_MS,
     MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS,
 };
+pub use deferred_losses::DeferredLosses;
 pub use directory::{Cursor, Directory, InstanceState, Presence, ServerEntry, ServerState};
 pub use fleet_check::check_fleet;
 pub use host_route::{CallerLimits, HostRoute, HostTable, WeightedService};
--- a/crates/foxtailgauge-core/src/placement.rs
+++ b/crates/foxtailgauge-core/src/placement.rs
@@ -612,6 +612,15 @@
         stats.expected_response_time(candidate.slots, means, route, now) + transit_time + failures
     }
 
+    /// When a daemon last sent the load of a backend server with a reply.
+    pub fn last_report_at(&self, daemon: &str) -> Option<Instant> {
+        let stats = self.server_stats.iter();
+        let of_daemon = stats.filter(|(key, _)| key.daemon == daemon);
+        of_daemon
+            .filter_map(|(_, stats)| stats.last_report_at())
+            .max()
+    }
+
     fn stats_mut(&mut self, key: &ServerKey, now: Instant) -> &mut ServerStats {
         if !self.server_stats.contains_key(key) {
             self.server_stats.insert(key.clone(), ServerStats::new(now));
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -90,6 +90,7 @@
     loop {
         async_std::task::sleep(Duration::from_millis(500)).await;
         shared.expire_subscribers();
+        shared.apply_deferred_losses();
         shared.adopt_suspects();
     }
 }
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -13,10 +13,10 @@
 use crate::usage::Usage;
 use event_listener::Event;
 use foxtailgauge_core::{
-    Balancer, ConfigVersion, Cursor, Digest, Directory, Fingerprint, Freshness, Incarnation,
-    InstanceState, Placement, PollReply, Presence, ReportRequest, Role, ServerEntry, ServerKey,
-    SessionLimit, Snapshot, SnapshotError, SnapshotHistory, SubscriberTable, SuspectLog, UnixMs,
-    Update, VersionCount,
+    Balancer, ConfigVersion, Cursor, DeferredLosses, Digest, Directory, Fingerprint, Freshness,
+    Incarnation, InstanceState, Placement, PollReply, Presence, ReportRequest, Role, ServerEntry,
+    ServerKey, SessionLimit, Snapshot, SnapshotError, SnapshotHistory, SubscriberTable, SuspectLog,
+    UnixMs, Update, VersionCount,
 };
 use foxtailgauge_wire::{encode, encode_compressed};
 use slog::Logger;
@@ -25,6 +25,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Time after a reply of a daemon in which a mark of it as lost waits. Shorter than the lease that such a
+/// daemon has missed, so that one that has failed is removed at once.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Longest time that a response is delayed to publish a crash to the other daemons.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(50);
 /// Number of past versions kept as bases for deltas.
@@ -148,6 +151,7 @@
     config: Mutex<ConfigCell>,
     directory: Mutex<Directory>,
     subscribers: Mutex<SubscriberTable>,
+    deferred_losses: Mutex<DeferredLosses>,
     sessions: Mutex<SessionLimit>,
     own: Mutex<OwnEntry>,
     /// Sequence of the own entry that was last published to all daemons.
@@ -190,6 +194,7 @@
                 encoded: HashMap::new(),
             }),
             subscribers: Mutex::new(SubscriberTable::default()),
+            deferred_losses: Mutex::default(),
             own: Mutex::new(OwnEntry {
                 presence: Presence::Live,
                 sequence: 0,
@@ -419,12 +424,28 @@
 
     /// Merges directory entries received through another daemon.
     pub(crate) fn merge_instances(&self, instances: Vec<InstanceState>, received_from: &str) {
+        let is_in_contact = |daemon: &str| self.is_in_contact(daemon);
+        let instances = lock(&self.deferred_losses).defer(instances, received_from, is_in_contact);
         if lock(&self.directory).merge(instances, received_from) {
             self.directory_changed();
         }
         self.refute_loss();
     }
 
+    /// Whether another daemon has replied to a forwarded request recently.
+    fn is_in_contact(&self, daemon: &str) -> bool {
+        let last_report_at = lock(&self.placement).last_report_at(daemon);
+        daemon != self.settings.name && last_report_at.is_some_and(|at| at.elapsed() < CONTACT_TIME)
+    }
+
+    /// Applies the marks of lost daemons that waited for the end of the contact with them.
+    pub(crate) fn apply_deferred_losses(&self) {
+        let due = lock(&self.deferred_losses).take_due(|daemon| self.is_in_contact(daemon));
+        for (state, received_from) in due {
+            self.merge_instances(vec![state], &received_from);
+        }
+    }
+
     /// Announces that this daemon stops and withdraws its backend servers.
     pub(crate) fn announce_stop(&self) {
         self.republish(|own| {
--- a/crates/foxtailgauge-daemon/tests/mesh_faults.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_faults.rs
@@ -3,9 +3,10 @@
 
 mod mesh_support;
 
+use foxtailgauge_bench::relay::LinkFault;
 use mesh_support::{
     body, document, exchange, header, newest_version, read_message, report, status, wait_for, Mesh,
-    Script, Server,
+    Script, Server, Topology,
 };
 use rustix::process::Signal;
 use std::io::Write;
@@ -400,3 +401,51 @@
     let poison = |text: &&String| text.contains("/poison");
     assert_eq!(received.iter().map(|a| &a.text).filter(poison).count(), 0);
 }
+
+/// Guards against daemons that give each other up when their failure domain is reachable again: each is
+/// told that all others are lost, before they have said that they are not.
+#[test]
+fn domain_serves_its_callers_while_it_is_reconnected() {
+    let mesh = Mesh::start_with(Topology {
+        replicas: 1,
+        sidecars: 3,
+        domains: 2,
+        has_links: true,
+    });
+    assert_eq!(mesh.put_document(0, &document(1)), 200);
+    let server = Server::start();
+    // The sidecars 1 and 3 are in one domain.
+    assert_eq!(mesh.report(3, "i-1", &server.addr, "ready", 5), 200);
+    wait_for("a response", || {
+        (status(&view(&mesh, 1, "first")) == 200).then_some(())
+    });
+    mesh.faults.set("z1", Some(LinkFault::Cut));
+    let mut reports = 5;
+    let mut call_for = |time: Duration| {
+        let end = Instant::now() + time;
+        let mut refused = Vec::new();
+        while Instant::now() < end {
+            reports += 1;
+            mesh.report(3, "i-1", &server.addr, "ready", reports);
+            let response = view(&mesh, 1, "next");
+            if status(&response) != 200 {
+                refused.push(response);
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        refused
+    };
+    call_for(Duration::from_secs(1));
+    // The replica marks both as lost.
+    let mut refused = Vec::new();
+    while mesh.grep(0, "\"event\":3201").len() < 2 {
+        refused.extend(call_for(Duration::from_millis(200)));
+    }
+    mesh.faults.set("z1", None);
+    refused.extend(call_for(Duration::from_secs(6)));
+    assert!(refused.is_empty(), "{} refused: {refused:?}", refused.len());
+    // Both were told that they are lost.
+    for n in [1, 3] {
+        assert!(!mesh.grep(n, "\"event\":3202").is_empty(), "sidecar {n}");
+    }
+}
