Tests that stop a daemon wait until each of its threads has stopped

Traced, two causes, both in the test: - On a busy machine threads run on for milliseconds after SIGSTOP was sent: the executor had begun 4 of the 12 requests, 8 ms after the signal and 140 ms before the gateway gave them up, and their backend server had them. With 400 ms before SIGCONT 8 of 48 copies failed still. Mesh::pause waits until all threads are stopped; then 4 of 80 failed. - The cancellation of the last request can be on its way when the executor goes on, 0.6 ms after the gateway gave it up: 2 requests lived for 2.5 and 13.8 ms at the executor, the other 10 for 0.3 ms.

Ruled out by a trial: a wait at the executor until all that has arrived was read (4 of 48 and 8 of 48 failed with it).

--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -768,6 +768,22 @@
             .expect("cannot send the signal");
     }
 
+    /// Sends SIGSTOP and waits until each thread has stopped: on a busy machine they run for some milliseconds
+    /// after the signal was sent.
+    pub fn pause(&self, n: usize) {
+        self.signal(n, Signal::STOP);
+        let pid = self.pid(n).expect("daemon is not running");
+        wait_for("a stopped process", || {
+            let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).ok()?;
+            let mut states = tasks.map(|task| {
+                let stat = std::fs::read_to_string(task.ok()?.path().join("stat")).ok()?;
+                // The name before the state may contain spaces and parentheses.
+                stat.rsplit_once(") ")?.1.chars().next()
+            });
+            states.all(|state| state == Some('T')).then_some(())
+        });
+    }
+
     /// Sends a signal to a daemon, unless the test has killed it or waited for its exit.
     pub fn signal_if_running(&self, n: usize, signal: Signal) {
         if self.children[n].is_some() {
