Quarantined requests are taken over by daemons that know of them

Cause: the two daemons with the highest weight take a record over. If they are those that restarted, they know nothing of it; one that had recorded one of the two crashes itself did not add the other. Daemons that were running at the crashes come first now, and a record of the same request is replaced.

Evidence: quarantine::quarantine_outlives_restarts_in_a_small_fleet_whatever_the_request, 200 requests in a fleet of four: fails without the order (request 3) and passes.

--- a/crates/foxtailgauge-core/src/quarantine.rs
+++ b/crates/foxtailgauge-core/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Tracks requests that were in flight when a backend server crashed, and decides when to refuse
 //! them.
 
-use crate::ids::{DaemonName, Digest, UnixMs};
+use crate::ids::{DaemonName, Digest, Incarnation, UnixMs};
 use crate::tree::weight;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -119,14 +119,17 @@
     /// any was added.
     pub fn adopt(&mut self, orphans: impl IntoIterator<Item = Suspect>, now_ms: UnixMs) -> bool {
         self.suspects.retain(|suspect| suspect.is_current(now_ms));
-        let room = MAX_SUSPECTS - self.suspects.len();
-        let is_new = |orphan: &Suspect| {
-            let mut own = self.suspects.iter();
-            own.all(|suspect| suspect.fingerprint != orphan.fingerprint)
-        };
-        let adopted: Vec<Suspect> = orphans.into_iter().filter(is_new).take(room).collect();
-        let has_adopted = !adopted.is_empty();
-        self.suspects.extend(adopted);
+        let mut has_adopted = false;
+        for orphan in orphans {
+            let is_same = |suspect: &Suspect| suspect.fingerprint == orphan.fingerprint;
+            match self.suspects.iter().position(is_same) {
+                Some(at) if self.suspects[at] == orphan => continue,
+                Some(at) => self.suspects[at] = orphan,
+                None if self.suspects.len() < MAX_SUSPECTS => self.suspects.push(orphan),
+                None => continue,
+            }
+            has_adopted = true;
+        }
         has_adopted
     }
 
@@ -285,12 +288,13 @@
     }
 
     /// Quarantined requests that are not quarantined by what daemons publish now, as the daemons that saw the
-    /// crashes are gone. Each is returned to [`ADOPTERS`] of the `live` daemons only.
+    /// crashes are gone. Each is returned to [`ADOPTERS`] of the `live` daemons only, preferably to those that
+    /// were running at its crashes and know of them for this reason.
     pub fn orphans<'a>(
         &self,
         published: impl Iterator<Item = &'a Suspect>,
         own_name: &str,
-        live: impl Iterator<Item = &'a DaemonName> + Clone,
+        live: impl Iterator<Item = (&'a DaemonName, Incarnation)> + Clone,
         now_ms: UnixMs,
     ) -> Vec<Suspect> {
         if self.is_empty() {
@@ -302,7 +306,7 @@
         let orphans = known.filter(|(fingerprint, known)| {
             is_quarantined(known.verdict(now_ms))
                 && !is_quarantined(published.verdict(**fingerprint, now_ms))
-                && is_adopter(own_name, live.clone(), **fingerprint)
+                && is_adopter(own_name, live.clone(), **fingerprint, known)
         });
         let suspect = |(fingerprint, known): (&Fingerprint, &KnownSuspect)| Suspect {
             fingerprint: *fingerprint,
@@ -316,11 +320,20 @@
 /// Whether a daemon is among those with the highest weight for a request.
 fn is_adopter<'a>(
     own_name: &str,
-    live: impl Iterator<Item = &'a DaemonName>,
+    live: impl Iterator<Item = (&'a DaemonName, Incarnation)> + Clone,
     fingerprint: Fingerprint,
+    known: &KnownSuspect,
 ) -> bool {
     let key = fingerprint.to_string();
-    let own_weight = weight(&key, own_name);
-    let is_heavier = |name: &&DaemonName| weight(&key, name) > own_weight;
-    live.filter(is_heavier).take(ADOPTERS).count() < ADOPTERS
+    let rank = |(name, incarnation): (&'a DaemonName, Incarnation)| {
+        let started_ms = incarnation / 1_000;
+        let was_running = started_ms < known.crashes_ms[QUARANTINE_CRASHES - 1];
+        (was_running, weight(&key, name))
+    };
+    let Some(own) = live.clone().find(|(name, _)| *name == own_name) else {
+        return false;
+    };
+    let own_rank = rank(own);
+    let preferred = live.filter(|daemon| rank(*daemon) > own_rank);
+    preferred.take(ADOPTERS).count() < ADOPTERS
 }
--- a/crates/foxtailgauge-core/tests/quarantine.rs
+++ b/crates/foxtailgauge-core/tests/quarantine.rs
@@ -24,7 +24,8 @@
 
 /// A fleet in which each change of an entry is known everywhere at once.
 struct Fleet {
-    names: Vec<String>,
+    /// Names and incarnations of the daemons.
+    identities: Vec<(String, u64)>,
     daemons: Vec<Daemon>,
     now_ms: u64,
 }
@@ -32,7 +33,7 @@
 impl Fleet {
     fn new(daemons: usize) -> Self {
         Fleet {
-            names: (0..daemons).map(|n| format!("d{n}")).collect(),
+            identities: (0..daemons).map(|n| (format!("d{n}"), 1)).collect(),
             daemons: vec![Daemon::default(); daemons],
             now_ms: 1_000_000,
         }
@@ -59,13 +60,18 @@
         self.spread();
     }
 
-    /// A daemon starts with the entries that others publish. Others take over those that are gone.
-    fn restart(&mut self, at: usize) {
-        self.daemons[at] = Daemon::default();
+    /// Daemons that start, at the same time, know the entries that others publish. Others take over those
+    /// that are gone.
+    fn restart(&mut self, restarted: &[usize]) {
+        self.now_ms += 1;
+        for at in restarted {
+            self.daemons[*at] = Daemon::default();
+            self.identities[*at].1 = self.now_ms * 1_000;
+        }
         let published = self.published();
         let now_ms = self.now_ms;
-        for (daemon, name) in self.daemons.iter_mut().zip(&self.names) {
-            let live = self.names.iter();
+        for (daemon, (name, _)) in self.daemons.iter_mut().zip(&self.identities) {
+            let live = self.identities.iter().map(|(name, start)| (name, *start));
             let orphans = daemon.index.orphans(published.iter(), name, live, now_ms);
             daemon.log.adopt(orphans, now_ms);
         }
@@ -88,15 +94,15 @@
     let mut fleet = Fleet::new(7);
     fleet.crash(4, POISON);
     fleet.crash(5, POISON);
-    fleet.restart(4);
-    fleet.restart(5);
+    fleet.restart(&[4]);
+    fleet.restart(&[5]);
     for gateway in 0..7 {
         let index = &fleet.daemons[gateway].index;
         assert!(is_quarantined(index, POISON, fleet.now_ms), "{gateway}");
     }
     // After all others have restarted as well, one after the other.
     for at in [0, 1, 2, 3, 6] {
-        fleet.restart(at);
+        fleet.restart(&[at]);
     }
     let index = &fleet.daemons[6].index;
     assert!(is_quarantined(index, POISON, fleet.now_ms));
@@ -104,6 +110,23 @@
     assert_eq!(index.verdict(POISON, end_ms), SuspectVerdict::Clear);
 }
 
+/// Guards against adopters that know nothing of the request, because they have just started.
+#[test]
+fn quarantine_outlives_restarts_in_a_small_fleet_whatever_the_request() {
+    for request in 0..200 {
+        let mut fleet = Fleet::new(4);
+        fleet.crash(1, request);
+        fleet.crash(2, request);
+        for restarted in [&[1, 2][..], &[3], &[0], &[1], &[2], &[3]] {
+            fleet.restart(restarted);
+            for (n, daemon) in fleet.daemons.iter().enumerate() {
+                let is_refused = is_quarantined(&daemon.index, request, fleet.now_ms);
+                assert!(is_refused, "request {request}, {n} after {restarted:?}");
+            }
+        }
+    }
+}
+
 /// Guards against innocent requests that push a quarantined one out: they were in flight when backend
 /// servers crashed for other reasons.
 #[test]
@@ -140,7 +163,7 @@
             let request = rng.random_range(0..REQUESTS);
             runs[request as usize] += u32::from(fleet.send(gateway, server, request));
             if step % 80 == 79 {
-                fleet.restart(*restarts.next().expect("a cycle"));
+                fleet.restart(&[*restarts.next().expect("a cycle")]);
             }
         }
         let most = runs.iter().max();
--- a/crates/foxtailgauge-daemon/src/shared.rs
+++ b/crates/foxtailgauge-daemon/src/shared.rs
@@ -359,7 +359,7 @@
         let (view, now_ms) = (self.view(), unix_ms());
         let orphans = self.with_directory(|directory| {
             let published = directory.live().flat_map(|instance| &instance.suspects);
-            let live = directory.live().map(|instance| &instance.name);
+            let live = directory.live().map(|i| (&i.name, i.incarnation));
             view.suspects
                 .orphans(published, &self.settings.name, live, now_ms)
         });
