Revert "A released claim is not granted again behind the 64th voided attempt of its key"

A voided attempt may still be held by an executor, so it could run after its caller was told that it had not. What was to mend is less: a released claim has no executor that waits for it, so a late copy runs nothing; its key is unknown once the claim has expired.

--- a/crates/foxtailgauge-core/src/ledger.rs
+++ b/crates/foxtailgauge-core/src/ledger.rs
@@ -10,8 +10,7 @@
 /// Time after a claim's deadline from which its executor certainly no longer runs the action, in
 /// milliseconds.
 pub const CLAIM_GRACE_MS: u64 = 5_000;
-/// Maximum number of voided attempts recorded per key. Once it is reached, no attempt is voided but those
-/// whose claim is released; they replace the oldest.
+/// Maximum number of voided attempts recorded per key; once it is reached, no attempt is voided.
 pub const MAX_VOIDED_ATTEMPTS: usize = 64;
 
 /// The process that runs a claimed action.
@@ -208,12 +207,12 @@
             }),
             LedgerCommand::Release { key, claimant } => self.end_claim(key, claimant, |record| {
                 record.state = RecordState::Open;
-                // A retried claim of this attempt may be in transit and must not be granted. Claims of the
-                // oldest voided attempt are the least likely ones to be.
-                if record.voided.len() >= MAX_VOIDED_ATTEMPTS {
-                    record.voided.remove(0);
+                // A retried claim of this attempt may be in transit and must not be granted. At the bound it
+                // may be: its executor has ended the attempt, so nothing runs, and the key is unknown
+                // once the claim has expired.
+                if record.voided.len() < MAX_VOIDED_ATTEMPTS {
+                    record.voided.push(claimant.attempt);
                 }
-                record.voided.push(claimant.attempt);
             }),
             LedgerCommand::MarkUnknown { key, claimant } => {
                 self.end_claim(key, claimant, |record| {
