The newest mark of a lost daemon waits, not the last one that arrived

The directory does not take the older one and the newer is sent once, so the daemon would stay listed as live. The test has the marks in the order 3, 7, 5 now, in place of 3, 7, and asks for 7.

--- a/crates/foxtailgauge-core/src/deferred_losses.rs
+++ b/crates/foxtailgauge-core/src/deferred_losses.rs
@@ -11,7 +11,7 @@
 /// A directory entry and the peer that it was received from.
 type Received = (InstanceState, DaemonName);
 
-/// The marks that wait, by the daemon that they are about.
+/// The newest mark that waits for each daemon.
 #[derive(Clone, Debug, Default)]
 pub struct DeferredLosses {
     by_daemon: BTreeMap<DaemonName, Received>,
@@ -29,8 +29,12 @@
             |state: &InstanceState| state.presence == Presence::Lost && is_in_contact(&state.name);
         let (deferred, others): (Vec<_>, Vec<_>) = states.into_iter().partition(is_deferred);
         for state in deferred {
-            let received = (state, received_from.to_owned());
-            self.by_daemon.insert(received.0.name.clone(), received);
+            let known = self.by_daemon.get(&state.name);
+            if known.is_none_or(|(known, _)| known.precedence() < state.precedence()) {
+                let name = state.name.clone();
+                self.by_daemon
+                    .insert(name, (state, received_from.to_owned()));
+            }
         }
         others
     }
--- a/crates/foxtailgauge-core/src/directory.rs
+++ b/crates/foxtailgauge-core/src/directory.rs
@@ -83,7 +83,8 @@
         self.presence == Presence::Live
     }
 
-    fn precedence(&self) -> (Incarnation, u64, Presence) {
+    /// Order of the states of one daemon; the highest is the newest.
+    pub(crate) fn precedence(&self) -> (Incarnation, u64, Presence) {
         (self.incarnation, self.sequence, self.presence)
     }
 }
--- a/crates/foxtailgauge-core/tests/deferred_losses.rs
+++ b/crates/foxtailgauge-core/tests/deferred_losses.rs
@@ -42,10 +42,12 @@
     }
 }
 
+/// Guards against an older mark, which another daemon still has, in place of the newest: the directory would
+/// not take it, and the newest is sent only once.
 #[test]
-fn the_last_mark_of_a_daemon_counts() {
+fn the_newest_mark_of_a_daemon_counts_in_any_order() {
     let mut losses = DeferredLosses::default();
-    for sequence in [3, 7] {
+    for sequence in [3, 7, 5] {
         let marks = vec![entry("b", sequence, Presence::Lost)];
         losses.defer(marks, "source", |_| true);
     }
