--- a/crates/foxtailgauge-core/src/quarantine.rs
+++ b/crates/foxtailgauge-core/src/quarantine.rs
@@ -16,6 +16,8 @@
 pub const MAX_SUSPECTS: usize = 64;
 /// Daemons that publish a quarantined request after those that saw its crashes are gone.
 const ADOPTERS: usize = 2;
+/// Quarantined requests that one daemon considers for this at a time: each is compared with all live daemons.
+const MAX_ORPHANS: usize = 256;
 /// Maximum number of suspects that one daemon knows of, its own and those of others.
 pub const MAX_KNOWN_SUSPECTS: usize = 4_096;
 
@@ -306,14 +308,16 @@
         let orphans = known.filter(|(fingerprint, known)| {
             is_quarantined(known.verdict(now_ms))
                 && !is_quarantined(published.verdict(**fingerprint, now_ms))
-                && is_adopter(own_name, live.clone(), **fingerprint, known)
+        });
+        let adopted = orphans.take(MAX_ORPHANS).filter(|(fingerprint, known)| {
+            is_adopter(own_name, live.clone(), **fingerprint, known)
         });
         let suspect = |(fingerprint, known): (&Fingerprint, &KnownSuspect)| Suspect {
             fingerprint: *fingerprint,
             crashes_ms: known.crashes_ms.to_vec(),
             completed_ms: known.completed_ms,
         };
-        orphans.map(suspect).collect()
+        adopted.map(suspect).collect()
     }
 }
 
