--- a/crates/foxtailgauge-core/src/source_choice.rs
+++ b/crates/foxtailgauge-core/src/source_choice.rs
@@ -30,6 +30,11 @@
         self.round
     }
 
+    /// Number of sources that are avoided now.
+    pub fn avoided_count(&self, now: Instant) -> usize {
+        self.avoided.values().filter(|until| **until > now).count()
+    }
+
     /// Avoids a source that is behind, or has lost its contact with a quorum.
     pub fn avoid(&mut self, addr: &str, now: Instant) {
         self.avoided.retain(|_, until| *until > now);
--- a/crates/foxtailgauge-daemon/src/control/replica_search.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica_search.rs
@@ -34,7 +34,11 @@
     let asking = asked.iter().map(|addr| ask(shared, addr));
     let answers: Vec<_> = futures::future::join_all(asking).await;
     let answered = answers.iter().flatten().count();
-    emit!(shared.log, events::REPLICAS_SEARCHED, "asked" => asked.len(), "answered" => answered);
+    let live = shared.replica_addrs().live;
+    let by_addr = asked.iter().zip(&answers);
+    let replicas = by_addr.filter(|(addr, answer)| answer.is_some() && live.contains(*addr));
+    emit!(shared.log, events::REPLICAS_SEARCHED, "asked" => asked.len(), "answered" => answered,
+        "replicas_answered" => replicas.count());
     for instance in answers.into_iter().flatten().flatten() {
         let name = instance.name.clone();
         shared.merge_instances(vec![instance], &name);
@@ -78,6 +82,20 @@
 }
 
 impl Shared {
+    /// How the directory lists the daemon at a control address, for logs.
+    pub(crate) fn listed_as(&self, control_addr: &str) -> &'static str {
+        self.with_directory(|directory| {
+            let presences = directory.all().filter(|i| i.control_addr == control_addr);
+            // An address may be used again: the entry of a live daemon counts most.
+            match presences.map(|i| i.presence).min() {
+                Some(Presence::Live) => "live",
+                Some(Presence::Lost) => "lost",
+                Some(Presence::Stopped) => "stopped",
+                None => "unknown",
+            }
+        })
+    }
+
     /// Control addresses of the replicas as this daemon knows them now, in the order in which it
     /// should try them. Reads the whole directory. Not empty, as the settings name at least one seed.
     pub(crate) fn replica_addrs(&self) -> ReplicaAddrs {
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -171,7 +171,9 @@
         current.reported = None;
         let serial = current.serial;
         drop(current);
-        emit!(self.shared.log, events::SOURCE_CHANGED, "source" => &source.control_addr);
+        let avoided = lock(&self.choice).avoided_count(Instant::now());
+        emit!(self.shared.log, events::SOURCE_CHANGED, "source" => &source.control_addr,
+            "listed" => self.shared.listed_as(&source.control_addr), "avoided" => avoided);
         // Each daemon records the peer that it received an entry from: replies to that
         // peer omit the entry, and its lease covers the entry. The new sequence makes all
         // daemons record the path through the new source.
