Sources that failed are probed at the same time, and used as soon as they are current

Cause: a source that did not reply was avoided for 5 s, whatever became of it, and the candidates were tried one after the other, removed replicas among them, at 0.5 to 1 s each. A search that the replicas answered changed nothing.

Now a failure counts until a probe says otherwise. While a daemon has no current source it probes all candidates at once, every 0.1 to 0.8 s; the first current one ends the search, interrupts what the poll waits for and is the next choice. With a current source, failed ones are probed every 5 s and used again only if they are current: a removed relay is not tried blindly. Among sources that are not current, one that replies is polled first. Answers to a search are merged as they arrive.

--- a/crates/foxtailgauge-core/src/source_choice.rs
+++ b/crates/foxtailgauge-core/src/source_choice.rs
@@ -5,23 +5,46 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Time for which a source is avoided after a failure.
+/// Time after a failure until a daemon that has another source probes the failed one.
 const AVOID_TIME: Duration = Duration::from_secs(5);
 /// Requests without a reply after which the known replicas may all be gone, and other daemons are asked.
 const FAILURES_BEFORE_SEARCH: u32 = 2;
 /// Shortest time between two searches for replicas.
 const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Why a source is avoided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Reason {
+    /// It replies, and is behind or has no contact with a quorum.
+    Stale,
+    /// It did not reply.
+    NoReply,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Avoidance {
+    reason: Reason,
+    /// Time at which it is due to be probed; it is avoided until a probe finds it current.
+    until: Instant,
+}
+
 /// The sources of one daemon that failed, and how often in a row.
+///
+/// A failure says nothing about the time after it. Therefore the daemon searches while it has no
+/// source that is current: it probes all candidates at the same time, again and again, and uses the first that is.
 #[derive(Clone, Debug, Default)]
 pub struct SourceChoice {
-    /// End of the time for which a source is avoided, by address.
-    avoided: HashMap<String, Instant>,
+    /// By address.
+    avoided: HashMap<String, Avoidance>,
     /// Requests without a reply since a source had contact with a quorum.
     failures: u32,
     /// Times that all candidates were avoided since then.
     round: usize,
     searched_at: Option<Instant>,
+    /// Whether a source has failed and none has been found current since then.
+    is_searching: bool,
+    /// The source that ended the search, until it is chosen.
+    found: Option<Source>,
 }
 
 impl SourceChoice {
@@ -30,50 +53,113 @@
         self.round
     }
 
-    /// Number of sources that are avoided now.
-    pub fn avoided_count(&self, now: Instant) -> usize {
-        self.avoided.values().filter(|until| **until > now).count()
+    /// Number of sources that are avoided.
+    pub fn avoided_count(&self) -> usize {
+        self.avoided.len()
     }
 
     /// Avoids a source that is behind, or has lost its contact with a quorum.
     pub fn avoid(&mut self, addr: &str, now: Instant) {
-        self.avoided.retain(|_, until| *until > now);
-        self.avoided.insert(addr.to_owned(), now + AVOID_TIME);
+        self.avoid_for(addr, Reason::Stale, now);
+        self.is_searching = true;
     }
 
     /// Avoids a source that did not reply.
     pub fn record_no_reply(&mut self, addr: &str, now: Instant) {
-        self.avoid(addr, now);
+        self.avoid_for(addr, Reason::NoReply, now);
+        self.is_searching = true;
         self.failures = self.failures.saturating_add(1);
     }
 
+    fn avoid_for(&mut self, addr: &str, reason: Reason, now: Instant) {
+        let until = now + AVOID_TIME;
+        self.avoided
+            .insert(addr.to_owned(), Avoidance { reason, until });
+    }
+
     /// Records a reply of a source that has contact with a quorum.
     pub fn record_contact(&mut self) {
         self.failures = 0;
         self.round = 0;
+        self.is_searching = false;
+    }
+
+    /// Records that the current source is current: it is no longer avoided, and the search ends.
+    pub fn record_current(&mut self, addr: &str) {
+        self.avoided.remove(addr);
+        self.record_contact();
+    }
+
+    /// Sources to probe now: while the daemon searches, all candidates that it does not use, else those of
+    /// the candidates that it has avoided for a while. Forgets sources that are no candidates and were
+    /// not probed in time.
+    pub fn sources_to_probe(
+        &mut self,
+        candidates: &[Source],
+        current: Option<&str>,
+        now: Instant,
+    ) -> Vec<Source> {
+        let is_candidate = |addr: &str| candidates.iter().any(|s| s.control_addr == addr);
+        self.avoided
+            .retain(|addr, avoidance| avoidance.until > now || is_candidate(addr));
+        let is_due = |source: &&Source| match self.avoided.get(&source.control_addr) {
+            Some(avoidance) => self.is_searching || avoidance.until <= now,
+            None => self.is_searching && current != Some(&source.control_addr),
+        };
+        candidates.iter().filter(is_due).cloned().collect()
+    }
+
+    /// Records that a probe of a source found it current. Returns whether this ends a search; then the source is
+    /// the next choice.
+    pub fn record_probe_current(&mut self, source: &Source) -> bool {
+        self.avoided.remove(&source.control_addr);
+        let ends_search = self.is_searching;
+        if ends_search {
+            self.record_contact();
+            self.found = Some(source.clone());
+        }
+        ends_search
     }
 
-    /// The preferred candidate that is not avoided, else the one whose avoidance ends first; the next
-    /// round has other candidates then. The source `recent` is kept unless it is avoided.
+    /// Records that a probe of a source found it behind or without contact.
+    pub fn record_probe_stale(&mut self, addr: &str, now: Instant) {
+        self.avoid_for(addr, Reason::Stale, now);
+    }
+
+    /// Records that a probe of a source had no reply.
+    pub fn record_probe_no_reply(&mut self, addr: &str, now: Instant) {
+        self.avoid_for(addr, Reason::NoReply, now);
+    }
+
+    /// The source that ended a search, else the preferred candidate that is not avoided, else one that
+    /// replied when it was last asked; the next round has other candidates then. The source `recent` is kept unless it has
+    /// failed within the time for which it is avoided.
     pub fn choose(
         &mut self,
         candidates: &[Source],
         recent: Option<Source>,
         now: Instant,
     ) -> Option<Source> {
-        let avoided_until = |source: &Source| {
-            let until = self.avoided.get(&source.control_addr);
-            until.copied().filter(|until| *until > now)
+        if let Some(found) = self.found.take() {
+            if !self.avoided.contains_key(&found.control_addr) {
+                return Some(found);
+            }
+        }
+        let has_failed = |source: &Source| {
+            let avoidance = self.avoided.get(&source.control_addr);
+            avoidance.is_some_and(|avoidance| avoidance.until > now)
         };
-        let recent = recent.filter(|source| avoided_until(source).is_none());
+        let recent = recent.filter(|source| !has_failed(source));
         if recent.is_some() && !candidates.is_empty() {
             return recent;
         }
-        let mut available = candidates.iter().filter(|s| avoided_until(s).is_none());
+        let avoidance = |source: &Source| self.avoided.get(&source.control_addr);
+        let mut available = candidates.iter().filter(|s| avoidance(s).is_none());
         if let Some(source) = available.next() {
             return Some(source.clone());
         }
-        let next = candidates.iter().min_by_key(|s| avoided_until(s)).cloned();
+        let order = |source: &&Source| avoidance(source).map(|a| (a.reason, a.until));
+        let next = candidates.iter().min_by_key(order).cloned();
         self.round = self.round.wrapping_add(1);
         next
     }
--- a/crates/foxtailgauge-core/tests/sources.rs
+++ b/crates/foxtailgauge-core/tests/sources.rs
@@ -184,3 +184,77 @@
     choice.record_contact();
     assert!(!choice.begin_search(now + ms(3_000)));
 }
+
+/// Candidates that a daemon would probe at `now`, by address.
+fn probed(choice: &mut SourceChoice, candidates: &[Source], now: Instant) -> Vec<String> {
+    let found = choice.sources_to_probe(candidates, Some("relay"), now);
+    found.into_iter().map(|s| s.control_addr).collect()
+}
+
+/// Guards against replicas that stay avoided after they run again, and against removed ones that are
+/// tried first: the first source that a probe finds current is used at once.
+#[test]
+fn source_that_is_current_again_is_chosen_at_once() {
+    let now = Instant::now();
+    let candidates = ["relay", "r1", "r2"].map(source);
+    let removed = ["gone1", "gone2", "gone3"].map(source);
+    let mut choice = SourceChoice::default();
+    for failed in &candidates {
+        choice.record_no_reply(&failed.control_addr, now);
+    }
+    let later = now + Duration::from_millis(500);
+    assert_eq!(choice.choose(&removed, None, later), Some(source("gone1")));
+    assert_eq!(
+        probed(&mut choice, &candidates, later),
+        ["relay", "r1", "r2"],
+        "all at the same time"
+    );
+    choice.record_probe_no_reply("relay", later);
+    assert!(
+        choice.record_probe_current(&source("r2")),
+        "the search ends"
+    );
+    assert!(!choice.record_probe_current(&source("r1")), "it has ended");
+    let recent = Some(source("gone1"));
+    let chosen = choice.choose(&removed, recent, later);
+    assert_eq!(chosen, Some(source("r2")), "in any round");
+    assert_eq!(choice.choose(&candidates, None, later), Some(source("r1")));
+    assert_eq!(probed(&mut choice, &candidates, later), [""; 0]);
+}
+
+/// Guards against a daemon that returns to a failed source because some time has passed.
+#[test]
+fn failed_source_is_used_again_once_a_probe_finds_it_current() {
+    let now = Instant::now();
+    let secs = Duration::from_secs;
+    let candidates = ["relay", "r1"].map(source);
+    let mut choice = SourceChoice::default();
+    choice.record_no_reply("relay", now);
+    choice.record_current("r1");
+    for (second, expected_probes) in [(1, vec![]), (6, vec!["relay"]), (7, vec![])] {
+        let at = now + secs(second);
+        assert_eq!(choice.choose(&candidates, None, at), Some(source("r1")));
+        assert_eq!(probed(&mut choice, &candidates, at), expected_probes);
+        for addr in expected_probes {
+            choice.record_probe_stale(addr, at);
+        }
+    }
+    assert_eq!(probed(&mut choice, &candidates, now + secs(12)), ["relay"]);
+    assert!(!choice.record_probe_current(&source("relay")), "no search");
+    let chosen = choice.choose(&candidates, None, now + secs(12));
+    assert_eq!(chosen, Some(source("relay")), "preferred again");
+}
+
+/// A source that replies is polled rather than one that does not, while none is current: it passes a change on as
+/// soon as it has it.
+#[test]
+fn stale_source_is_preferred_to_an_unresponsive_one() {
+    let now = Instant::now();
+    let candidates = ["relay", "r1", "r2"].map(source);
+    let mut choice = SourceChoice::default();
+    choice.record_no_reply("relay", now);
+    choice.record_no_reply("r1", now);
+    choice.avoid("r2", now + Duration::from_millis(10));
+    let chosen = choice.choose(&candidates, None, now + Duration::from_millis(20));
+    assert_eq!(chosen, Some(source("r2")));
+}
--- a/crates/foxtailgauge-daemon/src/control/mod.rs
+++ b/crates/foxtailgauge-daemon/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod replica_search;
 pub(crate) mod seeds;
 pub(crate) mod source;
+pub(crate) mod source_probe;
 pub(crate) mod state_machine;
 pub mod store;
 pub(crate) mod subscriber;
--- a/crates/foxtailgauge-daemon/src/control/replica_search.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica_search.rs
@@ -26,23 +26,33 @@
     })
 }
 
-/// Reads the seeds again, asks them and some other daemons for the replicas, and merges the answers
-/// into the directory.
+/// Reads the seeds again, asks them and some other daemons for the replicas, and merges each answer into
+/// the directory as it arrives: those of daemons that are gone take until the timeout.
 pub(crate) async fn run(shared: &Shared) {
     shared.seeds.reload(&shared.log);
     let asked = asked_daemons(shared);
-    let asking = asked.iter().map(|addr| ask(shared, addr));
-    let answers: Vec<_> = futures::future::join_all(asking).await;
-    let answered = answers.iter().flatten().count();
+    let asking = asked.iter().map(|addr| ask_and_merge(shared, addr));
+    let has_answered = futures::future::join_all(asking).await;
     let live = shared.replica_addrs().live;
-    let by_addr = asked.iter().zip(&answers);
-    let replicas = by_addr.filter(|(addr, answer)| answer.is_some() && live.contains(*addr));
-    emit!(shared.log, events::REPLICAS_SEARCHED, "asked" => asked.len(), "answered" => answered,
-        "replicas_answered" => replicas.count());
-    for instance in answers.into_iter().flatten().flatten() {
+    let by_addr = asked.iter().zip(has_answered);
+    let answered: Vec<&String> = by_addr
+        .filter_map(|(addr, has)| has.then_some(addr))
+        .collect();
+    let replicas = answered.iter().filter(|addr| live.contains(addr));
+    emit!(shared.log, events::REPLICAS_SEARCHED, "asked" => asked.len(),
+        "answered" => answered.len(), "replicas_answered" => replicas.count());
+}
+
+/// Returns whether the daemon answered.
+async fn ask_and_merge(shared: &Shared, addr: &str) -> bool {
+    let Some(replicas) = ask(shared, addr).await else {
+        return false;
+    };
+    for instance in replicas {
         let name = instance.name.clone();
         shared.merge_instances(vec![instance], &name);
     }
+    true
 }
 
 /// The seeds, and a random choice of the known replicas and of the other daemons. Lost ones may have
--- /dev/null
+++ b/crates/foxtailgauge-daemon/src/control/source_probe.rs
@@ -0,0 +1,76 @@
+//! Probes of sources that failed, so that a daemon uses them again as soon as they are current.
+
+use crate::control::subscriber::{Subscriber, PROBE_TIMEOUT};
+use crate::peer_client::PeerRequest;
+use crate::shared::lock;
+use crate::timer::sleep_until;
+use foxtailgauge_core::{Backoff, ReportReply, Source};
+use futures::future::select;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Shortest and longest delay between two rounds of probes. The longest, and the time to notice that a
+/// connection cannot be opened, are within the time in which a change must be in force.
+const MIN_DELAY: Duration = Duration::from_millis(100);
+const MAX_DELAY: Duration = Duration::from_millis(800);
+/// Interval at which a daemon with a current source looks for sources that are due to be probed.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes the sources that the choice names, all of a round at the same time.
+pub(super) async fn run(subscriber: Arc<Subscriber>) {
+    let mut backoff = Backoff::new(MIN_DELAY, MAX_DELAY);
+    loop {
+        let source_failed = subscriber.source_failed_event.listen();
+        let sources = sources_to_probe(&subscriber);
+        if sources.is_empty() {
+            backoff.reset();
+            select(source_failed, sleep_until(Instant::now() + IDLE_INTERVAL)).await;
+            continue;
+        }
+        let probes = sources.iter().map(|source| probe(&subscriber, source));
+        futures::future::join_all(probes).await;
+        let delay = backoff.next_delay(&mut rand::rng());
+        async_std::task::sleep(delay).await;
+    }
+}
+
+fn sources_to_probe(subscriber: &Subscriber) -> Vec<Source> {
+    // The only source of a replica is the leader that its group knows.
+    if subscriber.shared.replica.get().is_some() {
+        return Vec::new();
+    }
+    let round = {
+        let choice = lock(&subscriber.choice);
+        if choice.avoided_count() == 0 {
+            return Vec::new();
+        }
+        choice.round()
+    };
+    // The best candidates are always among them, as they were not tried in vain but at the wrong time.
+    let mut candidates = subscriber.candidates(0);
+    for source in subscriber.candidates(round) {
+        if !candidates.contains(&source) {
+            candidates.push(source);
+        }
+    }
+    let current = subscriber.current_addr();
+    lock(&subscriber.choice).sources_to_probe(&candidates, current.as_deref(), Instant::now())
+}
+
+async fn probe(subscriber: &Subscriber, source: &Source) {
+    let reply: Option<ReportReply> = subscriber
+        .call_source(source, PeerRequest::Probe, PROBE_TIMEOUT)
+        .await;
+    let mut choice = lock(&subscriber.choice);
+    let Some(ReportReply { freshness }) = reply else {
+        return choice.record_probe_no_reply(&source.control_addr, Instant::now());
+    };
+    let shared = &subscriber.shared;
+    shared.observe_version(freshness.highest_version);
+    if freshness.is_stale(shared.highest_known_version()) {
+        return choice.record_probe_stale(&source.control_addr, Instant::now());
+    }
+    if choice.record_probe_current(source) {
+        subscriber.source_found.notify(usize::MAX);
+    }
+}
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -2,6 +2,7 @@
 //! it.
 
 use crate::control::replica_search;
+use crate::control::source_probe;
 use crate::emit;
 use crate::events;
 use crate::peer_client::{PeerReply, PeerRequest};
@@ -21,8 +22,10 @@
 
 /// Time that a subscriber waits for a reply beyond the poll timeout that it requested.
 const POLL_SLACK: Duration = Duration::from_millis(700);
-/// Timeout of a report or a probe.
+/// Timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout of a probe on an open connection.
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between reports while a rollout runs: with two tiers of sources the contact with a quorum
 /// is known with an age of about 1 s.
 const ROLLOUT_REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -55,14 +58,18 @@
     source_epoch: u64,
 }
 
-struct Subscriber {
-    shared: Arc<Shared>,
+pub(super) struct Subscriber {
+    pub(super) shared: Arc<Shared>,
     current: Mutex<CurrentSource>,
-    choice: Mutex<SourceChoice>,
+    pub(super) choice: Mutex<SourceChoice>,
     /// Notified when the daemon has switched to a new source.
     source_changed: event_listener::Event,
     /// Notified when the source does not reply to a report, or is stale.
     source_abandoned: event_listener::Event,
+    /// Notified when a source did not reply, or was found to be stale.
+    pub(super) source_failed_event: event_listener::Event,
+    /// Notified when a probe has found a current source for a daemon that had none.
+    pub(super) source_found: event_listener::Event,
 }
 
 /// Starts the tasks of the subscriber.
@@ -79,9 +86,12 @@
         choice: Mutex::default(),
         source_changed: event_listener::Event::new(),
         source_abandoned: event_listener::Event::new(),
+        source_failed_event: event_listener::Event::new(),
+        source_found: event_listener::Event::new(),
     });
     async_std::task::spawn(poll_loop(Arc::clone(&subscriber)));
     async_std::task::spawn(report_loop(Arc::clone(&subscriber)));
+    async_std::task::spawn(source_probe::run(Arc::clone(&subscriber)));
     async_std::task::spawn(probe_loop(subscriber));
     async_std::task::spawn(expire_loop(Arc::clone(shared)));
 }
@@ -96,9 +106,9 @@
 }
 
 impl Subscriber {
-    /// Sources in order of preference. The leader of the configuration group has none, and the only
-    /// source of another replica is that leader.
-    fn candidates(&self) -> Vec<Source> {
+    /// Sources of a round in order of preference. The leader of the configuration group has none, and the
+    /// only source of another replica is that leader.
+    pub(super) fn candidates(&self, round: usize) -> Vec<Source> {
         let shared = &self.shared;
         if let Some(replica) = shared.replica.get() {
             if shared.is_root() {
@@ -113,7 +123,6 @@
             return source.into_iter().collect();
         }
         let settings = &shared.settings;
-        let round = lock(&self.choice).round();
         let seeds = shared.seeds.addrs();
         shared.with_directory(|directory| {
             sources(
@@ -128,11 +137,21 @@
     }
 
     fn choose_source(&self) -> Option<Source> {
-        let candidates = self.candidates();
+        let round = lock(&self.choice).round();
+        let candidates = self.candidates(round);
         let recent = self.recent_source();
         lock(&self.choice).choose(&candidates, recent, Instant::now())
     }
 
+    /// Control address of the current source.
+    pub(super) fn current_addr(&self) -> Option<String> {
+        let current = lock(&self.current);
+        current
+            .source
+            .as_ref()
+            .map(|source| source.control_addr.clone())
+    }
+
     /// The current source, if it was chosen within `MIN_SOURCE_TIME`.
     fn recent_source(&self) -> Option<Source> {
         let current = lock(&self.current);
@@ -145,6 +164,7 @@
         let now = Instant::now();
         let mut choice = lock(&self.choice);
         choice.record_no_reply(&source.control_addr, now);
+        self.source_failed_event.notify(usize::MAX);
         if choice.begin_search(now) {
             let shared = Arc::clone(&self.shared);
             async_std::task::spawn(async move { replica_search::run(&shared).await });
@@ -152,10 +172,10 @@
     }
 
     /// Records what a source replied. One in contact with a quorum ends the search for others.
-    fn record_freshness(&self, freshness: &Freshness) {
+    fn record_freshness(&self, source: &Source, freshness: &Freshness) {
         self.shared.record_source_freshness(freshness);
         if freshness.quorum_age_ms.is_some() && !freshness.has_lost_contact() {
-            lock(&self.choice).record_contact();
+            lock(&self.choice).record_current(&source.control_addr);
         }
     }
 
@@ -171,7 +191,7 @@
         current.reported = None;
         let serial = current.serial;
         drop(current);
-        let avoided = lock(&self.choice).avoided_count(Instant::now());
+        let avoided = lock(&self.choice).avoided_count();
         emit!(self.shared.log, events::SOURCE_CHANGED, "source" => &source.control_addr,
             "listed" => self.shared.listed_as(&source.control_addr), "avoided" => avoided);
         // Each daemon records the peer that it received an entry from: replies to that
@@ -193,7 +213,7 @@
         self.shared.renew_own_entry();
     }
 
-    async fn call_source<T: DeserializeOwned>(
+    pub(super) async fn call_source<T: DeserializeOwned>(
         &self,
         source: &Source,
         request: PeerRequest,
@@ -211,6 +231,7 @@
     let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     let mut last_read: Option<(u64, Cursor)> = None;
     loop {
+        let source_found = subscriber.source_found.listen();
         let Some(source) = subscriber.choose_source() else {
             subscriber.detach();
             async_std::task::sleep(NO_SOURCE_RETRY_DELAY).await;
@@ -224,9 +245,10 @@
         // reply tells them apart and ends the poll.
         let source_abandoned = subscriber.source_abandoned.listen();
         let poll = Box::pin(poll_once(&subscriber, &source, cursor));
-        let outcome = match select(poll, source_abandoned).await {
-            Either::Left((outcome, _)) => outcome,
-            Either::Right(_) => PollOutcome::Abandoned,
+        let interrupted = select(source_abandoned, source_found);
+        let (outcome, interrupted) = match select(poll, interrupted).await {
+            Either::Left((outcome, interrupted)) => (outcome, interrupted),
+            Either::Right(_) => continue,
         };
         match outcome {
             PollOutcome::Changes(cursor) => {
@@ -234,11 +256,10 @@
                 last_read = Some((serial, cursor));
             }
             PollOutcome::RetryAfter(delay) => async_std::task::sleep(delay).await,
-            PollOutcome::Abandoned => {}
             PollOutcome::Failed => {
                 subscriber.source_failed(&source);
                 let delay = backoff.next_delay(&mut rand::rng());
-                async_std::task::sleep(delay).await;
+                select(sleep_until(Instant::now() + delay), interrupted).await;
             }
         }
     }
@@ -249,8 +270,6 @@
     Changes(Cursor),
     /// The source is busy; it can be polled again after this delay.
     RetryAfter(Duration),
-    /// The source did not reply to a report, or was found to be stale, during the poll.
-    Abandoned,
     /// No reply, or an invalid one.
     Failed,
 }
@@ -285,7 +304,7 @@
             freshness,
         }) => {
             merge_instances(shared, source, instances);
-            subscriber.record_freshness(&freshness);
+            subscriber.record_freshness(source, &freshness);
             let update: Option<Update> = match update.as_deref().map(|bytes| decode(bytes)) {
                 None => None,
                 Some(Ok(update)) => Some(update),
@@ -389,11 +408,12 @@
     let shared = &subscriber.shared;
     let is_past_min_time = subscriber.recent_source().is_none();
     let is_stale = is_past_min_time && freshness.is_stale(shared.highest_known_version());
-    if (is_stale || freshness.has_lost_contact()) && subscriber.candidates().len() > 1 {
+    if (is_stale || freshness.has_lost_contact()) && subscriber.candidates(0).len() > 1 {
         emit!(shared.log, events::SOURCE_STALE, "source" => &source.control_addr,
             "version" => freshness.version, "highest_heard" => shared.highest_known_version(),
             "quorum_age_ms" => freshness.quorum_age_ms);
         lock(&subscriber.choice).avoid(&source.control_addr, Instant::now());
+        subscriber.source_failed_event.notify(usize::MAX);
         // A poll in progress would otherwise block until its timeout.
         subscriber.source_abandoned.notify(usize::MAX);
     }
@@ -451,7 +471,7 @@
         subscriber.source_abandoned.notify(usize::MAX);
         return;
     };
-    subscriber.record_freshness(&reply.freshness);
+    subscriber.record_freshness(&source, &reply.freshness);
     abandon_if_stale(subscriber, &source, &reply.freshness);
     let mut current = lock(&subscriber.current);
     if current.serial != serial {
--- a/crates/foxtailgauge-daemon/tests/dark_replicas.rs
+++ b/crates/foxtailgauge-daemon/tests/dark_replicas.rs
@@ -67,10 +67,10 @@
     }
     let mut replicas: Vec<usize> = (0..REPLICAS).collect();
     for turn in 0..2 {
-        for n in 0..REPLICAS {
+        for (n, replica) in replicas.iter_mut().enumerate() {
             let successor = mesh.spare(turn * REPLICAS + n);
-            replace_silently(&mut mesh, replicas[n], successor);
-            replicas[n] = successor;
+            replace_silently(&mut mesh, *replica, successor);
+            *replica = successor;
         }
     }
     replicas.iter().for_each(|n| mesh.pause(*n));
