Soak profile turnover: replicas are replaced in turn beside cuts, pauses, restarts and changes

Each replica is replaced once or more, killed or left standing dark; between the turns all of them are dark or killed for 0.5 to 8 s. Callers at every sidecar ask for the newest route; from 2 s after its acknowledgement on it must be known, later only while the group is unstable, as the users' rules say.

--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -482,6 +482,8 @@
     pub stop_grace_ms: &'static str,
     /// Replicas that the settings of daemons name that are started from now on.
     pub seeds: Vec<usize>,
+    /// Longest time for which a source holds a poll, in the settings of daemons that are started from now on.
+    pub poll_timeout_ms: Option<u64>,
 }
 
 /// Ports of each daemon: the mesh range, then outbound, ready, platform and metrics.
@@ -523,6 +525,7 @@
             bounds: "",
             stop_grace_ms: "3000",
             seeds: (0..topology.replicas).collect(),
+            poll_timeout_ms: None,
         };
         if topology.has_links {
             let links = (0..daemons).flat_map(|n| mesh.links(n)).collect();
@@ -659,6 +662,9 @@
         if let Some(link_mbps) = self.link_mbps {
             role += &format!("[limits]\nlink_mbps = {link_mbps}\n");
         }
+        if let Some(poll_timeout_ms) = self.poll_timeout_ms {
+            role += &format!("[distribution]\nhold_ms = {poll_timeout_ms}\nrelays = 1\n");
+        }
         let outbound = if is_replica {
             String::new()
         } else {
--- a/crates/foxtailgauge-daemon/tests/soak.rs
+++ b/crates/foxtailgauge-daemon/tests/soak.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Seeds that CI runs, with what they showed: an initial one, then each that ever failed.
-const REGRESSION_SEEDS: [(Profile, u64, &str); 6] = [
+const REGRESSION_SEEDS: [(Profile, u64, &str); 7] = [
     (Profile::Light, 1, "initial seed, no failure so far"),
     (
         Profile::Light,
@@ -41,6 +41,7 @@
         1,
         "a resent key was reported as not run for lack of capacity, and its earlier try ran",
     ),
+    (Profile::Turnover, 1, "initial seed, no failure so far"),
 ];
 /// Time during which faults are injected, for each seed in CI.
 const CI_DURATION: Duration = Duration::from_secs(6);
--- a/crates/foxtailgauge-daemon/tests/soak_support/faults.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/faults.rs
@@ -91,7 +91,7 @@
                 None => continue,
             },
             Profile::Contention if rng.random_bool(0.6) => misbehaving_servers(&mut rng, topology),
-            Profile::Light | Profile::Contention | Profile::Keys => {
+            Profile::Light | Profile::Contention | Profile::Keys | Profile::Turnover => {
                 random_fault(&mut rng, topology, &mut may_lose_disk)
             }
         };
--- a/crates/foxtailgauge-daemon/tests/soak_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/mod.rs
@@ -11,3 +11,4 @@
 pub mod run;
 pub mod starvation;
 pub mod trace;
+mod turnover;
--- a/crates/foxtailgauge-daemon/tests/soak_support/profile.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/profile.rs
@@ -2,6 +2,7 @@
 
 use super::keys;
 use super::run::Soak;
+use super::turnover;
 use crate::mesh_support::quirks::{Quirk, Quirky};
 use crate::mesh_support::{Script, Topology};
 use std::time::Duration;
@@ -20,6 +21,8 @@
     Stops,
     /// Billable actions on the product's own routes; see [`super::keys`].
     Keys,
+    /// All replicas are replaced in turn; see [`super::turnover`].
+    Turnover,
 }
 
 /// Requests of the callers of a sidecar.
@@ -33,16 +36,17 @@
 }
 
 impl Profile {
-    pub const ALL: [(&'static str, Profile); 4] = [
+    pub const ALL: [(&'static str, Profile); 5] = [
         ("light", Profile::Light),
         ("contention", Profile::Contention),
         ("stops", Profile::Stops),
         ("keys", Profile::Keys),
+        ("turnover", Profile::Turnover),
     ];
 
     pub fn load(self) -> Load {
         let (callers, interval_ms, deadlines_ms): (_, _, &[u64]) = match self {
-            Profile::Light | Profile::Keys => (3, 25, &[1_000]),
+            Profile::Light | Profile::Keys | Profile::Turnover => (3, 25, &[1_000]),
             Profile::Contention => (8, 4, &[60, 250, 1_000]),
             Profile::Stops => (6, 25, &[1_000]),
         };
@@ -56,7 +60,7 @@
     /// Script of the server of sidecar `n` while nothing disturbs it.
     pub fn script(self, n: usize) -> Script {
         let run_ms = match self {
-            Profile::Light | Profile::Keys => return Script::Echo,
+            Profile::Light | Profile::Keys | Profile::Turnover => return Script::Echo,
             Profile::Contention => CONTENTION_RUN_MS,
             Profile::Stops => [10, 100, 300][n % 3],
         };
@@ -83,6 +87,7 @@
     pub fn run(self) -> Vec<String> {
         match self.profile {
             Profile::Keys => keys::run(self),
+            Profile::Turnover => turnover::run(self),
             Profile::Light | Profile::Contention | Profile::Stops => Soak::run(self),
         }
     }
