The leader introduces itself to daemons that do not report

Each replica stores the control addresses of all daemons that have not announced their stop. The leader sends its own directory entry, once a second, to 32 of those that the directory does not list as live, in turn. A replica stores them so that this also holds after all machines lost power.

The search for other users of the seeds found none without the directory.

--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -43,6 +43,7 @@
 mod fleet_check;
 mod host_route;
 mod ids;
+mod introductions;
 mod ledger;
 mod link_acks;
 mod log;
@@ -104,6 +105,7 @@
     LogIndex, ReplicaId, Revision, RouteName, ServerVersion, ServiceName, TeamName, Term, UnixMs,
     WorkspaceName,
 };
+pub use introductions::Introductions;
 pub use ledger::{
     key_time_ms, Claimant, Ledger, LedgerAnswer, LedgerCommand, RecordedResponse, CLAIM_GRACE_MS,
     MAX_KEY_SKEW_MS, MAX_VOIDED_ATTEMPTS,
--- a/crates/foxtailgauge-daemon/src/control/mod.rs
+++ b/crates/foxtailgauge-daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod consensus_link;
 pub(crate) mod fleet_status;
 pub(crate) mod formation;
+pub(crate) mod introduction;
 pub(crate) mod replica;
 pub(crate) mod replica_client;
 pub(crate) mod replica_search;
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::admin_http;
 use crate::control::consensus_link::ConsensusLinks;
 use crate::control::formation;
+use crate::control::introduction;
 use crate::control::replica_client::ReplicaClient;
 use crate::control::subscriber;
 use crate::emit;
@@ -108,6 +109,8 @@
     if let Some(dir) = store_dir {
         let starting = formation::start(context, dir).await;
         starting.change_context(DaemonError::Store)?;
+        let introducing = introduction::run(Arc::clone(&context.shared), dir.to_owned());
+        async_std::task::spawn(introducing);
     }
     subscriber::start(&context.shared);
     usage::start(&context.shared);
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -49,6 +49,7 @@
     STORE_FAILED = 2003, Critical, "store failed: replica stopped";
     SNAPSHOT_SAVED = 2004, Info, "log compacted into a snapshot";
     SNAPSHOT_INSTALLED = 2005, Info, "snapshot of the leader installed";
+    DAEMONS_NOT_STORED = 2006, Warning, "addresses of the daemons cannot be stored or read";
     GROUP_FORMED = 2101, Info, "group formed with its initial members";
     GROUP_JOINED = 2102, Info, "replica asked to join the group as a learner";
     ROLE_CHANGED = 2103, Info, "replica changed its role";
@@ -69,6 +70,7 @@
     DAEMON_LOST = 3201, Warning, "daemon marked as lost";
     LOST_REFUTED = 3202, Info, "daemon refuted its own mark as lost";
     DAEMON_FORGOTTEN = 3203, Info, "lost daemon forgotten by operators";
+    DAEMONS_INTRODUCED = 3204, Info, "daemons that do not report were told where this replica is";
     SERVER_ANNOUNCED = 4001, Info, "backend server announced";
     SERVER_LEAVING = 4002, Info, "backend server leaving";
     SERVER_GONE = 4003, Info, "backend server removed";
--- a/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
+++ b/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
@@ -201,6 +201,32 @@
     }
 }
 
+/// Guards against sidecars that are never ready again after a restart, as their settings name only removed
+/// replicas: alone, and together with all replicas, which then know the sidecars from their disks.
+#[test]
+fn restarted_sidecars_that_know_only_removed_replicas_are_ready_again() {
+    for is_all_at_once in [false, true] {
+        let mut mesh = start(3, 3, 3, false);
+        replace(&mut mesh, &[0, 1, 2]);
+        let current = std::mem::replace(&mut mesh.seeds, vec![0, 1, 2]);
+        let killed: Vec<usize> = match is_all_at_once {
+            true => (3..6).chain(current).collect(),
+            false => (3..6).collect(),
+        };
+        killed.iter().for_each(|n| mesh.kill(*n));
+        killed.iter().for_each(|n| mesh.start_daemon(*n, false));
+        let restarted_at = Instant::now();
+        for n in 3..6 {
+            while !mesh.is_ready(n) {
+                let age = restarted_at.elapsed();
+                assert!(age < RECOVERY, "sidecar {n}, all at once: {is_all_at_once}");
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+        assert_change_reaches(&mesh, mesh.spare(0), &[3, 4, 5], CONFIG_APPLY);
+    }
+}
+
 /// Guards against a settings file that is replaced by one with errors while the daemon runs.
 #[test]
 fn unreadable_seeds_leave_the_previous_ones() {
