A current source is left only for one that a probe has found current

A replica that has just started is the preferred relay of its failure domain as soon as the directory lists it. Sidecars left a current source for it although it had no configuration, and learned that only from its first reply, which comes after the time that a poll is held.

A candidate that is preferred to the current source is probed first, and used once it is current. Evidence: the replay sources::current_source_is_kept_until_a_preferred_one_is_proven; the code before chooses the new relay at once, by reading. mesh, mesh_faults and dark_replicas pass.

--- a/crates/foxtailgauge-core/src/source_choice.rs
+++ b/crates/foxtailgauge-core/src/source_choice.rs
@@ -2,7 +2,7 @@
 //! the replicas.
 
 use crate::tree::Source;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Time after a failure until a daemon that has another source probes the failed one.
@@ -32,6 +32,7 @@
 ///
 /// A failure says nothing about the time after it. Therefore the daemon searches while it has no
 /// source that is current: it probes all candidates at the same time, again and again, and uses the first that is.
+/// It leaves a current source only for one that a probe has found current.
 #[derive(Clone, Debug, Default)]
 pub struct SourceChoice {
     /// By address.
@@ -45,6 +46,12 @@
     is_searching: bool,
     /// The source that ended the search, until it is chosen.
     found: Option<Source>,
+    /// Address of the source that last replied with contact to a quorum. Not avoided.
+    current: Option<String>,
+    /// Addresses of sources that a probe found current while the daemon had another one. Not avoided.
+    proven: BTreeSet<String>,
+    /// A candidate that is preferred to the current source and not proven.
+    unproven: Option<Source>,
 }
 
 impl SourceChoice {
@@ -75,6 +82,10 @@
         let until = now + AVOID_TIME;
         self.avoided
             .insert(addr.to_owned(), Avoidance { reason, until });
+        self.proven.remove(addr);
+        if self.current.as_deref() == Some(addr) {
+            self.current = None;
+        }
     }
 
     /// Records a reply of a source that has contact with a quorum.
@@ -87,9 +98,21 @@
     /// Records that the current source is current: it is no longer avoided, and the search ends.
     pub fn record_current(&mut self, addr: &str) {
         self.avoided.remove(addr);
+        self.proven.remove(addr);
+        self.current = Some(addr.to_owned());
         self.record_contact();
     }
 
+    /// Whether a candidate is to be probed now, which is then preferred to the current source.
+    pub fn has_unproven(&self) -> bool {
+        self.unproven.is_some()
+    }
+
+    /// Whether a source is to be probed before long.
+    pub fn has_probes(&self) -> bool {
+        !self.avoided.is_empty() || self.unproven.is_some()
+    }
+
     /// Sources to probe now: while the daemon searches, all candidates that it does not use, else those of
     /// the candidates that it has avoided for a while. Forgets sources that are no candidates and were
     /// not probed in time.
@@ -106,7 +129,10 @@
             Some(avoidance) => self.is_searching || avoidance.until <= now,
             None => self.is_searching && current != Some(&source.control_addr),
         };
-        candidates.iter().filter(is_due).cloned().collect()
+        let mut due: Vec<Source> = candidates.iter().filter(is_due).cloned().collect();
+        let unproven = self.unproven.take();
+        due.extend(unproven.filter(|source| !due.contains(source)));
+        due
     }
 
     /// Records that a probe of a source found it current. Returns whether this ends a search; then the source is
@@ -117,6 +143,8 @@
         if ends_search {
             self.record_contact();
             self.found = Some(source.clone());
+        } else {
+            self.proven.insert(source.control_addr.clone());
         }
         ends_search
     }
@@ -131,8 +159,8 @@
         self.avoid_for(addr, Reason::NoReply, now);
     }
 
-    /// The source that ended a search, else the preferred candidate that is not avoided, else one that
-    /// replied when it was last asked; the next round has other candidates then. The source `recent` is kept unless it has
+    /// The source that ended a search, else the preferred candidate that is proven, else one that is not
+    /// avoided, else one that replied when it was last asked; the next round has other candidates then. The source `recent` is kept unless it has
     /// failed within the time for which it is avoided.
     pub fn choose(
         &mut self,
@@ -155,8 +183,16 @@
         }
         let avoidance = |source: &Source| self.avoided.get(&source.control_addr);
         let mut available = candidates.iter().filter(|s| avoidance(s).is_none());
-        if let Some(source) = available.next() {
-            return Some(source.clone());
+        let is_proven = |source: &Source| {
+            self.current.as_ref() == Some(&source.control_addr)
+                || self.proven.contains(&source.control_addr)
+        };
+        if let Some(first) = available.clone().next() {
+            let proven = available.find(|source| is_proven(source));
+            self.unproven = proven
+                .filter(|proven| *proven != first)
+                .map(|_| first.clone());
+            return Some(proven.unwrap_or(first).clone());
         }
         let order = |source: &&Source| avoidance(source).map(|a| (a.reason, a.until));
         let next = candidates.iter().min_by_key(order).cloned();
--- a/crates/foxtailgauge-core/tests/sources.rs
+++ b/crates/foxtailgauge-core/tests/sources.rs
@@ -258,3 +258,28 @@
     let chosen = choice.choose(&candidates, None, now + Duration::from_millis(20));
     assert_eq!(chosen, Some(source("r2")));
 }
+
+/// Guards against sidecars that leave a current source for a replica which has just started: they had to wait for
+/// its first reply, and missed changes meanwhile.
+#[test]
+fn current_source_is_kept_until_a_preferred_one_is_proven() {
+    let now = Instant::now();
+    let candidates = ["new-relay", "r1", "r2"].map(source);
+    let mut choice = SourceChoice::default();
+    choice.record_current("r1");
+    assert_eq!(choice.choose(&candidates, None, now), Some(source("r1")));
+    assert!(choice.has_unproven());
+    assert_eq!(probed(&mut choice, &candidates, now), ["new-relay"]);
+    choice.record_probe_stale("new-relay", now);
+    assert_eq!(choice.choose(&candidates, None, now), Some(source("r1")));
+    assert!(!choice.has_unproven(), "it is avoided for a while");
+    let later = now + Duration::from_secs(5);
+    assert_eq!(probed(&mut choice, &candidates, later), ["new-relay"]);
+    choice.record_probe_current(&source("new-relay"));
+    let chosen = choice.choose(&candidates, None, later);
+    assert_eq!(chosen, Some(source("new-relay")));
+    choice.record_no_reply("r1", later);
+    choice.record_no_reply("new-relay", later);
+    let chosen = choice.choose(&candidates, None, later);
+    assert_eq!(chosen, Some(source("r2")), "nothing is current");
+}
--- a/crates/foxtailgauge-daemon/src/control/source_probe.rs
+++ b/crates/foxtailgauge-daemon/src/control/source_probe.rs
@@ -20,11 +20,11 @@
 pub(super) async fn run(subscriber: Arc<Subscriber>) {
     let mut backoff = Backoff::new(MIN_DELAY, MAX_DELAY);
     loop {
-        let source_failed = subscriber.source_failed_event.listen();
+        let probe_due = subscriber.probe_due.listen();
         let sources = sources_to_probe(&subscriber);
         if sources.is_empty() {
             backoff.reset();
-            select(source_failed, sleep_until(Instant::now() + IDLE_INTERVAL)).await;
+            select(probe_due, sleep_until(Instant::now() + IDLE_INTERVAL)).await;
             continue;
         }
         let probes = sources.iter().map(|source| probe(&subscriber, source));
@@ -41,7 +41,7 @@
     }
     let round = {
         let choice = lock(&subscriber.choice);
-        if choice.avoided_count() == 0 {
+        if !choice.has_probes() {
             return Vec::new();
         }
         choice.round()
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -66,8 +66,8 @@
     source_changed: event_listener::Event,
     /// Notified when the source does not reply to a report, or is stale.
     source_abandoned: event_listener::Event,
-    /// Notified when a source did not reply, or was found to be stale.
-    pub(super) source_failed_event: event_listener::Event,
+    /// Notified when a source did not reply or was found to be stale, or is to be probed before its use.
+    pub(super) probe_due: event_listener::Event,
     /// Notified when a probe has found a current source for a daemon that had none.
     pub(super) source_found: event_listener::Event,
 }
@@ -86,7 +86,7 @@
         choice: Mutex::default(),
         source_changed: event_listener::Event::new(),
         source_abandoned: event_listener::Event::new(),
-        source_failed_event: event_listener::Event::new(),
+        probe_due: event_listener::Event::new(),
         source_found: event_listener::Event::new(),
     });
     async_std::task::spawn(poll_loop(Arc::clone(&subscriber)));
@@ -140,7 +140,12 @@
         let round = lock(&self.choice).round();
         let candidates = self.candidates(round);
         let recent = self.recent_source();
-        lock(&self.choice).choose(&candidates, recent, Instant::now())
+        let mut choice = lock(&self.choice);
+        let source = choice.choose(&candidates, recent, Instant::now());
+        if choice.has_unproven() {
+            self.probe_due.notify(usize::MAX);
+        }
+        source
     }
 
     /// Control address of the current source.
@@ -164,7 +169,7 @@
         let now = Instant::now();
         let mut choice = lock(&self.choice);
         choice.record_no_reply(&source.control_addr, now);
-        self.source_failed_event.notify(usize::MAX);
+        self.probe_due.notify(usize::MAX);
         if choice.begin_search(now) {
             let shared = Arc::clone(&self.shared);
             async_std::task::spawn(async move { replica_search::run(&shared).await });
@@ -413,7 +418,7 @@
             "version" => freshness.version, "highest_heard" => shared.highest_known_version(),
             "quorum_age_ms" => freshness.quorum_age_ms);
         lock(&subscriber.choice).avoid(&source.control_addr, Instant::now());
-        subscriber.source_failed_event.notify(usize::MAX);
+        subscriber.probe_due.notify(usize::MAX);
         // A poll in progress would otherwise block until its timeout.
         subscriber.source_abandoned.notify(usize::MAX);
     }
