A source that failed is not found again by a probe alone while there is another

A source that answers probes, which are small, and no polls (behind a full link), or whose update does not apply, was found current by a probe right after its failure: a daemon would have returned to it at once, and asked for the same refused update as often as it could.

With another source, a failed one stays avoided for 5 s. Replies of failed sources count 50 ms later than those of others. A refused update avoids its source for 5 s whatever probes say. A daemon with nothing to probe waits without a timer.

--- a/crates/foxtailgauge-core/src/source_choice.rs
+++ b/crates/foxtailgauge-core/src/source_choice.rs
@@ -17,6 +17,8 @@
 enum Reason {
     /// It replies, and is behind or has no contact with a quorum.
     Stale,
+    /// It sent an update that does not apply. A probe cannot tell whether the next one does.
+    Refused,
     /// It did not reply.
     NoReply,
 }
@@ -30,9 +32,8 @@
 
 /// The sources of one daemon that failed, and how often in a row.
 ///
-/// A failure says nothing about the time after it. Therefore the daemon searches while it has no
-/// source that is current: it probes all candidates at the same time, again and again, and uses the first that is.
-/// It leaves a current source only for one that a probe has found current.
+/// A failure says nothing about the time after it. Therefore a daemon without a current source probes
+/// all candidates at the same time, again and again, and uses the first that is current. It leaves a current source only for one that a probe has found current.
 #[derive(Clone, Debug, Default)]
 pub struct SourceChoice {
     /// By address.
@@ -43,8 +44,8 @@
     round: usize,
     searched_at: Option<Instant>,
     /// Whether a source has failed and none has been found current since then.
-    is_searching: bool,
-    /// The source that ended the search, until it is chosen.
+    lacks_source: bool,
+    /// The source that a probe found current while the daemon had none, until it is chosen.
     found: Option<Source>,
     /// Address of the source that last replied with contact to a quorum. Not avoided.
     current: Option<String>,
@@ -68,16 +69,29 @@
     /// Avoids a source that is behind, or has lost its contact with a quorum.
     pub fn avoid(&mut self, addr: &str, now: Instant) {
         self.avoid_for(addr, Reason::Stale, now);
-        self.is_searching = true;
+        self.lacks_source = true;
     }
 
     /// Avoids a source that did not reply.
     pub fn record_no_reply(&mut self, addr: &str, now: Instant) {
         self.avoid_for(addr, Reason::NoReply, now);
-        self.is_searching = true;
+        self.lacks_source = true;
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Avoids a source whose update was refused.
+    pub fn record_refused(&mut self, addr: &str, now: Instant) {
+        self.avoid_for(addr, Reason::Refused, now);
+        self.lacks_source = true;
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Whether a source failed within the time for which it is avoided.
+    pub fn has_failed(&self, addr: &str, now: Instant) -> bool {
+        let avoidance = self.avoided.get(addr);
+        avoidance.is_some_and(|avoidance| avoidance.until > now)
+    }
+
     fn avoid_for(&mut self, addr: &str, reason: Reason, now: Instant) {
         let until = now + AVOID_TIME;
         self.avoided
@@ -92,10 +106,10 @@
     pub fn record_contact(&mut self) {
         self.failures = 0;
         self.round = 0;
-        self.is_searching = false;
+        self.lacks_source = false;
     }
 
-    /// Records that the current source is current: it is no longer avoided, and the search ends.
+    /// Records a reply, of the source in use, that shows contact with a quorum.
     pub fn record_current(&mut self, addr: &str) {
         self.avoided.remove(addr);
         self.proven.remove(addr);
@@ -113,21 +127,21 @@
         !self.avoided.is_empty() || self.unproven.is_some()
     }
 
-    /// Sources to probe now: while the daemon searches, all candidates that it does not use, else those of
-    /// the candidates that it has avoided for a while. Forgets sources that are no candidates and were
-    /// not probed in time.
+    /// Sources to probe now: without a current source, all candidates but the one in use; else the unproven
+    /// one and the candidates that have been avoided for a while. Forgets avoided sources that are no
+    /// candidates any more.
     pub fn sources_to_probe(
         &mut self,
         candidates: &[Source],
-        current: Option<&str>,
+        in_use: Option<&str>,
         now: Instant,
     ) -> Vec<Source> {
         let is_candidate = |addr: &str| candidates.iter().any(|s| s.control_addr == addr);
         self.avoided
             .retain(|addr, avoidance| avoidance.until > now || is_candidate(addr));
         let is_due = |source: &&Source| match self.avoided.get(&source.control_addr) {
-            Some(avoidance) => self.is_searching || avoidance.until <= now,
-            None => self.is_searching && current != Some(&source.control_addr),
+            Some(avoidance) => self.lacks_source || avoidance.until <= now,
+            None => self.lacks_source && in_use != Some(&source.control_addr),
         };
         let mut due: Vec<Source> = candidates.iter().filter(is_due).cloned().collect();
         let unproven = self.unproven.take();
@@ -135,18 +149,24 @@
         due
     }
 
-    /// Records that a probe of a source found it current. Returns whether this ends a search; then the source is
-    /// the next choice.
-    pub fn record_probe_current(&mut self, source: &Source) -> bool {
-        self.avoided.remove(&source.control_addr);
-        let ends_search = self.is_searching;
-        if ends_search {
+    /// Records that a probe of a source found it current. Returns whether the daemon had none; then the source is
+    /// the next choice. A source that has failed stays avoided for a while if the daemon has another one: it may
+    /// answer probes, which are small, and nothing else.
+    pub fn record_probe_current(&mut self, source: &Source, now: Instant) -> bool {
+        let addr = &source.control_addr;
+        let avoidance = self.avoided.get(addr).filter(|a| a.until > now);
+        if avoidance.is_some_and(|a| !self.lacks_source || a.reason == Reason::Refused) {
+            return false;
+        }
+        self.avoided.remove(addr);
+        let was_lacking = self.lacks_source;
+        if was_lacking {
             self.record_contact();
             self.found = Some(source.clone());
         } else {
-            self.proven.insert(source.control_addr.clone());
+            self.proven.insert(addr.clone());
         }
-        ends_search
+        was_lacking
     }
 
     /// Records that a probe of a source found it behind or without contact.
@@ -159,9 +179,9 @@
         self.avoid_for(addr, Reason::NoReply, now);
     }
 
-    /// The source that ended a search, else the preferred candidate that is proven, else one that is not
-    /// avoided, else one that replied when it was last asked; the next round has other candidates then. The source `recent` is kept unless it has
-    /// failed within the time for which it is avoided.
+    /// The next source: one that was found for a daemon without one, else the preferred candidate that is
+    /// proven, else one that is not avoided, else one that replied when it was last asked; the next round has
+    /// other candidates then. The source `recent` is kept unless it has just failed.
     pub fn choose(
         &mut self,
         candidates: &[Source],
@@ -173,11 +193,7 @@
                 return Some(found);
             }
         }
-        let has_failed = |source: &Source| {
-            let avoidance = self.avoided.get(&source.control_addr);
-            avoidance.is_some_and(|avoidance| avoidance.until > now)
-        };
-        let recent = recent.filter(|source| !has_failed(source));
+        let recent = recent.filter(|source| !self.has_failed(&source.control_addr, now));
         if recent.is_some() && !candidates.is_empty() {
             return recent;
         }
--- a/crates/foxtailgauge-daemon/src/control/source_probe.rs
+++ b/crates/foxtailgauge-daemon/src/control/source_probe.rs
@@ -13,9 +13,12 @@
 /// connection cannot be opened, are within the time in which a change must be in force.
 const MIN_DELAY: Duration = Duration::from_millis(100);
 const MAX_DELAY: Duration = Duration::from_millis(800);
-/// Interval at which a daemon with a current source looks for sources that are due to be probed.
+/// Interval at which a daemon with a current source looks whether avoided ones are due to be probed.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Delay of the replies of sources that have failed, so that others come first.
+const FAILED_SOURCE_DELAY: Duration = Duration::from_millis(50);
+
 /// Probes the sources that the choice names, all of a round at the same time.
 pub(super) async fn run(subscriber: Arc<Subscriber>) {
     let mut backoff = Backoff::new(MIN_DELAY, MAX_DELAY);
@@ -24,7 +27,11 @@
         let sources = sources_to_probe(&subscriber);
         if sources.is_empty() {
             backoff.reset();
-            select(probe_due, sleep_until(Instant::now() + IDLE_INTERVAL)).await;
+            let has_probes = lock(&subscriber.choice).has_probes();
+            match has_probes {
+                true => drop(select(probe_due, sleep_until(Instant::now() + IDLE_INTERVAL)).await),
+                false => probe_due.await,
+            }
             continue;
         }
         let probes = sources.iter().map(|source| probe(&subscriber, source));
@@ -46,7 +53,7 @@
         }
         choice.round()
     };
-    // The best candidates are always among them, as they were not tried in vain but at the wrong time.
+    // The choice's round may have moved on from the best candidates while they could not reply.
     let mut candidates = subscriber.candidates(0);
     for source in subscriber.candidates(round) {
         if !candidates.contains(&source) {
@@ -61,16 +68,20 @@
     let reply: Option<ReportReply> = subscriber
         .call_source(source, PeerRequest::Probe, PROBE_TIMEOUT)
         .await;
-    let mut choice = lock(&subscriber.choice);
+    let now = Instant::now();
     let Some(ReportReply { freshness }) = reply else {
-        return choice.record_probe_no_reply(&source.control_addr, Instant::now());
+        return lock(&subscriber.choice).record_probe_no_reply(&source.control_addr, now);
     };
     let shared = &subscriber.shared;
     shared.observe_version(freshness.highest_version);
     if freshness.is_stale(shared.highest_known_version()) {
-        return choice.record_probe_stale(&source.control_addr, Instant::now());
+        return lock(&subscriber.choice).record_probe_stale(&source.control_addr, now);
+    }
+    let has_failed = lock(&subscriber.choice).has_failed(&source.control_addr, now);
+    if has_failed {
+        async_std::task::sleep(FAILED_SOURCE_DELAY).await;
     }
-    if choice.record_probe_current(source) {
+    if lock(&subscriber.choice).record_probe_current(source, now) {
         subscriber.source_found.notify(usize::MAX);
     }
 }
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -164,19 +164,28 @@
         current.source.clone().filter(|_| is_recent)
     }
 
-    /// Avoids a source that did not reply. Starts a search if the known replicas may all be gone.
+    /// Avoids a source that did not reply.
     fn source_failed(&self, source: &Source) {
-        let now = Instant::now();
-        let mut choice = lock(&self.choice);
-        choice.record_no_reply(&source.control_addr, now);
+        lock(&self.choice).record_no_reply(&source.control_addr, Instant::now());
+        self.look_for_sources();
+    }
+
+    /// Avoids a source whose update was refused.
+    fn update_refused(&self, source: &Source) {
+        lock(&self.choice).record_refused(&source.control_addr, Instant::now());
+        self.look_for_sources();
+    }
+
+    /// Has the other sources probed, and starts a search if the known replicas may all be gone.
+    fn look_for_sources(&self) {
         self.probe_due.notify(usize::MAX);
-        if choice.begin_search(now) {
+        if lock(&self.choice).begin_search(Instant::now()) {
             let shared = Arc::clone(&self.shared);
             async_std::task::spawn(async move { replica_search::run(&shared).await });
         }
     }
 
-    /// Records what a source replied. One in contact with a quorum ends the search for others.
+    /// Records what a source replied. One in contact with a quorum ends the search for replicas.
     fn record_freshness(&self, source: &Source, freshness: &Freshness) {
         self.shared.record_source_freshness(freshness);
         if freshness.quorum_age_ms.is_some() && !freshness.has_lost_contact() {
@@ -261,8 +270,11 @@
                 last_read = Some((serial, cursor));
             }
             PollOutcome::RetryAfter(delay) => async_std::task::sleep(delay).await,
-            PollOutcome::Failed => {
-                subscriber.source_failed(&source);
+            PollOutcome::Failed | PollOutcome::Refused => {
+                match outcome {
+                    PollOutcome::Refused => subscriber.update_refused(&source),
+                    _ => subscriber.source_failed(&source),
+                }
                 let delay = backoff.next_delay(&mut rand::rng());
                 select(sleep_until(Instant::now() + delay), interrupted).await;
             }
@@ -275,8 +287,10 @@
     Changes(Cursor),
     /// The source is busy; it can be polled again after this delay.
     RetryAfter(Duration),
-    /// No reply, or an invalid one.
+    /// No reply, or none that can be read.
     Failed,
+    /// The update in the reply does not apply.
+    Refused,
 }
 
 async fn poll_once(
@@ -316,7 +330,7 @@
                 Some(Err(error)) => {
                     emit!(shared.log, events::UPDATE_REFUSED, "source" => &source.control_addr,
                         "error" => error.to_string());
-                    return PollOutcome::Failed;
+                    return PollOutcome::Refused;
                 }
             };
             if update.is_some() && current_version == 0 {
@@ -329,7 +343,7 @@
                     emit!(shared.log, events::UPDATE_REFUSED, "source" => &source.control_addr,
                         "version" => update.version(), "error" => error.to_string());
                     // The same source would send the same update again at once.
-                    return PollOutcome::Failed;
+                    return PollOutcome::Refused;
                 }
             }
             abandon_if_stale(subscriber, source, &freshness);
