The current source is kept when it is no candidate, and all live replicas are probed

Cause: candidates are three of the replicas that the directory lists as live, and within a lease of several replacements all three may be gone. The current source was then no candidate, and those that run were not probed.

The current source is kept unless a preferred one is proven or it fails; up to eight live replicas are probed besides the candidates. A replica follows the leader of its group at once, as before.

--- a/crates/foxtailgauge-core/src/source_choice.rs
+++ b/crates/foxtailgauge-core/src/source_choice.rs
@@ -203,12 +203,19 @@
             self.current.as_ref() == Some(&source.control_addr)
                 || self.proven.contains(&source.control_addr)
         };
-        if let Some(first) = available.clone().next() {
-            let proven = available.find(|source| is_proven(source));
-            self.unproven = proven
-                .filter(|proven| *proven != first)
-                .map(|_| first.clone());
-            return Some(proven.unwrap_or(first).clone());
+        let first = available.clone().next().cloned();
+        // The candidates are a part of the known replicas: the current source may not be among them.
+        let current = self.current.clone().map(|control_addr| Source {
+            name: None,
+            control_addr,
+        });
+        let proven = available.find(|source| is_proven(source)).cloned();
+        if let Some(proven) = proven.or(current) {
+            self.unproven = first.filter(|first| *first != proven);
+            return Some(proven);
+        }
+        if first.is_some() {
+            return first;
         }
         let order = |source: &&Source| avoidance(source).map(|a| (a.reason, a.until));
         let next = candidates.iter().min_by_key(order).cloned();
--- a/crates/foxtailgauge-core/tests/sources.rs
+++ b/crates/foxtailgauge-core/tests/sources.rs
@@ -313,3 +313,19 @@
     let later = now + Duration::from_secs(5);
     assert!(choice.record_probe_current(&source("relay"), later));
 }
+
+/// Guards against a daemon that leaves its source for a removed replica, as the first candidates of the
+/// directory are all gone and still listed.
+#[test]
+fn current_source_is_kept_when_it_is_no_candidate() {
+    let now = Instant::now();
+    let candidates = ["gone1", "gone2", "gone3"].map(source);
+    let mut choice = SourceChoice::default();
+    choice.record_current("r1");
+    for gone in ["gone1", "gone2", "gone3"] {
+        assert_eq!(choice.choose(&candidates, None, now), Some(source("r1")));
+        assert_eq!(probed(&mut choice, &candidates, now), [gone]);
+        choice.record_probe_no_reply(gone, now);
+    }
+    assert_eq!(choice.choose(&candidates, None, now), Some(source("r1")));
+}
--- a/crates/foxtailgauge-daemon/src/control/source_probe.rs
+++ b/crates/foxtailgauge-daemon/src/control/source_probe.rs
@@ -16,6 +16,8 @@
 /// Interval at which a daemon with a current source looks whether avoided ones are due to be probed.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Live replicas that are probed besides the candidates of the rounds.
+const PROBED_REPLICAS: usize = 8;
 /// Delay of the replies of sources that have failed, so that others come first.
 const FAILED_SOURCE_DELAY: Duration = Duration::from_millis(50);
 
@@ -53,10 +55,16 @@
         }
         choice.round()
     };
-    // The choice's round may have moved on from the best candidates while they could not reply.
+    // The candidates of a round are a part of the known replicas, and may all be gone.
     let mut candidates = subscriber.candidates(0);
-    for source in subscriber.candidates(round) {
-        if !candidates.contains(&source) {
+    let live = subscriber.shared.replica_addrs().live.into_iter();
+    let live = live.take(PROBED_REPLICAS).map(|control_addr| Source {
+        name: None,
+        control_addr,
+    });
+    for source in subscriber.candidates(round).into_iter().chain(live) {
+        let is_same = |other: &Source| other.control_addr == source.control_addr;
+        if !candidates.iter().any(is_same) {
             candidates.push(source);
         }
     }
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -141,6 +141,10 @@
     fn choose_source(&self) -> Option<Source> {
         let round = lock(&self.choice).round();
         let candidates = self.candidates(round);
+        // A replica follows the leader of its group at once.
+        if self.shared.replica.get().is_some() {
+            return candidates.into_iter().next();
+        }
         let recent = self.recent_source();
         let mut choice = lock(&self.choice);
         let source = choice.choose(&candidates, recent, Instant::now());
