Keys: no "not run" while an earlier try at the same gateway may still claim

Callers saw: a caller broke its connection after 30 ms, sent the key again to the same daemon 13 ms later and was told not-run (no_server); the first try ran.

Cause: a refusal reads the ledger, which knows of claims only. An attempt on its way to an executor, or waiting there, claims after the read. The executor releases such a claim if it knows that nobody waits; but a gateway notices a closed connection up to 0.11 s late while a request runs, and a paused daemon reads requests whose callers have gone long ago.

Now a gateway counts the requests with each key that it handles and answers in_progress while there is another one; it voids the attempt of a caller that is gone, and counts the key until the ledger has decided; and it begins a request whose caller has ended its input only if that caller is still there.

Open: tries through another gateway that has not noticed yet that its caller is gone (docs/PROOFS.md, docs/design/ledger.md).

--- a/crates/foxtailgauge-daemon/src/gateway/call_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/call_gateway.rs
@@ -6,14 +6,15 @@
 use crate::gateway::action_reader::ActionReader;
 use crate::gateway::authentication::{authenticate, set_workspace, SenderRefusal};
 use crate::gateway::caller_response::{CallerResponse, Refusal};
-use crate::gateway::ledger_client::LedgerClient;
+use crate::gateway::keys_in_flight::{KeyMark, KeysInFlight};
+use crate::gateway::ledger_client::{void_command, LedgerClient};
 use crate::gateway::route_view::RouteView;
 use crate::hop::forward_headers::end_to_end_text;
 use crate::peer_client::{PeerError, PeerReply, PeerRequest};
 use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::{
-    fingerprint, key_time_ms, request_digest, ActionKey, CallHealth, Candidate, ConfigVersion,
-    Digest, Fingerprint, LedgerAnswer, LedgerCommand, RetryBudget, Route, ServerKey,
+    fingerprint, key_time_ms, request_digest, ActionKey, AttemptId, CallHealth, Candidate,
+    ConfigVersion, Digest, Fingerprint, LedgerAnswer, RetryBudget, Route, ServerKey,
     SuspectVerdict, UnixMs,
 };
 use foxtailgauge_wire::{CallReply, CallRequest, Cause, Outcome};
@@ -35,6 +36,8 @@
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay if the ledger could not be asked whether an action has run.
 const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry delay if an earlier try with the key may still claim it.
+const IN_PROGRESS_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay if a service has no available backend server, or the daemon no configuration.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -70,6 +73,7 @@
     actions: ActionReader,
     budgets: Mutex<HashMap<String, RetryBudget>>,
     suspects_in_flight: Mutex<HashSet<Fingerprint>>,
+    keys: KeysInFlight,
 }
 
 /// One request being routed.
@@ -110,6 +114,7 @@
             ledger,
             budgets: Mutex::default(),
             suspects_in_flight: Mutex::default(),
+            keys: KeysInFlight::default(),
         }
     }
 
@@ -117,13 +122,17 @@
     pub(crate) async fn handle(&self, request: &CallerRequest) -> CallerResponse {
         let started_at = Instant::now();
         let view = self.shared.view();
+        let key = request.action_key();
+        let Some(key) = key.filter(|_| may_be_billable(&view, request)) else {
+            return self.route(&view, request).await;
+        };
+        let mark = self.keys.mark(key);
         let response = self.route(&view, request).await;
-        let leaves_key_open = matches!(response.result, Err(refusal) if refusal.leaves_key_open());
-        match request.action_key() {
-            Some(key) if leaves_key_open && may_be_billable(&view, request) => {
+        match response.result {
+            Err(refusal) if refusal.leaves_key_open() => {
                 let requested = request.deadline_ms.map(Duration::from_millis);
                 let time_left = requested.map(|time| time.saturating_sub(started_at.elapsed()));
-                self.refuse_unless_recorded(request, key, response, time_left)
+                self.refuse_unless_claimed(request, &mark, response, time_left)
                     .await
             }
             _ => response,
@@ -183,18 +192,25 @@
         response
     }
 
-    /// Refuses a request unless the ledger has a record of an earlier attempt with its key. An action
-    /// that ran gets its recorded response: its retry takes no capacity, and "not run" would be false.
-    async fn refuse_unless_recorded(
+    /// Refuses a request unless an earlier try with its key is recorded in the ledger or may still
+    /// claim the key. An action that ran gets its recorded response: its retry takes no capacity, and
+    /// "not run" would be false.
+    async fn refuse_unless_claimed(
         &self,
         request: &CallerRequest,
-        key: ActionKey,
+        mark: &KeyMark,
         response: CallerResponse,
         time_left: Option<Duration>,
     ) -> CallerResponse {
         let version = response.version;
         let digest = request_digest(&request.method, &request.target, &request.body);
-        match self.actions.find(key, digest, time_left).await {
+        // Asked before the read: a try that ends during it may have claimed the key after it.
+        let may_be_claimed = mark.is_shared();
+        match self.actions.find(mark.key(), digest, time_left).await {
+            Ok(None) if may_be_claimed || mark.is_shared() => {
+                CallerResponse::refused(version, Outcome::Unknown, Refusal::InProgress)
+                    .retry_after(IN_PROGRESS_RETRY_AFTER)
+            }
             Ok(None) => response,
             Ok(Some(answer)) => match attempt_from_reply(version, claim_refusal_reply(answer)) {
                 Attempt::Final(response)
@@ -332,13 +348,28 @@
             queue_requests: queue,
         };
         let guard = AttemptGuard::new(&self.shared, &candidate.key);
+        let is_remote = candidate.key.daemon != self.shared.settings.name;
+        let mut claim = call.key.filter(|_| is_remote).map(|key| ClaimGuard {
+            gateway: self,
+            key,
+            attempt,
+            digest: call.digest,
+            is_decided: false,
+        });
         let result = self.send(candidate, request, time_left).await;
         guard.finish(&result);
-        match result {
-            Ok(reply) => attempt_from_reply(call.version, reply),
-            Err(PeerError::NotSent) => Attempt::NotRun(overloaded_response(call.version, None)),
+        let (outcome, is_decided) = match result {
+            Ok(reply) => (attempt_from_reply(call.version, reply), true),
+            Err(PeerError::NotSent) => {
+                let response = overloaded_response(call.version, None);
+                (Attempt::NotRun(response), true)
+            }
             Err(PeerError::NoResponse) => self.resolve(call, attempt).await,
+        };
+        if let Some(claim) = &mut claim {
+            claim.is_decided = is_decided;
         }
+        outcome
     }
 
     async fn send(
@@ -366,19 +397,17 @@
 
     /// Determines the outcome of an attempt whose executor did not reply, by voiding it in the
     /// ledger. Without an idempotency key there is no ledger entry, and the outcome stays unknown.
-    async fn resolve(&self, call: &Call<'_>, attempt: Uuid) -> Attempt {
+    /// Also returns whether the ledger decided on the attempt.
+    async fn resolve(&self, call: &Call<'_>, attempt: Uuid) -> (Attempt, bool) {
         let unknown =
             CallerResponse::refused(call.version, Outcome::Unknown, Refusal::OutcomeUnknown);
         let Some(key) = call.key else {
-            return Attempt::Uncertain(unknown);
+            return (Attempt::Uncertain(unknown), true);
         };
-        let command = LedgerCommand::Void {
-            key,
-            attempt,
-            request: call.digest,
-            at_ms: 0,
-        };
-        match self.ledger.command(command, VOID_TIMEOUT).await {
+        let command = void_command(key, attempt, call.digest);
+        let answer = self.ledger.command(command, VOID_TIMEOUT).await;
+        let is_decided = answer.is_ok();
+        let outcome = match answer {
             Ok(LedgerAnswer::Voided) => Attempt::NotRun(overloaded_response(call.version, None)),
             Ok(LedgerAnswer::AlreadyDone(response)) => Attempt::Final(CallerResponse {
                 outcome: Outcome::Ran,
@@ -388,7 +417,8 @@
                 is_replay: true,
             }),
             _ => Attempt::Final(unknown),
-        }
+        };
+        (outcome, is_decided)
     }
 }
 
@@ -475,6 +505,26 @@
     }
 }
 
+/// Voids an attempt at another daemon if it is dropped undecided, as when its caller is gone: the
+/// executor may learn of it after it has claimed the key. Until then the key counts as in flight.
+struct ClaimGuard<'a> {
+    gateway: &'a Gateway,
+    key: ActionKey,
+    attempt: AttemptId,
+    digest: Digest,
+    is_decided: bool,
+}
+
+impl Drop for ClaimGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_decided {
+            let mark = self.gateway.keys.mark(self.key);
+            let ledger = &self.gateway.ledger;
+            ledger.void_abandoned(mark, self.attempt, self.digest);
+        }
+    }
+}
+
 /// Ends the balancer's in-flight count of an attempt, also if the caller disconnects and the attempt
 /// is dropped.
 struct AttemptGuard<'a> {
--- a/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/caller_http.rs
@@ -15,7 +15,7 @@
 use crate::shared::{ForwardingGuard, Shared};
 use crate::socket;
 use crate::stop::StopState;
-use async_std::net::TcpListener;
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use foxtailgauge_core::{CallerLimits, LateRequest, RequestKind};
 use foxtailgauge_wire::Outcome;
@@ -41,6 +41,10 @@
 const DEADLINE_HEADER: &str = "foxtailgauge-deadline-ms";
 /// Authentication scheme, as HTTP requires it in a response with status 401.
 const CHALLENGE: &str = "Bearer";
+/// Waits before a request with a key whose caller has ended its input. In all longer than the interval at which
+/// connections with a running request are checked.
+const INPUT_END_WAITS: u32 = 3;
+const INPUT_END_WAIT: Duration = Duration::from_millis(50);
 /// Prefix of the names of headers that only the daemon sets.
 const RESERVED_PREFIX: &str = "foxtailgauge-";
 /// Retry delay if the daemon is stopping, in whole seconds; another daemon can respond.
@@ -59,6 +63,8 @@
     Malformed,
     BodyTooLarge,
     HeadTooLarge,
+    /// The caller has closed the connection, and may have sent the key again on another one.
+    CallerGone,
     /// The daemon is stopping. The outcome is unknown if an earlier try with the key may have run.
     Stopping {
         outcome: Outcome,
@@ -112,7 +118,9 @@
         self: Arc<Self>,
         request: Request<ForwardBody>,
         read_at: Instant,
+        caller: &TcpStream,
     ) -> BoxFuture<'static, Response<ForwardBody>> {
+        let caller = caller.clone();
         async move {
             let limit_bytes = self.shared.settings.limits.body_bytes;
             let stop = &self.shared.stop;
@@ -122,7 +130,13 @@
             // An earlier try with the key of a request that is not read may have run.
             let outcome = Outcome::Unknown;
             let read = read.unwrap_or(Err(HttpRefusal::Stopping { outcome }));
-            let (response, outcome) = match read.and_then(|request| self.take(request)) {
+            let taken = match read.and_then(|request| self.take(request)) {
+                Ok(request) if request.key.is_some() && is_gone(&caller).await => {
+                    Err(HttpRefusal::CallerGone)
+                }
+                taken => taken,
+            };
+            let (response, outcome) = match taken {
                 Ok(request) => {
                     let handled = stop
                         .until_drain_end(pin!(self.gateway.handle(&request)))
@@ -169,6 +183,7 @@
             HttpRefusal::Malformed | HttpRefusal::BodyTooLarge | HttpRefusal::HeadTooLarge => {
                 Outcome::NotRun
             }
+            HttpRefusal::CallerGone => Outcome::Unknown,
             HttpRefusal::Stopping { outcome } => outcome,
         }
     }
@@ -225,6 +240,23 @@
     }
 }
 
+/// Whether a caller has closed its connection, also if that waits to be read behind its request. One
+/// that has ended its input alone still reads the response.
+async fn is_gone(caller: &TcpStream) -> bool {
+    if !socket::has_input_end(caller) {
+        return false;
+    }
+    // The connection is polled between the waits and writes the first bytes of the response, which a
+    // caller that is gone resets.
+    for _ in 0..INPUT_END_WAITS {
+        task::sleep(INPUT_END_WAIT).await;
+        if socket::is_reset(caller) {
+            return true;
+        }
+    }
+    false
+}
+
 async fn read_request(
     request: Request<ForwardBody>,
     limit_bytes: usize,
@@ -313,6 +345,7 @@
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             "head_too_large",
         ),
+        HttpRefusal::CallerGone => (StatusCode::SERVICE_UNAVAILABLE, "caller_gone"),
         HttpRefusal::Stopping { .. } => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     };
     let mut response = error_response(status, code);
--- a/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
@@ -560,6 +560,7 @@
         self: Arc<Self>,
         request: Request<ForwardBody>,
         read_at: Instant,
+        _: &TcpStream,
     ) -> BoxFuture<'static, Response<ForwardBody>> {
         async move { self.respond_from(request, read_at).await }.boxed()
     }
--- a/crates/foxtailgauge-daemon/src/gateway/front/connection.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/connection.rs
@@ -185,7 +185,8 @@
         };
         match std::mem::replace(&mut entry.stage, Stage::Moved) {
             Stage::Waiting(request) => {
-                let responding = Arc::clone(&self.responder).respond(*request, entry.read_at);
+                let responder = Arc::clone(&self.responder);
+                let responding = responder.respond(*request, entry.read_at, &self.socket);
                 entry.stage = Stage::Running(responding);
             }
             stage => entry.stage = stage,
--- a/crates/foxtailgauge-daemon/src/gateway/front/function_responder.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/function_responder.rs
@@ -42,6 +42,7 @@
         self: Arc<Self>,
         request: Request<ForwardBody>,
         _: Instant,
+        _: &TcpStream,
     ) -> BoxFuture<'static, Response<ForwardBody>> {
         async move {
             let body = (self.respond)(request.uri().to_string()).await;
--- a/crates/foxtailgauge-daemon/src/gateway/front/request.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/front/request.rs
@@ -7,6 +7,7 @@
 use crate::hop::forward_body::{BodyFeed, ForwardBody};
 use crate::shared::ForwardingGuard;
 use crate::stop::StopState;
+use async_std::net::TcpStream;
 use foxtailgauge_core::{CallerLimits, PipelineId, RequestKind};
 use futures::future::{BoxFuture, FutureExt};
 use hyper::http::request::Parts;
@@ -21,11 +22,12 @@
     /// What may run beside the request on its connection.
     fn kind(&self, parts: &Parts) -> RequestKind;
 
-    /// Runs a request whose head was read at `read_at`. Dropping the future cancels it.
+    /// Runs a request whose head was read from `caller` at `read_at`. Dropping the future cancels it.
     fn respond(
         self: Arc<Self>,
         request: Request<ForwardBody>,
         read_at: Instant,
+        caller: &TcpStream,
     ) -> BoxFuture<'static, Response<ForwardBody>>;
 
     /// The response to bytes that are not the head of a request.
--- a/crates/foxtailgauge-daemon/src/gateway/ledger_client.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/ledger_client.rs
@@ -3,6 +3,7 @@
 use crate::control::replica_client::{ReplicaClient, SubmitError};
 use crate::emit;
 use crate::events;
+use crate::gateway::keys_in_flight::KeyMark;
 use crate::shared::{ForwardingGuard, Shared};
 use foxtailgauge_core::{
     ActionKey, AttemptId, Backoff, Claimant, Digest, LedgerAnswer, LedgerCommand,
@@ -116,11 +117,12 @@
     }
 
     /// Withdraws a claim that got no answer, so that the key does not stay claimed.
-    pub(crate) fn withdraw(&self, key: ActionKey, digest: [u8; 32], claimant: Claimant) {
+    pub(crate) fn withdraw(&self, key: ActionKey, digest: Digest, claimant: Claimant) {
         let ledger = self.clone();
         async_std::task::spawn(async move {
-            let attempt = claimant.attempt;
-            ledger.void_with_retries(key, attempt, digest).await;
+            ledger
+                .retry_until_timeout(void_command(key, claimant.attempt, digest))
+                .await;
             // If the claim took effect, the void is refused and the claim is released instead.
             ledger
                 .retry_until_timeout(LedgerCommand::Release { key, claimant })
@@ -128,13 +130,31 @@
         });
     }
 
-    async fn void_with_retries(&self, key: ActionKey, attempt: AttemptId, digest: [u8; 32]) {
-        let command = LedgerCommand::Void {
-            key,
-            attempt,
-            request: digest,
-            at_ms: 0,
-        };
-        self.retry_until_timeout(command).await;
+    /// Voids an attempt that nobody waits for any more, in the background; `mark` is kept until then.
+    pub(crate) fn void_abandoned(&self, mark: KeyMark, attempt: AttemptId, digest: Digest) {
+        let ledger = self.clone();
+        let recording = self.begin_recording();
+        async_std::task::spawn(async move {
+            let command = void_command(mark.key(), attempt, digest);
+            if ledger
+                .command(command.clone(), RECORD_TIMEOUT)
+                .await
+                .is_err()
+            {
+                emit!(ledger.shared.log, events::LEDGER_RETRY);
+                ledger.retry_until_timeout(command).await;
+            }
+            drop((mark, recording));
+        });
+    }
+}
+
+/// The command that voids an attempt. The leader sets its time.
+pub(crate) fn void_command(key: ActionKey, attempt: AttemptId, request: Digest) -> LedgerCommand {
+    LedgerCommand::Void {
+        key,
+        attempt,
+        request,
+        at_ms: 0,
     }
 }
--- a/crates/foxtailgauge-daemon/src/gateway/mod.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod forward_refusal;
 pub(crate) mod forward_request;
 pub(crate) mod front;
+mod keys_in_flight;
 pub(crate) mod ledger_client;
 mod retry_budgets;
 pub(crate) mod route_view;
--- a/crates/foxtailgauge-daemon/src/socket.rs
+++ b/crates/foxtailgauge-daemon/src/socket.rs
@@ -73,7 +73,18 @@
 
 /// Whether the peer sends nothing more, seen without reading what it has sent.
 pub(crate) fn has_input_end(stream: &TcpStream) -> bool {
+    poll_now(stream).intersects(PollFlags::RDHUP)
+}
+
+/// Whether the peer has reset the connection, which one that has closed it does at the next write.
+pub(crate) fn is_reset(stream: &TcpStream) -> bool {
+    poll_now(stream).intersects(PollFlags::HUP | PollFlags::ERR)
+}
+
+fn poll_now(stream: &TcpStream) -> PollFlags {
     let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
-    let polled = poll(&mut fds, Some(&Timespec::default()));
-    polled.is_ok() && fds[0].revents().contains(PollFlags::RDHUP)
+    match poll(&mut fds, Some(&Timespec::default())) {
+        Ok(_) => fds[0].revents(),
+        Err(_) => PollFlags::empty(),
+    }
 }
--- a/crates/foxtailgauge-daemon/tests/key_outcomes.rs
+++ b/crates/foxtailgauge-daemon/tests/key_outcomes.rs
@@ -5,6 +5,8 @@
 
 use foxtailgauge_bench::plan::Deployment;
 use foxtailgauge_wire::Group;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use support::{
@@ -269,3 +271,102 @@
     assert!(refused > 20, "{refused} keys were sent again and refused");
     assert!(false_refusals.is_empty(), "{false_refusals:?}");
 }
+
+/// A call whose caller gives up after 30 ms, and the same with no time left.
+fn given_up_and_resent() -> (Call<'static>, Call<'static>) {
+    let call = Call::billable("/layouts/1");
+    let resent = call.clone().header("Foxtailgauge-Deadline-Ms", "0");
+    let given_up = Call {
+        timeout: Duration::from_millis(30),
+        ..call
+    };
+    (given_up, resent)
+}
+
+#[test]
+fn key_refused_while_its_earlier_try_waits_for_a_paused_executor_is_not_reported_as_not_run() {
+    let fleet = start(Deployment::Trio, 2, false);
+    fleet.apply_all();
+    let others = (0..6).filter(|n| !fleet.plan.daemons[*n].replica);
+    let [gateway, executor] = others.collect::<Vec<_>>()[..2] else {
+        panic!("two daemons that are not replicas")
+    };
+    use_only_server(&fleet, executor);
+    call_until_ran(&fleet, gateway, &Call::billable("/layouts/1"));
+
+    let (given_up, resent) = given_up_and_resent();
+    fleet.pause(executor);
+    assert!(fleet.call(gateway, &given_up).is_none(), "a response");
+    let refused = fleet.call(gateway, &resent).expect("a response");
+    fleet.resume(executor);
+    let seen = (outcome(&refused), error_code(&refused));
+    assert_eq!(seen, ("unknown", "in_progress".to_owned()));
+
+    // Whether or not the first try was granted its claim, the key runs once.
+    std::thread::sleep(Duration::from_secs(1));
+    call_until_ran(
+        &fleet,
+        gateway,
+        &Call {
+            timeout: Duration::from_secs(20),
+            ..given_up.clone()
+        },
+    );
+    assert_eq!(fleet.run_count(&given_up.key.unwrap()), 1);
+}
+
+#[test]
+fn keys_given_up_at_a_paused_gateway_and_refused_after_it_resumes_do_not_run() {
+    let fleet = start(Deployment::Trio, 2, false);
+    fleet.apply_all();
+    let gateway = (0..6).find(|n| !fleet.plan.daemons[*n].replica);
+    let gateway = gateway.expect("a daemon that is not a replica");
+    call_until_ran(&fleet, gateway, &Call::billable("/layouts/1"));
+
+    let addr = fleet.plan.daemons[gateway].caller_addr;
+    let mut false_refusals = Vec::new();
+    for _ in 0..8 {
+        fleet.pause(gateway);
+        let told: Vec<(String, Option<String>)> = std::thread::scope(|scope| {
+            let send_both = move || {
+                let (given_up, resent) = given_up_and_resent();
+                assert!(call_at(addr, &given_up).is_none(), "a response");
+                let response = call_at(addr, &resent);
+                let key = given_up.key.expect("a billable request has a key");
+                (key, response.map(|r| outcome(&r).to_owned()))
+            };
+            let callers: Vec<_> = (0..12).map(|_| scope.spawn(send_both)).collect();
+            std::thread::sleep(Duration::from_millis(150));
+            fleet.resume(gateway);
+            let told = callers.into_iter().map(|caller| caller.join().unwrap());
+            told.collect()
+        });
+        std::thread::sleep(Duration::from_millis(500));
+        let is_false = |(key, told): &(String, Option<String>)| {
+            told.as_deref() == Some("not-run") && fleet.run_count(key) > 0
+        };
+        false_refusals.extend(told.into_iter().filter(is_false));
+    }
+    assert!(false_refusals.is_empty(), "{false_refusals:?}");
+}
+
+#[test]
+fn caller_that_ends_its_input_gets_the_outcome_of_its_key() {
+    let fleet = start(Deployment::Trio, 1, false);
+    fleet.apply_all();
+    let key = new_key();
+    let mut stream = TcpStream::connect(fleet.plan.daemons[0].caller_addr).expect("cannot connect");
+    let body = "three frames";
+    let head = format!(
+        "POST /layouts/1 HTTP/1.1\r\nHost: layouts\r\nIdempotency-Key: {key}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).expect("cannot write");
+    stream
+        .shutdown(Shutdown::Write)
+        .expect("cannot end the input");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("no response");
+    assert!(response.contains("foxtailgauge-outcome: ran"), "{response}");
+    assert_eq!(fleet.run_count(&key), 1);
+}
