Log long waits for locks; the soak tells uninterruptible threads apart

Poll and report also share the one thread of the control client, but that alone does not explain it: each question of the search has a time-out of its own on another thread. So either a thread that held the lock had no processor or waited for a disk, or several threads stood still at once.

The soak's violations now give the longest time in state D beside the one without a processor.

--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -5,6 +5,7 @@
 use crate::control::source_probe;
 use crate::emit;
 use crate::events;
+use crate::lock_wait::{self, LockWait};
 use crate::peer_client::{PeerReply, PeerRequest};
 use crate::shared::{lock, Shared};
 use crate::timer::sleep_until;
@@ -101,6 +102,10 @@
 async fn expire_loop(shared: Arc<Shared>) {
     loop {
         async_std::task::sleep(Duration::from_millis(500)).await;
+        if let Some(LockWait { wait, location }) = lock_wait::take_longest() {
+            let took_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            emit!(shared.log, events::LOCK_WAITED, "at" => location.to_string(), "took_ms" => took_ms);
+        }
         shared.expire_subscribers();
         shared.apply_deferred_losses();
         shared.adopt_suspects();
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -43,6 +43,7 @@
     SEEDS_CHANGED = 1009, Info, "seeds in the settings file have changed";
     SEEDS_UNREADABLE = 1010, Warning, "seeds cannot be read from the settings file: the previous ones stay";
     BOUND_UNSTATED = 1011, Info, "bound stated by neither the settings nor the platform: default used";
+    LOCK_WAITED = 1012, Warning, "a thread waited long for a lock";
     STOP_UNFINISHED = 1008, Warning, "requests are in progress at the end of a stop: given up";
     STORE_OPENED = 2001, Info, "store opened";
     STORE_TAIL_TRUNCATED = 2002, Warning, "incomplete last batch of the log truncated";
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod header_readers;
 mod hop;
 mod listen_settings;
+mod lock_wait;
 mod logger;
 mod mesh;
 mod mesh_settings;
--- a/crates/foxtailgauge-daemon/src/shared/mod.rs
+++ b/crates/foxtailgauge-daemon/src/shared/mod.rs
@@ -8,6 +8,7 @@
 use crate::emit;
 use crate::events;
 use crate::gateway::route_view::RouteView;
+pub(crate) use crate::lock_wait::lock;
 use crate::metrics::Metrics;
 use crate::peer_client::PeerClient;
 use crate::settings::Settings;
@@ -24,7 +25,7 @@
 use slog::Logger;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Time after a reply of a daemon in which a mark of it as lost waits. Shorter than the lease that such a
@@ -33,11 +34,6 @@
 /// Number of past versions kept as bases for deltas.
 const DELTA_BASES: usize = 256;
 
-/// Locks a mutex and ignores poisoning: every guarded value stays consistent if a holder panics.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Milliseconds since the Unix epoch.
 pub(crate) fn unix_ms() -> UnixMs {
     let since_epoch = SystemTime::now()
--- a/crates/foxtailgauge-daemon/tests/soak_support/record.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/record.rs
@@ -2,7 +2,7 @@
 
 use super::faults::{Fault, PlannedFault, STOP_GRACE};
 use super::requests::method_and_target;
-use super::starvation::{longest, ProcessorWait};
+use super::starvation::{longest, ThreadWait, WaitKind};
 use crate::mesh_support::{header, Arrival};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -104,7 +104,7 @@
     /// Planned stops: the daemon, and when it got SIGTERM.
     pub stops: Vec<(usize, Instant)>,
     /// Times for which daemons had no processor.
-    pub waits: Vec<ProcessorWait>,
+    pub waits: Vec<ThreadWait>,
     /// Acknowledged versions and the times of their acknowledgement.
     pub versions: Vec<(u64, Instant)>,
     /// Violations found during the run.
@@ -146,7 +146,9 @@
             .iter()
             .map(|server| server.arrivals.len())
             .sum();
-        let wait = self.waits.iter().map(|wait| wait.wait).max();
+        let is_for_processor = |wait: &&ThreadWait| wait.kind == WaitKind::Processor;
+        let waits = self.waits.iter().filter(is_for_processor);
+        let wait = waits.map(|wait| wait.wait).max();
         format!(
             "{} requests, {served} served, {arrivals} arrivals, at most {:?} without a processor",
             self.requests.len(),
@@ -201,6 +203,7 @@
         if elapsed > request.deadline.max(MIN_JUDGED_DEADLINE) + RESPONSE_SLACK && !is_paused {
             let wait = longest(
                 &self.waits,
+                WaitKind::Processor,
                 request.daemon,
                 request.sent_at,
                 request.ended_at,
--- a/crates/foxtailgauge-daemon/tests/soak_support/run.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/run.rs
@@ -5,7 +5,7 @@
 use super::record::{Record, RequestKind, RequestRecord, RequestResult, ServerRecord};
 use super::requests::document_with_routes;
 use super::rollouts::{RolloutRun, SERVICES};
-use super::starvation::ProcessorWait;
+use super::starvation::ThreadWait;
 use super::trace;
 use crate::mesh_support::{
     body, exchange, put_document, report, status, wait_for, Mesh, Script, Server, Topology,
@@ -65,7 +65,7 @@
     pub(super) requests: Mutex<Vec<RequestRecord>>,
     /// Planned stops.
     stops: Mutex<Vec<(usize, Instant)>>,
-    pub(super) waits: Mutex<Vec<ProcessorWait>>,
+    pub(super) waits: Mutex<Vec<ThreadWait>>,
     pub(super) versions: Mutex<Vec<(u64, Instant)>>,
     violations: Mutex<Vec<String>>,
     is_done: AtomicBool,
--- a/crates/foxtailgauge-daemon/tests/soak_support/starvation.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/starvation.rs
@@ -1,4 +1,4 @@
-//! Times for which daemons had no processor, because of other work on the machine.
+//! Times for which daemons' threads stood still: without a processor, or in an uninterruptible wait, as for a disk.
 
 use super::run::{lock, Soak};
 use std::collections::BTreeMap;
@@ -8,18 +8,34 @@
 /// Shorter waits are not recorded.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 
-/// A time for which a thread of a daemon was runnable without running, in the sample until `at`.
+/// What a thread waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitKind {
+    Processor,
+    /// State `D` in all samples of the wait.
+    Uninterruptible,
+}
+
+/// A time until `at` for which a thread of a daemon stood still.
 #[derive(Clone, Copy, Debug)]
-pub struct ProcessorWait {
+pub struct ThreadWait {
     pub daemon: usize,
+    pub kind: WaitKind,
     pub at: Instant,
     pub wait: Duration,
 }
 
 /// The longest wait of a daemon's threads between two times.
-pub fn longest(waits: &[ProcessorWait], daemon: usize, from: Instant, until: Instant) -> Duration {
-    let is_within = |wait: &&ProcessorWait| {
-        wait.daemon == daemon && wait.at >= from && wait.at <= until + 2 * SAMPLE_INTERVAL
+pub fn longest(
+    waits: &[ThreadWait],
+    kind: WaitKind,
+    daemon: usize,
+    from: Instant,
+    until: Instant,
+) -> Duration {
+    let is_within = |wait: &&ThreadWait| {
+        let is_in_time = wait.at >= from && wait.at <= until + 2 * SAMPLE_INTERVAL;
+        wait.daemon == daemon && wait.kind == kind && is_in_time
     };
     let waits = waits.iter().filter(is_within).map(|wait| wait.wait);
     waits.max().unwrap_or_default()
@@ -30,9 +46,10 @@
     daemons: usize,
     pid: impl Fn(usize) -> Option<u32>,
     is_done: impl Fn() -> bool,
-    record: impl Fn(ProcessorWait),
+    record: impl Fn(ThreadWait),
 ) {
     let mut totals = BTreeMap::new();
+    let mut blocked_since = BTreeMap::new();
     while !is_done() {
         for daemon in 0..daemons {
             let tasks =
@@ -42,10 +59,23 @@
                     continue;
                 };
                 let before = totals.insert(task.path(), total).unwrap_or(total);
-                let wait = total.saturating_sub(before);
                 let at = Instant::now();
-                if wait >= MIN_WAIT {
-                    record(ProcessorWait { daemon, at, wait });
+                let record_wait = |kind, wait| {
+                    if wait >= MIN_WAIT {
+                        record(ThreadWait {
+                            daemon,
+                            kind,
+                            at,
+                            wait,
+                        });
+                    }
+                };
+                record_wait(WaitKind::Processor, total.saturating_sub(before));
+                if is_blocked(&task.path().join("stat")) {
+                    let since = *blocked_since.entry(task.path()).or_insert(at);
+                    record_wait(WaitKind::Uninterruptible, at - since);
+                } else {
+                    blocked_since.remove(&task.path());
                 }
             }
         }
@@ -71,3 +101,12 @@
     let wait_ns = text.split(' ').nth(1)?.parse().ok()?;
     Some(Duration::from_nanos(wait_ns))
 }
+
+/// Whether a thread is in state `D`. The name before the state may contain spaces and brackets.
+fn is_blocked(stat: &std::path::Path) -> bool {
+    let text = std::fs::read_to_string(stat).unwrap_or_default();
+    let state = text
+        .rsplit_once(") ")
+        .and_then(|(_, rest)| rest.chars().next());
+    state == Some('D')
+}
--- a/crates/foxtailgauge-daemon/tests/soak_support/turnover.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/turnover.rs
@@ -4,7 +4,7 @@
 use super::profile::Plan;
 use super::requests::document_with_routes;
 use super::run::lock;
-use super::starvation::{longest, watch, ProcessorWait};
+use super::starvation::{longest, watch, ThreadWait, WaitKind};
 use crate::mesh_support::{
     exchange, newest_version, put_document, status, wait_for, Mesh, Topology,
 };
@@ -59,7 +59,7 @@
     /// The same for sidecars.
     sidecar_events: Mutex<Vec<(usize, Instant)>>,
     restart_counts: Vec<AtomicU64>,
-    waits: Mutex<Vec<ProcessorWait>>,
+    waits: Mutex<Vec<ThreadWait>>,
     violations: Mutex<Vec<String>>,
     is_done: AtomicBool,
 }
@@ -333,10 +333,13 @@
         is_late.then(|| {
             let age = observation.at.duration_since(at);
             let (sidecar, version) = (observation.sidecar, observation.version);
-            let wait = longest(&lock(&self.waits), sidecar, at, observation.at);
+            let waits = lock(&self.waits);
+            let wait = |kind| longest(&waits, kind, sidecar, at, observation.at);
             format!(
                 "sidecar {sidecar} lacks version {version} {age:?} after its acknowledgement \
-                 (waited {wait:?} for a processor)"
+                 (threads waited {:?} for a processor, {:?} uninterruptibly)",
+                wait(WaitKind::Processor),
+                wait(WaitKind::Uninterruptible)
             )
         })
     }
