The settings file is read on a thread for blocking calls

Callers saw (in the new test): sidecars whose settings file could not be read to its end, as on a disk that stands still, stopped answering altogether once they had searched for replicas, and never got another change.

Cause: Seeds::reload read the file on a thread that runs the daemon's tasks, at each search for replicas and at SIGHUP. Each of these reads took one thread for good.

Evidence: frozen_settings::sidecars_get_changes_while_their_settings_files_cannot_be_read (a pipe in place of the file, two threads for tasks) on the code before: sidecars 3, 4 and 5 behind, all of them.

Why it works: the file is read on the pool for blocking calls, by one thread at most, and waited for 0.2 s; without it the previous seeds stay (1010).

--- a/crates/foxtailgauge-daemon/src/control/formation.rs
+++ b/crates/foxtailgauge-daemon/src/control/formation.rs
@@ -187,7 +187,7 @@
         }
         if reloaded_at.elapsed() >= RELOAD_INTERVAL {
             reloaded_at = Instant::now();
-            shared.seeds.reload(&shared.log);
+            shared.seeds.reload(&shared.log).await;
         }
         async_std::task::sleep(ROUND_DELAY).await;
     }
--- a/crates/foxtailgauge-daemon/src/control/replica_search.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica_search.rs
@@ -29,7 +29,7 @@
 /// Reads the seeds again, asks them and some other daemons for the replicas, and merges each answer into
 /// the directory as it arrives: those of daemons that are gone take until the timeout.
 pub(crate) async fn run(shared: &Shared) {
-    shared.seeds.reload(&shared.log);
+    shared.seeds.reload(&shared.log).await;
     let asked = asked_daemons(shared);
     let asking = asked.iter().map(|addr| ask_and_merge(shared, addr));
     let has_answered = futures::future::join_all(asking).await;
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -247,6 +247,6 @@
 
 async fn reload_seeds(shared: Arc<Shared>, reload: Receiver<()>) {
     while reload.recv().await.is_ok() {
-        shared.seeds.reload(&shared.log);
+        shared.seeds.reload(&shared.log).await;
     }
 }
--- a/crates/foxtailgauge-daemon/tests/dark_replicas.rs
+++ b/crates/foxtailgauge-daemon/tests/dark_replicas.rs
@@ -3,10 +3,10 @@
 mod mesh_support;
 
 use mesh_support::{
-    document, exchange, newest_version, put_document, status, wait_for, Mesh, Topology,
+    document, document_with_report_route, knows_report_route, newest_version, put_document,
+    wait_for, Mesh, Topology,
 };
 use rustix::process::Signal;
-use serde_json::Value;
 use std::time::{Duration, Instant};
 
 const REPLICAS: usize = 3;
@@ -32,23 +32,6 @@
     std::thread::sleep(CATCH_UP);
 }
 
-fn document_with_report_route(version: u64) -> Value {
-    let mut document = document(version);
-    let rules = &mut document["listeners"][0]["rule_set"];
-    let mut rule = rules[0].clone();
-    rule["name"] = "report".into();
-    rule["match"]["path_prefix"] = "/report/".into();
-    rules.as_array_mut().expect("a list").push(rule);
-    document
-}
-
-/// Whether a sidecar knows the added route: without a backend server it is answered with 503.
-fn knows_report_route(mesh: &Mesh, n: usize) -> bool {
-    let text = "GET /report/1 HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: a1\r\n\
-                Deadline-Ms: 1000\r\n\r\n";
-    status(&exchange(&mesh.outbound_addr(n), text).unwrap_or_default()) == 503
-}
-
 /// Guards against sidecars that avoid the replicas which did not answer while they were dark, and try
 /// removed ones in turn: they got an acknowledged change up to 5 s later.
 #[test]
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -900,6 +900,24 @@
     exchange(platform, &request).map_or(0, |response| status(&response))
 }
 
+/// The document of [`document`] with a second route, under `/report/`.
+pub fn document_with_report_route(version: u64) -> serde_json::Value {
+    let mut document = document(version);
+    let rules = &mut document["listeners"][0]["rule_set"];
+    let mut rule = rules[0].clone();
+    rule["name"] = "report".into();
+    rule["match"]["path_prefix"] = "/report/".into();
+    rules.as_array_mut().expect("a list").push(rule);
+    document
+}
+
+/// Whether a sidecar knows the added route: without a backend server it is answered with 503.
+pub fn knows_report_route(mesh: &Mesh, n: usize) -> bool {
+    let text = "GET /report/1 HTTP/1.1\r\nHost: plans.example\r\nAttempt-Id: a1\r\n\
+                Deadline-Ms: 1000\r\n\r\n";
+    status(&exchange(&mesh.outbound_addr(n), text).unwrap_or_default()) == 503
+}
+
 /// A document with one host, an idempotent route `/view/` and an at-most-once route `/commit/`.
 pub fn document(version: u64) -> serde_json::Value {
     let rule = |name: &str, kind: &str, prefix: &str| {
--- a/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
+++ b/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
@@ -4,7 +4,8 @@
 
 use foxtailgauge_bench::relay::LinkFault;
 use mesh_support::{
-    body, document, exchange, header, newest_version, status, wait_for, Mesh, Server, Topology,
+    body, document, document_with_report_route, exchange, header, newest_version, status, wait_for,
+    Mesh, Server, Topology,
 };
 use rustix::process::Signal;
 use serde_json::{json, Value};
@@ -52,16 +53,6 @@
 }
 
 /// A document with one more route than [`document`].
-fn document_with_report_route(version: u64) -> Value {
-    let mut document = document(version);
-    let rules = &mut document["listeners"][0]["rule_set"];
-    let mut rule = rules[0].clone();
-    rule["name"] = "report".into();
-    rule["match"]["path_prefix"] = "/report/".into();
-    rules.as_array_mut().expect("a list").push(rule);
-    document
-}
-
 fn put(mesh: &Mesh, n: usize, base: u64, document: &Value) {
     wait_for("the acknowledgement", || {
         let status = mesh_support::put_document(&mesh.platform_addr(n), base, document);
