Stand-in: connections that have ended are closed

Cause: a stand-in that closes its connections when it crashes kept a clone of each of them for that, also of those that had ended. Actions run on a new connection each, so each left a descriptor, and the daemon's side saw no close.

Now a connection is forgotten when it ends.

--- a/crates/foxtailgauge-bench/src/stand_in.rs
+++ b/crates/foxtailgauge-bench/src/stand_in.rs
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Lease requested with an announcement, in milliseconds.
@@ -126,7 +126,9 @@
     has_crashed: AtomicBool,
     is_deregistered: AtomicBool,
     crash_mode: CrashMode,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Open connections, which a crash closes, by their number.
+    connections: Mutex<BTreeMap<u64, TcpStream>>,
+    connection_count: AtomicU64,
     /// Holds one token for each free slot.
     slots: (Sender<()>, Receiver<()>),
     started: Instant,
@@ -180,6 +182,7 @@
         is_deregistered: AtomicBool::new(false),
         crash_mode,
         connections: Mutex::default(),
+        connection_count: AtomicU64::new(0),
         started: Instant::now(),
     });
     let acceptor = Arc::clone(&server);
@@ -236,11 +239,7 @@
             std::process::exit(CRASH_EXIT_CODE);
         }
         self.has_crashed.store(true, Ordering::SeqCst);
-        let mut connections = self
-            .connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        for connection in connections.drain(..) {
+        for connection in std::mem::take(&mut *self.connections()).into_values() {
             // Fails if the peer has already closed the connection.
             let _ = connection.shutdown(std::net::Shutdown::Both);
         }
@@ -309,12 +308,9 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
+        let number = self.connection_count.fetch_add(1, Ordering::Relaxed);
         if self.crash_mode == CrashMode::CloseConnections {
-            let mut connections = self
-                .connections
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            connections.push(stream.clone());
+            self.connections().insert(number, stream.clone());
         }
         // Connection errors are left to the client to handle.
         let _ = async_h1::accept(stream, |request| {
@@ -322,6 +318,13 @@
             async move { server.respond(request).await }
         })
         .await;
+        self.connections().remove(&number);
+    }
+
+    fn connections(&self) -> MutexGuard<'_, BTreeMap<u64, TcpStream>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn respond(&self, mut request: Request) -> http_types::Result<Response> {
