Soak: time of processors that the host has taken away

A thread on a processor that the machine's host has taken away counts as running: the waits for a processor of turnover's violations miss it. The longest such time of a sample is recorded beside the other waits and printed with a violation. No bound depends on it.

--- a/crates/foxtailgauge-daemon/tests/soak_support/starvation.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/starvation.rs
@@ -1,4 +1,5 @@
-//! Times for which daemons' threads stood still: without a processor, or in an uninterruptible wait, as for a disk.
+//! Times for which daemons' threads stood still: without a processor, in an uninterruptible wait, as for a disk, or on a
+//! processor that the machine's host had taken away.
 
 use super::run::{lock, Soak};
 use std::collections::BTreeMap;
@@ -7,6 +8,8 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Shorter waits are not recorded.
 const MIN_WAIT: Duration = Duration::from_millis(100);
+/// Unit of the times in `/proc/stat`.
+const TICK: Duration = Duration::from_millis(10);
 
 /// What a thread waited for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,6 +17,8 @@
     Processor,
     /// State `D` in all samples of the wait.
     Uninterruptible,
+    /// The time of one processor in one sample; whose threads it had is not known.
+    Stolen,
 }
 
 /// A time until `at` for which a thread of a daemon stood still.
@@ -50,8 +55,23 @@
 ) {
     let mut totals = BTreeMap::new();
     let mut blocked_since = BTreeMap::new();
+    let mut stolen_before = stolen_times();
     while !is_done() {
+        let stolen = stolen_times();
+        let pairs = stolen.iter().zip(&stolen_before);
+        let longest = pairs.map(|(now, before)| now.saturating_sub(*before)).max();
+        stolen_before = stolen;
         for daemon in 0..daemons {
+            let at = Instant::now();
+            if let Some(wait) = longest.filter(|wait| *wait >= MIN_WAIT) {
+                let kind = WaitKind::Stolen;
+                record(ThreadWait {
+                    daemon,
+                    kind,
+                    at,
+                    wait,
+                });
+            }
             let tasks =
                 pid(daemon).and_then(|pid| std::fs::read_dir(format!("/proc/{pid}/task")).ok());
             for task in tasks.into_iter().flatten().flatten() {
@@ -110,3 +130,12 @@
         .and_then(|(_, rest)| rest.chars().next());
     state == Some('D')
 }
+
+/// The time for which each processor was taken away: the eighth number of its line.
+fn stolen_times() -> Vec<Duration> {
+    let text = std::fs::read_to_string("/proc/stat").unwrap_or_default();
+    let lines = text.lines().filter(|line| line.starts_with("cpu"));
+    let ticks = lines.filter_map(|line| line.split_whitespace().nth(8)?.parse::<u32>().ok());
+    // The first line is their sum.
+    ticks.skip(1).map(|ticks| TICK * ticks).collect()
+}
--- a/crates/foxtailgauge-daemon/tests/soak_support/turnover.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/turnover.rs
@@ -337,9 +337,10 @@
             let wait = |kind| longest(&waits, kind, sidecar, at, observation.at);
             format!(
                 "sidecar {sidecar} lacks version {version} {age:?} after its acknowledgement \
-                 (threads waited {:?} for a processor, {:?} uninterruptibly)",
+                 (threads waited {:?} for a processor, {:?} uninterruptibly, {:?} on one taken away)",
                 wait(WaitKind::Processor),
-                wait(WaitKind::Uninterruptible)
+                wait(WaitKind::Uninterruptible),
+                wait(WaitKind::Stolen)
             )
         })
     }
