--- a/review/stand-ins-2/harness.rs
+++ b/review/stand-ins-2/harness.rs
@@ -66,6 +66,13 @@
     pub service: String,
 }
 
+impl Machine {
+    /// Its name without the number of its deployment.
+    pub fn file_name(&self) -> &str {
+        self.name.rsplit('/').next().unwrap_or(&self.name)
+    }
+}
+
 pub struct Process {
     pub machine: Machine,
     pub child: Child,
@@ -82,10 +89,15 @@
 
 impl Fleet {
     pub fn new(record: &Record) -> Self {
+        Fleet::numbered(record, 0)
+    }
+
+    /// One of several deployments of a script, each with addresses of its own.
+    pub fn numbered(record: &Record, number: u32) -> Self {
         let id = std::process::id();
-        let dir = std::env::temp_dir().join(format!("foxtailgauge-review-{id}"));
+        let dir = std::env::temp_dir().join(format!("foxtailgauge-review-{id}-{number}"));
         fs::create_dir_all(&dir).expect("a temporary folder");
-        let net = format!("127.{}.{}", 16 + id % 200, 1 + (id / 200) % 250);
+        let net = format!("127.{}.{}", 16 + id % 200, 1 + (id / 200 + number) % 250);
         Fleet {
             dir,
             record: record.clone(),
@@ -120,7 +132,7 @@
     }
 
     pub fn data_dir(&self, machine: &Machine) -> PathBuf {
-        self.dir.join(&machine.name).join("data")
+        self.dir.join(machine.file_name()).join("data")
     }
 
     fn settings(&self, machine: &Machine, seeds: &[String], first_start: bool) -> String {
@@ -136,7 +148,7 @@
         };
         let link_mbps = "1000.0".to_owned();
         let fields = [
-            ("node", machine.name.clone()),
+            ("node", machine.file_name().to_owned()),
             ("zone", machine.zone.clone()),
             ("ip", machine.ip.clone()),
             ("port_range", format!("{first},{last}")),
@@ -160,7 +172,7 @@
 
     /// Starts the daemon of a machine, as the deploy file says.
     pub fn start(&mut self, machine: &Machine, seeds: &[String], first_start: bool) {
-        let dir = self.dir.join(&machine.name);
+        let dir = self.dir.join(machine.file_name());
         fs::create_dir_all(&dir).expect("a folder of the machine");
         if machine.class == "core" {
             fs::create_dir_all(self.data_dir(machine)).expect("a data folder");
@@ -247,7 +259,7 @@
         let is_free = |ip: u8| {
             (first..first + 24).all(|port| TcpListener::bind(format!("{net}.{ip}:{port}")).is_ok())
         };
-        if (1..=8).all(is_free) {
+        if (1..=14).all(is_free) {
             return first;
         }
         first += 24;
