--- a/review/stand-ins-2/lock_order.rs
+++ b/review/stand-ins-2/lock_order.rs
@@ -90,8 +90,10 @@
     let _ = checking.join();
     let hung: Option<usize> = *hung.lock().unwrap();
     if let Some(at) = hung {
-        let is_running = !fleet.has_ended(&checked[at]);
-        record.line(format!("{} hangs; its process runs: {is_running}, and nothing disturbed it", checked[at].name));
+        if fleet.has_ended(&checked[at]) {
+            return Err(format!("the process of {} has ended", checked[at].name));
+        }
+        record.line(format!("{} hangs; its process runs, and nothing disturbed it", checked[at].name));
     }
     // One machine of the core loses power: not the one that hangs.
     let lost = if hung == Some(0) { 1 } else { 0 };
