--- a/review/stand-ins-2/dead_voters.rs
+++ b/review/stand-ins-2/dead_voters.rs
@@ -9,8 +9,8 @@
 const WATCHED: Duration = Duration::from_secs(30);
 
 fn main() {
-    let folder = std::env::args().nth(1).expect("folder of the record");
-    let record = Record::new(&Path::new(&folder).join("record.txt"));
+    let file = std::env::args().nth(1).expect("file of the record");
+    let record = Record::new(Path::new(&file));
     let mut fleet = Fleet::new(&record);
     let machines: Vec<Machine> = (1..=5)
         .map(|number| Machine {
--- a/review/stand-ins-2/first_start.rs
+++ b/review/stand-ins-2/first_start.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 fn main() {
-    let folder = std::env::args().nth(1).expect("folder of the record");
-    let record = Record::new(&Path::new(&folder).join("record.txt"));
+    let file = std::env::args().nth(1).expect("file of the record");
+    let record = Record::new(Path::new(&file));
     let mut fleet = Fleet::new(&record);
     let machine = |fleet: &Fleet, class, name: &str, number: usize, service: &str| Machine {
         name: name.to_owned(),
--- a/review/stand-ins-2/lock_order.rs
+++ b/review/stand-ins-2/lock_order.rs
@@ -27,8 +27,8 @@
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(4_000 + 3 * ROUTES as u64 + 1_500);
 
 fn main() {
-    let folder = std::env::args().nth(1).expect("folder of the record");
-    let record = Record::new(&Path::new(&folder).join("record.txt"));
+    let file = std::env::args().nth(1).expect("file of the record");
+    let record = Record::new(Path::new(&file));
     let is_over = Arc::new(AtomicBool::new(false));
     let plays: Vec<_> = (0..DEPLOYMENTS)
         .map(|number| {
