Allotments: a gateway alone admits no more than the whole allotment

Cause: a gateway admits by the share of its last report. What a caller sends until the next reply, 100 ms or more later, is admitted at that share, whatever its number; all of it if the workspace was not limited before. Change: a token bucket per workspace at each gateway, with the rate and depth that the collectors grant to all gateways together, so that it refuses nothing that the sum allows. The sum over several gateways still depends on the reports.

--- a/crates/foxtailgauge-core/src/allotment.rs
+++ b/crates/foxtailgauge-core/src/allotment.rs
@@ -9,6 +9,7 @@
 //! requests (a standard deviation of 12 in 170 of 1,000), which the bucket then takes from later ones.
 
 use crate::collector_bucket::NEXT_SECOND;
+use crate::gateway_bucket::GatewayBuckets;
 use crate::ids::{Incarnation, WorkspaceName};
 use crate::usage::{
     AdmissionShare, Outbox, RunKey, RunTally, ShareReply, UsageReport, WorkspaceUsage,
@@ -71,6 +72,9 @@
     outbox: Outbox,
     /// Workspaces whose share is below 1, as the last replies stated them.
     limited: HashMap<WorkspaceName, LimitedWorkspace>,
+    /// What this gateway alone may admit, whatever the share: a share is older than the requests that
+    /// a fast caller sends between two reports.
+    buckets: GatewayBuckets,
     floors: HashMap<WorkspaceName, Floor>,
     /// Number of floors at which those not in use are dropped; twice what the last time left, so
     /// that the cost per request does not grow with their number.
@@ -98,6 +102,7 @@
             true => self.refused_by_floor(name, allotment, gateways, draw, now),
             false => self.refused_by_share(name, draw),
         };
+        let refused = refused.or_else(|| self.buckets.take(name, allotment, now).err());
         let usage = WorkspaceUsage {
             demand: 1,
             admitted: i64::from(refused.is_none()),
@@ -117,6 +122,7 @@
             late: 0,
         };
         self.outbox.add_workspace(name, usage);
+        self.buckets.put_back(name);
         if let Some(floor) = self.floors.get_mut(name) {
             floor.level += 1.0;
         }
@@ -243,6 +249,7 @@
     pub fn clear_allotments(&mut self) {
         self.outbox.drop_workspaces();
         self.limited.clear();
+        self.buckets.clear();
         self.floors.clear();
         self.unanswered_since = None;
     }
--- a/crates/foxtailgauge-core/src/collector_bucket.rs
+++ b/crates/foxtailgauge-core/src/collector_bucket.rs
@@ -16,7 +16,7 @@
 const RESERVE_WINDOW: Duration = Duration::from_secs(2);
 /// Requests by which the sum may exceed the bucket, less than the 20 that a window allows: without
 /// them, three requests of a small workspace within a tenth of a second look like a surge.
-const TOLERATED_REQUESTS: f64 = 8.0;
+pub(crate) const TOLERATED_REQUESTS: f64 = 8.0;
 /// Longest debt in seconds of the rate, so that a wrong count ends.
 const MAX_DEBT_S: f64 = 5.0;
 /// Demand that each collector is assumed to have in addition, as a part of the rate, so that a
--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -41,6 +41,7 @@
 mod election;
 mod fair_turns;
 mod fleet_check;
+mod gateway_bucket;
 mod host_route;
 mod ids;
 mod introductions;
--- a/crates/foxtailgauge-core/tests/allotment.rs
+++ b/crates/foxtailgauge-core/tests/allotment.rs
@@ -521,3 +521,45 @@
         assert!(spread <= 1.15 * rounding + 0.1, "{name}: {spread}");
     }
 }
+
+/// Guards against a gateway that admits by a share from its last report all that a fast caller sends
+/// until the next one: 9, 9 and 2 of 20 actions were refused behind a surge.
+#[test]
+fn caller_that_is_faster_than_the_reports_stays_within_its_allotment() {
+    // Share in percent as last stated, and the requests that take part of a second in all.
+    let cases = [(100, 1_000), (90, 1_000), (40, 200), (100, 64)];
+    for (share_percent, requests) in cases {
+        let start = Instant::now();
+        let allotment = workspace(2.0, 2).allotment.expect("an allotment");
+        let mut gate = AllotmentGate::default();
+        let report = gate.report("g", 1, true, start).expect("a report");
+        let share = AdmissionShare {
+            share_ppm: share_percent * 10_000,
+            retry_after_ms: 100,
+        };
+        let limited = (share_percent < 100).then(|| (SMALL.to_owned(), share));
+        let reply = ShareReply {
+            is_ready: true,
+            is_complete: true,
+            shares: limited.into_iter().collect(),
+        };
+        gate.apply(&report, reply, start);
+        let mut admitted = 0;
+        for n in 0..requests {
+            let now = start + Duration::from_millis(90) * n / requests;
+            match gate.admit(SMALL, &allotment, 3, 0.5, now) {
+                // Every third one turns out not to run.
+                Ok(()) if n % 3 == 0 => gate.refund(SMALL),
+                Ok(()) => admitted += 1,
+                Err(delay) => assert!(delay <= Duration::from_secs(1), "{delay:?}"),
+            }
+        }
+        let case = format!("{requests} requests at a share of {share_percent} %");
+        assert!(admitted <= window_limit(2.0, 2.0), "{case}: {admitted}");
+        // A surge leaves room for what follows in the same window.
+        assert!(admitted <= 10, "{case}: {admitted}");
+        let later = start + Duration::from_millis(1_090);
+        let is_admitted = |_| gate.admit(SMALL, &allotment, 3, 0.5, later).is_ok();
+        assert!((0..3).any(is_admitted), "{case}: nothing a second later");
+    }
+}
