Consensus: a replica that stops or falls silent leaves an even group before the next loss

Cause: the replaced replica stayed one of four voters until it had been silent for 3 s, counted anew by each new leader. In that time two of four were gone, and three are needed to remove the dead one or to take the empty one in. Change: a stopping replica asks to leave (SubmitRequest::Leave) and a leader hands over (Message::HandOver); a voter of an even group above two is removed after 800 ms of silence, which a new leader counts from the last contact of the leader before it; a removed voter asks to join again sooner. Odd groups keep a voter that stops, since they expect it back. With SIGKILL and a loss at the same moment the quorum is still gone.

--- a/crates/foxtailgauge-core/src/consensus.rs
+++ b/crates/foxtailgauge-core/src/consensus.rs
@@ -4,6 +4,7 @@
 //! returns: it sends the early messages, makes the records durable, calls [`Node::persisted`],
 //! sends the other messages and applies the committed entries.
 
+use crate::election::Campaign;
 use crate::ids::{LogIndex, ReplicaId, Term};
 use crate::log::Log;
 use crate::membership::Membership;
@@ -187,6 +188,8 @@
     pub(crate) election_deadline_ms: u64,
     pub(crate) heartbeat_due_ms: u64,
     pub(crate) last_leader_contact_ms: Option<u64>,
+    /// Leader of that contact; `None` if this replica has led since.
+    pub(crate) last_leader: Option<ReplicaId>,
     /// Time of the last leader contact at which this replica had all committed entries.
     pub(crate) last_up_to_date_ms: Option<u64>,
     /// Highest commit index received from a leader since startup.
@@ -226,6 +229,7 @@
             election_deadline_ms: 0,
             heartbeat_due_ms: 0,
             last_leader_contact_ms: None,
+            last_leader: None,
             last_up_to_date_ms: None,
             max_leader_commit: None,
             leader_since_ms: 0,
@@ -335,7 +339,7 @@
         self.now_ms = self.now_ms.max(now_ms);
         match self.role {
             Role::Leader => self.tick_leader(),
-            _ if self.now_ms >= self.election_deadline_ms => self.campaign(true),
+            _ if self.now_ms >= self.election_deadline_ms => self.campaign(Campaign::PreVote),
             _ => {}
         }
     }
@@ -351,7 +355,8 @@
             return;
         }
         match envelope.message {
-            Message::Vote(request) => self.on_vote(from, &request),
+            Message::Vote(request) | Message::HandOverVote(request) => self.on_vote(from, &request),
+            Message::HandOver { .. } => self.campaign(Campaign::HandOver),
             Message::VoteReply(reply) => self.on_vote_reply(from, &reply),
             Message::Append(request) => self.on_append(from, request),
             Message::AppendReply(reply) => self.on_append_reply(from, &reply),
@@ -389,12 +394,14 @@
         let reply = match message {
             Message::Append(m) => stale_append_reply(term, m.round),
             Message::Snapshot { round, .. } => stale_append_reply(term, *round),
-            Message::Vote(m) => Message::VoteReply(crate::message::VoteReply {
-                is_pre_vote: m.is_pre_vote,
-                term,
-                is_granted: false,
-            }),
-            Message::VoteReply(_) | Message::AppendReply(_) => return,
+            Message::Vote(m) | Message::HandOverVote(m) => {
+                Message::VoteReply(crate::message::VoteReply {
+                    is_pre_vote: m.is_pre_vote,
+                    term,
+                    is_granted: false,
+                })
+            }
+            Message::VoteReply(_) | Message::AppendReply(_) | Message::HandOver { .. } => return,
         };
         self.send(from, reply);
     }
@@ -435,6 +442,23 @@
         Ok((self.change_membership(next), self.hard_state.term))
     }
 
+    /// Prepares for the stop of a replica: proposes its removal if the group then tolerates as many
+    /// losses as before.
+    ///
+    /// Otherwise the membership stays as it is, [`ProposeError::Unchanged`] is returned, and a leader
+    /// that is the one to stop hands over.
+    pub fn leave(&mut self, id: ReplicaId) -> Result<(LogIndex, Term), ProposeError> {
+        self.check_leader()?;
+        let Some(next) = self.membership().without_surplus_voter(id) else {
+            if id == self.id {
+                self.hand_over();
+            }
+            return Err(ProposeError::Unchanged);
+        };
+        self.check_membership_idle()?;
+        Ok((self.change_membership(next), self.hard_state.term))
+    }
+
     pub(crate) fn change_membership(&mut self, next: Membership) -> LogIndex {
         let index = self.append_as_leader(Payload::Membership(next));
         self.sync_progress();
--- a/crates/foxtailgauge-core/src/election.rs
+++ b/crates/foxtailgauge-core/src/election.rs
@@ -6,10 +6,22 @@
 use crate::ids::{ReplicaId, Term};
 use crate::message::{Message, Payload, VoteReply, VoteRequest};
 
+/// Kind of a campaign.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Campaign {
+    /// Asks whether an election would be won, without a change of term.
+    PreVote,
+    /// Election without a leader.
+    Election,
+    /// Election on behalf of a leader that is about to stop.
+    HandOver,
+}
+
 impl Node {
-    /// Starts a pre-vote or an election. A replica without a vote only clears its leader and
-    /// restarts its election timer.
-    pub(crate) fn campaign(&mut self, is_pre_vote: bool) {
+    /// Starts a campaign. A replica without a vote only clears its leader and restarts its election
+    /// timer.
+    pub(crate) fn campaign(&mut self, campaign: Campaign) {
+        let is_pre_vote = campaign == Campaign::PreVote;
         self.reset_election_timer();
         self.leader = None;
         if !self.membership().is_voter(self.id) {
@@ -35,7 +47,12 @@
         let own_id = self.id;
         let voters: Vec<ReplicaId> = self.membership().voters().collect();
         for voter in voters.into_iter().filter(|id| *id != own_id) {
-            self.send(voter, Message::Vote(request.clone()));
+            let request = request.clone();
+            let message = match campaign {
+                Campaign::PreVote | Campaign::Election => Message::Vote(request),
+                Campaign::HandOver => Message::HandOverVote(request),
+            };
+            self.send(voter, message);
         }
         self.count_votes();
     }
@@ -88,7 +105,7 @@
             return;
         }
         match self.role {
-            Role::PreCandidate => self.campaign(false),
+            Role::PreCandidate => self.campaign(Campaign::Election),
             Role::Candidate => self.become_leader(),
             Role::Follower | Role::Leader => {}
         }
@@ -101,10 +118,41 @@
         self.progress.clear();
         self.reads.clear();
         self.sync_progress();
+        self.keep_silence_of_last_leader();
+        self.last_leader = None;
         self.append_as_leader(Payload::Noop);
         self.heartbeat_due_ms = self.now_ms + HEARTBEAT_INTERVAL_MS;
     }
 
+    /// The voter that led before has been silent for as long as it led nobody: that time counts
+    /// towards its removal.
+    fn keep_silence_of_last_leader(&mut self) {
+        let Some((leader, contact_ms)) = self.last_leader.zip(self.last_leader_contact_ms) else {
+            return;
+        };
+        if let Some(progress) = self.progress.get_mut(&leader) {
+            progress.last_ack_ms = contact_ms;
+        }
+    }
+
+    /// Asks the voter with the most entries to take over the lead. Without an answer, the others
+    /// elect a leader once they miss this one.
+    pub(crate) fn hand_over(&mut self) {
+        let membership = self.membership();
+        let successors = self
+            .progress
+            .iter()
+            .filter(|(id, progress)| membership.is_voter(**id) && self.is_reachable(progress));
+        let Some((successor, _)) = successors.max_by_key(|(_, progress)| progress.match_index)
+        else {
+            return;
+        };
+        let message = Message::HandOver {
+            term: self.hard_state.term,
+        };
+        self.send(*successor, message);
+    }
+
     /// Adds progress records for new members and removes those of former members.
     pub(crate) fn sync_progress(&mut self) {
         let next_index = self.log.last_index() + 1;
@@ -143,6 +191,7 @@
         if self.now_ms > contact_ms + MIN_ELECTION_TIMEOUT_MS {
             // As a follower it continues to count the time from the last contact with a quorum.
             self.last_leader_contact_ms = Some(contact_ms);
+            self.last_leader = None;
             self.last_up_to_date_ms = Some(contact_ms);
             self.become_follower(self.hard_state.term, None);
             return;
--- a/crates/foxtailgauge-core/src/membership.rs
+++ b/crates/foxtailgauge-core/src/membership.rs
@@ -94,8 +94,8 @@
     /// replaced by the learner that waits: such a voter is removed first, so that no quorum depends
     /// on it. While a voter is only unresponsive, the promotion is deferred until the voter either
     /// responds or becomes replaceable. Each change concerns one voter, so that old and new quorums
-    /// intersect. Without a caught-up learner, a replaceable voter is removed from an even group: its
-    /// replacement votes already, and until it is removed the group tolerates one loss less.
+    /// intersect. Without a caught-up learner, a silent voter is removed from an even group: until it
+    /// is removed, the group tolerates one loss less.
     pub fn next_change(
         &self,
         is_caught_up: impl Fn(ReplicaId) -> bool,
@@ -103,7 +103,7 @@
     ) -> Option<Self> {
         let learners = self.members.iter().filter(|(_, m)| !m.is_voter);
         let Some((id, learner)) = learners.into_iter().find(|(id, _)| is_caught_up(**id)) else {
-            return self.without_replaced_voter(status);
+            return self.without_silent_voter(status);
         };
         let voters = || self.members.iter().filter(|(_, m)| m.is_voter);
         let replaced = voters()
@@ -120,17 +120,30 @@
         Some(next)
     }
 
-    /// Removes a replaceable voter if the number of voters is even, since that makes the quorum
-    /// smaller. A voter that comes back joins again.
-    fn without_replaced_voter(&self, status: impl Fn(ReplicaId) -> VoterStatus) -> Option<Self> {
-        if self.voters().count() % 2 != 0 {
+    /// Removes a silent voter if the number of voters is even, since that makes the quorum smaller.
+    /// A voter that comes back joins again. Of two voters, one is removed only once it is replaceable:
+    /// the other is left with the only copy.
+    fn without_silent_voter(&self, status: impl Fn(ReplicaId) -> VoterStatus) -> Option<Self> {
+        let least = match self.voters().count() {
+            2 => VoterStatus::Replaceable,
+            count if count % 2 == 0 => VoterStatus::Silent,
+            _ => return None,
+        };
+        let silent = self.voters().find(|id| status(*id) >= least)?;
+        let mut next = self.clone();
+        next.members.remove(&silent);
+        Some(next)
+    }
+
+    /// Removes a voter that is about to stop, if the others tolerate as many losses without it and
+    /// keep more than one copy: if the number of voters is even and above two.
+    pub fn without_surplus_voter(&self, id: ReplicaId) -> Option<Self> {
+        let count = self.voters().count();
+        if !self.is_voter(id) || count % 2 != 0 || count <= 2 {
             return None;
         }
-        let replaced = self
-            .voters()
-            .find(|id| status(*id) == VoterStatus::Replaceable)?;
         let mut next = self.clone();
-        next.members.remove(&replaced);
+        next.members.remove(&id);
         Some(next)
     }
 }
@@ -142,7 +155,8 @@
     Responsive,
     /// Had no contact within that time, but may come back shortly.
     Unresponsive,
-    /// Without contact long enough to be replaced by a caught-up learner, or removed from an even
-    /// group.
+    /// Without contact long enough to be removed from an even group.
+    Silent,
+    /// Without contact long enough to be replaced by a caught-up learner.
     Replaceable,
 }
--- a/crates/foxtailgauge-core/src/message.rs
+++ b/crates/foxtailgauge-core/src/message.rs
@@ -114,17 +114,25 @@
         /// Snapshot to install.
         snapshot: StateSnapshot,
     },
+    /// Asks a voter to start an election at once, as its leader is about to stop.
+    HandOver {
+        /// Leader's term.
+        term: Term,
+    },
+    /// Requests a vote on behalf of a leader that hands over: voters grant it despite their recent
+    /// contact with that leader.
+    HandOverVote(VoteRequest),
 }
 
 impl Message {
     /// Term of the message; that of the election for votes and granted replies.
     pub fn term(&self) -> Term {
         match self {
-            Message::Vote(m) => m.term,
+            Message::Vote(m) | Message::HandOverVote(m) => m.term,
             Message::VoteReply(m) => m.term,
             Message::Append(m) => m.term,
             Message::AppendReply(m) => m.term,
-            Message::Snapshot { term, .. } => *term,
+            Message::Snapshot { term, .. } | Message::HandOver { term } => *term,
         }
     }
 }
--- a/crates/foxtailgauge-core/src/replication.rs
+++ b/crates/foxtailgauge-core/src/replication.rs
@@ -13,9 +13,12 @@
 const MAX_IN_FLIGHT_ENTRIES: u64 = 4096;
 /// Time after which an unacknowledged snapshot is sent again, in milliseconds.
 const SNAPSHOT_RETRY_MS: u64 = 5_000;
-/// Time without contact after which a voter is replaced by a caught-up learner, or removed from an
-/// even group, in milliseconds: longer than a restart, shorter than the time within which the group
-/// must tolerate the next loss.
+/// Time without contact after which a voter is removed from a group of an even number of voters, in
+/// milliseconds. With it, the group tolerates one loss less than without it.
+const SILENT_VOTER_MS: u64 = 800;
+/// Time without contact after which a voter is replaced by a caught-up learner, in milliseconds:
+/// longer than a restart, since a group of an odd number tolerates one loss less until the learner
+/// votes, and shorter than the time within which the group must tolerate the next loss.
 const REPLACEABLE_VOTER_MS: u64 = 3_000;
 /// Number of entries by which a learner may lag and still count as caught up.
 const CAUGHT_UP_ENTRIES: u64 = 64;
@@ -141,6 +144,7 @@
     fn follow_leader(&mut self, leader: ReplicaId) {
         self.become_follower(self.hard_state.term, Some(leader));
         self.last_leader_contact_ms = Some(self.now_ms);
+        self.last_leader = Some(leader);
         self.reset_election_timer();
     }
 
@@ -233,6 +237,7 @@
         // A leader that was removed from the group steps down once its removal is committed.
         let (index, membership) = self.log.membership();
         if index <= self.commit && !membership.members.contains_key(&self.id) {
+            self.hand_over();
             self.become_follower(self.hard_state.term, None);
         }
     }
@@ -309,6 +314,7 @@
         };
         let status = |id: ReplicaId| match self.now_ms.saturating_sub(self.contact_ms(id)) {
             elapsed_ms if elapsed_ms >= REPLACEABLE_VOTER_MS => VoterStatus::Replaceable,
+            elapsed_ms if elapsed_ms >= SILENT_VOTER_MS => VoterStatus::Silent,
             elapsed_ms if elapsed_ms >= MIN_ELECTION_TIMEOUT_MS => VoterStatus::Unresponsive,
             _ => VoterStatus::Responsive,
         };
--- a/crates/foxtailgauge-core/tests/consensus.rs
+++ b/crates/foxtailgauge-core/tests/consensus.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use foxtailgauge_core::{Role, MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS};
+use foxtailgauge_core::{ProposeError, Role, MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS};
 use proptest::prelude::*;
 use support::{Cluster, Faults, STEP_MS};
 
@@ -247,3 +247,123 @@
     cluster.heal_and_converge();
     assert_eq!(cluster.acknowledged.len(), count + 1);
 }
+
+fn voters(cluster: &Cluster) -> Vec<u64> {
+    let leader = cluster
+        .leader()
+        .and_then(|id| cluster.replicas[&id].node.as_ref());
+    let committed = leader.filter(|node| node.log().membership().0 <= node.commit());
+    committed.map_or(Vec::new(), |node| node.membership().voters().collect())
+}
+
+/// Runs until a leader has committed a membership without `id`.
+fn run_until_removed(cluster: &mut Cluster, id: u64, limit_ms: u64) -> u64 {
+    cluster.run_until(limit_ms, |c| {
+        let voters = voters(c);
+        !voters.is_empty() && !voters.contains(&id)
+    })
+}
+
+/// A voter of the group that is neither of two others.
+fn other_voter(cluster: &Cluster, leader: u64, id: u64, turn: u64) -> u64 {
+    let others: Vec<u64> = (1..=4).filter(|other| *other != id).collect();
+    let is_turn_of_leader = turn % 3 == 0 && leader != id;
+    match is_turn_of_leader {
+        true => leader,
+        false => others[(turn as usize + cluster.now_ms as usize) % others.len()],
+    }
+}
+
+/// Guards against a replica that stops for good and stays a voter: with the next lost disk, a group
+/// of four had no quorum any more.
+#[test]
+fn replica_that_stops_leaves_a_group_of_four_before_the_next_loss() {
+    for seed in 0..48 {
+        let mut cluster = elected_cluster(4, seed);
+        commit_one(&mut cluster);
+        let leader = cluster.leader().unwrap();
+        let id = seed % 4 + 1;
+        cluster
+            .node(leader)
+            .leave(id)
+            .expect("leader of an idle group");
+        let took_ms = run_until_removed(&mut cluster, id, 500);
+        assert!(took_ms <= 300, "seed {seed}: removed after {took_ms} ms");
+        commit_one(&mut cluster);
+        cluster.lose_disk(id);
+        let lost = other_voter(&cluster, leader, id, seed);
+        cluster.lose_disk(lost);
+        cluster.run_until(ELECTION_LIMIT_MS, |c| c.leader().is_some_and(|l| l != lost));
+        commit_one(&mut cluster);
+        cluster.heal_and_converge();
+    }
+}
+
+/// Guards against a stop that shrinks a group of three, which expects the replica back, and against
+/// a stopping leader that the others miss before they elect another one.
+#[test]
+fn leader_that_stops_hands_over_and_stays_a_voter_of_three() {
+    for seed in 0..16 {
+        let mut cluster = elected_cluster(3, seed);
+        commit_one(&mut cluster);
+        let leader = cluster.leader().unwrap();
+        assert_eq!(
+            cluster.node(leader).leave(leader),
+            Err(ProposeError::Unchanged)
+        );
+        let took_ms = cluster.run_until(500, |c| c.leader().is_some_and(|l| l != leader));
+        assert!(took_ms <= 200, "seed {seed}: {took_ms} ms");
+        cluster.crash(leader);
+        commit_one(&mut cluster);
+        assert_eq!(voters(&cluster).len(), 3);
+        cluster.heal_and_converge();
+    }
+}
+
+/// Guards against a killed voter that counts for three seconds and anew for each leader.
+#[test]
+fn killed_voter_leaves_a_group_of_four_within_a_second_of_an_election() {
+    for seed in 0..48 {
+        let mut cluster = elected_cluster(4, seed);
+        commit_one(&mut cluster);
+        let leader = cluster.leader().unwrap();
+        let id = seed % 4 + 1;
+        cluster.lose_disk(id);
+        // A leader that is left removes the voter; another one is elected first.
+        let limit_ms = if id == leader {
+            ELECTION_LIMIT_MS
+        } else {
+            1_000
+        };
+        let took_ms = run_until_removed(&mut cluster, id, limit_ms);
+        println!("seed {seed}: {took_ms} ms, leader killed: {}", id == leader);
+        let lost = other_voter(&cluster, leader, id, seed);
+        cluster.lose_disk(lost);
+        cluster.run_until(ELECTION_LIMIT_MS, |c| c.leader().is_some_and(|l| l != lost));
+        commit_one(&mut cluster);
+        cluster.heal_and_converge();
+    }
+}
+
+/// Guards against a voter that stood still, was removed meanwhile, and disturbs the group when it goes
+/// on, or cannot join again.
+#[test]
+fn removed_voter_that_goes_on_joins_again_without_an_election() {
+    for seed in 0..16 {
+        let mut cluster = elected_cluster(4, seed);
+        commit_one(&mut cluster);
+        let leader = cluster.leader().unwrap();
+        let id = (1..=4).find(|id| *id != leader).unwrap();
+        cluster.isolated.insert(id);
+        run_until_removed(&mut cluster, id, 1_000);
+        let term = cluster.node(leader).term();
+        cluster.isolated.clear();
+        cluster.run_ms(2_000);
+        assert_eq!(cluster.node(leader).term(), term);
+        let addr = format!("address-{id}");
+        cluster.node(leader).add_learner(id, &addr).unwrap();
+        cluster.run_until(1_000, |c| voters(c).contains(&id));
+        assert_eq!(cluster.node(leader).term(), term);
+        cluster.heal_and_converge();
+    }
+}
--- a/crates/foxtailgauge-core/tests/sessions.rs
+++ b/crates/foxtailgauge-core/tests/sessions.rs
@@ -46,6 +46,8 @@
             m.term,
             m.index
         ),
+        Message::HandOver { term } => format!("hand over term {term}"),
+        Message::HandOverVote(m) => format!("hand-over vote? term {}", m.term),
         Message::Snapshot { term, snapshot, .. } => {
             format!("snapshot term {term} up to {}", snapshot.index)
         }
--- a/crates/foxtailgauge-daemon/src/control/formation.rs
+++ b/crates/foxtailgauge-daemon/src/control/formation.rs
@@ -33,8 +33,15 @@
 const RELOAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay before a start that the disk refused is tried again.
 const START_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Time without contact to a leader after which a replica requests to join again.
-const REJOIN_AFTER: Duration = Duration::from_secs(4);
+/// Time without contact to a leader after which a replica requests to join again: longer than an
+/// election.
+const REJOIN_AFTER: Duration = Duration::from_secs(2);
+/// Interval at which that time is looked at.
+const REJOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without contact to a leader after which other daemons are asked where the replicas are.
+const SEARCH_AFTER: Duration = Duration::from_secs(4);
+/// Timeout of the request that prepares a group for the stop of this replica.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Timeout of a request to join as a learner.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -222,20 +229,54 @@
     }
 }
 
-/// Requests to join again whenever there was no contact to a leader for `REJOIN_AFTER`: the group
-/// may have removed this replica while it was partitioned. For a member, the request has no effect.
+/// Requests to join again whenever there was no contact to a leader for `REJOIN_AFTER`, or none since
+/// the start: the group may have removed this replica while it was stopped or partitioned. For a
+/// member, the request has no effect.
 async fn rejoin(context: &DaemonContext, group: Group, replica: ReplicaId, control_addr: &str) {
+    let shared = &context.shared;
+    let started = Instant::now();
     loop {
-        async_std::task::sleep(REJOIN_AFTER / 2).await;
-        let handles = context.shared.replica.get();
+        async_std::task::sleep(REJOIN_INTERVAL).await;
+        if shared.stop.is_begun() {
+            return;
+        }
+        let handles = shared.replica.get();
         let age_ms = handles.and_then(|handles| handles.group(group).quorum_age_ms());
-        if age_ms.is_none_or(|age_ms| u128::from(age_ms) > REJOIN_AFTER.as_millis()) {
-            replica_search::run(&context.shared).await;
-            request_join(context, group, replica, control_addr).await;
+        let age = age_ms.map(Duration::from_millis);
+        if age.is_some_and(|age| age <= REJOIN_AFTER) {
+            continue;
         }
+        if age.unwrap_or_else(|| started.elapsed()) > SEARCH_AFTER {
+            replica_search::run(shared).await;
+        }
+        request_join(context, group, replica, control_addr).await;
     }
 }
 
+/// Prepares the groups for the stop of this replica. Ends within [`LEAVE_TIMEOUT`], with or without a
+/// leader.
+pub(crate) async fn leave(context: &DaemonContext) {
+    let shared = &context.shared;
+    let Some(handles) = shared.replica.get() else {
+        return;
+    };
+    let client = ReplicaClient::new(shared);
+    let leaving = Group::ALL.map(|group| {
+        let replica = handles.group(group).replica();
+        let request = SubmitRequest::Leave { group, replica };
+        let leaving = client.submit(request, LEAVE_TIMEOUT);
+        async move {
+            match leaving.await {
+                Ok(SubmitReply::Left) => emit!(shared.log, events::GROUP_LEFT,
+                    "group" => group.as_str()),
+                Ok(_) | Err(_) => emit!(shared.log, events::GROUP_NOT_LEFT,
+                    "group" => group.as_str()),
+            }
+        }
+    });
+    futures::future::join_all(leaving).await;
+}
+
 async fn request_join(
     context: &DaemonContext,
     group: Group,
--- a/crates/foxtailgauge-daemon/src/control/replica.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica.rs
@@ -49,6 +49,7 @@
 
 /// Handle to one group's thread on this replica.
 pub(crate) struct GroupHandle {
+    replica: ReplicaId,
     sender: Sender<GroupEvent>,
     status: Arc<Mutex<StatusCell>>,
 }
@@ -81,6 +82,11 @@
         reply_receiver.await.unwrap_or(SubmitReply::OutcomeUnknown)
     }
 
+    /// Identity of this replica in the group.
+    pub(crate) fn replica(&self) -> ReplicaId {
+        self.replica
+    }
+
     /// Status published by the last round.
     pub(crate) fn status(&self) -> GroupStatus {
         lock(&self.status).status.clone()
@@ -126,7 +132,7 @@
 pub(crate) fn group_of(request: &SubmitRequest) -> Group {
     match request {
         SubmitRequest::Ledger(_) | SubmitRequest::ReadAction { .. } => Group::Ledger,
-        SubmitRequest::Join { group, .. } => *group,
+        SubmitRequest::Join { group, .. } | SubmitRequest::Leave { group, .. } => *group,
         _ => Group::Config,
     }
 }
@@ -143,8 +149,13 @@
         let OpenedGroup { driver, dir } = self;
         let (sender, receiver) = bounded(EVENT_QUEUE_CAPACITY);
         let status = Arc::clone(&driver.status);
+        let replica = driver.node.id();
         std::thread::spawn(move || run_group(driver, &dir, &receiver));
-        GroupHandle { sender, status }
+        GroupHandle {
+            replica,
+            sender,
+            status,
+        }
     }
 }
 
@@ -393,6 +404,7 @@
                 let _ = reply.send(self.join(replica, &control_addr));
                 return;
             }
+            SubmitRequest::Leave { replica, .. } => self.leave(replica),
             request => {
                 self.new_reads.push((request, reply));
                 return;
@@ -426,6 +438,13 @@
         }
     }
 
+    fn leave(&mut self, replica: ReplicaId) -> Result<(LogIndex, Term), SubmitReply> {
+        self.node.leave(replica).map_err(|error| match error {
+            ProposeError::Unchanged => SubmitReply::Left,
+            error => self.propose_error_reply(error),
+        })
+    }
+
     fn start_reads(&mut self) {
         if self.new_reads.is_empty() {
             return;
@@ -515,7 +534,8 @@
     fn apply(&mut self, entry: &Entry) -> Result<(), Report<StoreError>> {
         let reply = match &entry.payload {
             Payload::Command(bytes) => Some(self.apply_command(bytes)?),
-            Payload::Noop | Payload::Membership(_) => None,
+            Payload::Membership(_) => Some(SubmitReply::Left),
+            Payload::Noop => None,
         };
         let Some(pending) = self.pending_proposals.remove(&entry.index) else {
             return Ok(());
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -55,6 +55,8 @@
     GROUP_JOINED = 2102, Info, "replica asked to join the group as a learner";
     ROLE_CHANGED = 2103, Info, "replica changed its role";
     MEMBERSHIP_CHANGED = 2104, Info, "membership of the group changed";
+    GROUP_LEFT = 2105, Info, "group prepared for the stop of this replica";
+    GROUP_NOT_LEFT = 2106, Warning, "group not prepared for the stop of this replica";
     CHANGE_ACCEPTED = 3001, Info, "change accepted";
     CHANGE_REFUSED = 3002, Info, "change refused";
     VERSION_CURRENT = 3003, Info, "configuration version in force";
--- a/crates/foxtailgauge-daemon/src/stop.rs
+++ b/crates/foxtailgauge-daemon/src/stop.rs
@@ -1,6 +1,7 @@
 //! Planned stop of the daemon: it finishes the requests in progress, answers the rest, announces its
 //! end and exits, all within the grace period.
 
+use crate::control::formation;
 use crate::emit;
 use crate::events;
 use crate::peer_server::DaemonContext;
@@ -134,6 +135,9 @@
     stop.accepting.0.close();
     shared.announce_stop();
     let exit_at = started + stop.plan.exit_time();
+    let left = exit_at.saturating_duration_since(Instant::now());
+    // Without a leader it ends by its own timeout.
+    let _ = async_std::future::timeout(left, formation::leave(context)).await;
     let earliest = Instant::now() + LEAVE_PROPAGATION_TIME;
     loop {
         let now = Instant::now();
--- /dev/null
+++ b/crates/foxtailgauge-daemon/tests/lost_voters.rs
@@ -0,0 +1,145 @@
+//! Real daemons: a replica is replaced in planned work, and another one loses its disk soon after.
+
+mod mesh_support;
+
+use mesh_support::{document, newest_version, put_document, wait_for, Mesh, Topology};
+use std::time::{Duration, Instant};
+
+/// Time for which the successor runs before the old replica ends: more than a platform needs to count
+/// the old one as replaced.
+const CATCH_UP: Duration = Duration::from_secs(5);
+/// Time after the loss until the lost replica is back with an empty disk.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
+/// Time within which the group serves again once all are back.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// How the replaced replica ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Term,
+    Kill,
+}
+
+/// Replicas of a group of three, by number; the successor is number 3.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    replaced: usize,
+    end: End,
+    /// Time from the end of the replaced replica until the next one loses its disk.
+    loss_after_ms: u64,
+    lost: usize,
+}
+
+/// Puts the next document at any of the replicas; panics if none confirms it within `RECOVERY`.
+fn put(mesh: &Mesh, replicas: &[usize], version: u64, case: Case) {
+    let deadline = Instant::now() + RECOVERY;
+    let next = document(version);
+    loop {
+        for n in replicas {
+            let status = put_document(&mesh.platform_addr(*n), version - 1, &next);
+            if status == Some(200) {
+                return;
+            }
+        }
+        assert!(
+            Instant::now() < deadline,
+            "{case:?}: no confirmation of {version}"
+        );
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn run(case: Case) {
+    let topology = Topology {
+        replicas: 3,
+        sidecars: 0,
+        domains: 3,
+        has_links: false,
+    };
+    let mut mesh = Mesh::start_with_spares(topology, 1);
+    put(&mesh, &[0, 1, 2], 1, case);
+    mesh.start_daemon(3, false);
+    wait_for("the document at the successor", || newest_version(&mesh, 3));
+    std::thread::sleep(CATCH_UP);
+    match case.end {
+        End::Term => {
+            mesh.terminate(case.replaced);
+            mesh.wait_for_exit(case.replaced);
+        }
+        End::Kill => mesh.kill(case.replaced),
+    }
+    let ended = Instant::now();
+    let left: Vec<usize> = (0..4).filter(|n| *n != case.replaced).collect();
+    mesh.seeds = left.clone();
+    let loss_after = Duration::from_millis(case.loss_after_ms);
+    let mut newest = 1;
+    if loss_after > Duration::ZERO {
+        std::thread::sleep(loss_after.saturating_sub(ended.elapsed()));
+        // An order that is confirmed right before the loss, if the group has a leader.
+        let order = put_document(&mesh.platform_addr(case.lost), newest, &document(2));
+        newest += u64::from(order == Some(200));
+    }
+    mesh.kill(case.lost);
+    std::fs::remove_dir_all(mesh.store_dir(case.lost)).expect("the store");
+    std::thread::sleep(RESTART_DELAY);
+    mesh.start_daemon(case.lost, false);
+    let back = Instant::now();
+    for n in &left {
+        while newest_version(&mesh, *n).is_none_or(|version| version < newest) {
+            let age = back.elapsed();
+            if age >= RECOVERY {
+                let kept = mesh.keep_files();
+                panic!("{case:?}: replica {n} without version {newest} after {age:?}, {kept:?}");
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+    // An order of unknown outcome may be in force.
+    let version = left.iter().filter_map(|n| newest_version(&mesh, *n)).max();
+    put(&mesh, &left, version.unwrap_or(newest) + 1, case);
+    println!("{case:?}: served {:?} after the return", back.elapsed());
+}
+
+/// Runs the cases side by side, three at a time.
+fn run_all(cases: &[Case]) {
+    for some in cases.chunks(3) {
+        std::thread::scope(|scope| {
+            for case in some {
+                scope.spawn(|| run(*case));
+            }
+        });
+    }
+}
+
+fn case(replaced: usize, end: End, loss_after_ms: u64, lost: usize) -> Case {
+    Case {
+        replaced,
+        end,
+        loss_after_ms,
+        lost,
+    }
+}
+
+/// Guards against a stopped replica that stays a voter for three seconds: with the next lost disk, the
+/// confirmed configuration could not be read any more and no order was confirmed.
+#[test]
+fn disk_lost_after_a_planned_replacement_is_survived() {
+    run_all(&[
+        case(2, End::Term, 1_000, 1),
+        case(0, End::Term, 1_000, 1),
+        case(1, End::Term, 300, 3),
+        case(2, End::Term, 0, 0),
+        case(0, End::Term, 0, 3),
+    ]);
+}
+
+/// The same for a replica that is removed without a signal. The disk is lost once the group has had
+/// the time to notice.
+#[test]
+fn disk_lost_after_a_replica_was_killed_and_replaced_is_survived() {
+    run_all(&[
+        case(2, End::Kill, 1_000, 1),
+        case(1, End::Kill, 1_000, 0),
+        case(0, End::Kill, 1_000, 3),
+    ]);
+}
--- a/crates/foxtailgauge-wire/src/submit.rs
+++ b/crates/foxtailgauge-wire/src/submit.rs
@@ -127,6 +127,14 @@
     },
     /// Reads the replicas that a daemon knows.
     ReadReplicas,
+    /// Prepares a group for the stop of a replica: removes it where the others tolerate as many losses
+    /// without it, or else makes it hand over the lead.
+    Leave {
+        /// Group.
+        group: Group,
+        /// Identifier of the replica.
+        replica: ReplicaId,
+    },
 }
 
 /// Reply to a [`SubmitRequest`].
@@ -193,6 +201,8 @@
     Action(Option<LedgerAnswer>),
     /// Directory entries of replicas, those of lost and stopped ones included.
     Replicas(Vec<InstanceState>),
+    /// The group is prepared for the stop of the replica.
+    Left,
 }
 
 /// Whether a replica belongs to a group.
