Statuses that HTTP does not define are no response

A backend server in trouble may answer with a status such as 000. On host routes 600 and 999 reached callers, with the seal; on the product's own routes 000, 001 and 099 were taken for a response as well, and what such a response said was recorded for the key of a billable action: with 000 the caller got 502 in place of an outcome. Cause: the parser takes any three digits, and nothing behind it looked at the range (RFC 9110, section 15: 100 to 599). Change: such a response breaks the exchange in the client for own routes, status checks and the command line, in the executor of host routes (its marks and statements are not read either), in the gateway for what another daemon passes on, and in the decoder of replies between daemons. Whether the request ran is unknown: a safe one goes elsewhere within its limits, and the connection is not used again.

--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -469,7 +469,10 @@
         };
         let meaning = ResponseMeaning::of(&response, id.as_ref());
         if states_refusal(&response) {
-            let is_matching = meaning != ResponseMeaning::Mismatched;
+            let is_matching = !matches!(
+                meaning,
+                ResponseMeaning::Mismatched | ResponseMeaning::Invalid
+            );
             let metrics = &self.shared.metrics;
             metrics.record_server_refusal(&name, is_matching);
             emit!(self.shared.log, events::SERVER_DECLINED,
@@ -485,6 +488,12 @@
                     "response" => attempt_id(response.headers()));
                 return (HopEnd::Broken, None);
             }
+            ResponseMeaning::Invalid => {
+                emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
+                    "request" => header_text(id.as_ref()), "server" => name,
+                    "error" => format!("invalid status {}", response.status().as_u16()));
+                return (HopEnd::Broken, None);
+            }
             ResponseMeaning::Unproved => {
                 emit!(self.shared.log, events::RESPONSE_INCOMPLETE,
                     "request" => header_text(id.as_ref()), "server" => name,
--- a/crates/foxtailgauge-daemon/src/executor/server_response.rs
+++ b/crates/foxtailgauge-daemon/src/executor/server_response.rs
@@ -1,6 +1,7 @@
 //! What the head of a backend server's response states about the request in flight.
 
 use foxtailgauge_platform::headers;
+use foxtailgauge_wire::http::VALID_STATUSES;
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 
@@ -15,6 +16,8 @@
     Misdirected,
     /// The response belongs to another request; whether this one ran is unknown.
     Mismatched,
+    /// No response in the protocol: it proves nothing about the request.
+    Invalid,
     /// A success without the proof that a backend server made it.
     Unproved,
 }
@@ -26,6 +29,9 @@
     /// The response to a request without an id can't be told from such a one, so it never states that the
     /// request did not run.
     pub(crate) fn of<B>(response: &Response<B>, request_id: Option<&HeaderValue>) -> Self {
+        if !VALID_STATUSES.contains(&response.status().as_u16()) {
+            return ResponseMeaning::Invalid;
+        }
         let mut response_ids = response.headers().get_all(headers::ATTEMPT_ID).iter();
         if response_ids.next() != request_id || response_ids.any(|id| Some(id) != request_id) {
             return ResponseMeaning::Mismatched;
--- a/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
@@ -37,6 +37,7 @@
     ServerKey, ServiceName, SuspectVerdict, UnixMs, WorkspaceName,
 };
 use foxtailgauge_platform::headers;
+use foxtailgauge_wire::http::VALID_STATUSES;
 use futures::future::{BoxFuture, FutureExt};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, HOST};
@@ -597,6 +598,10 @@
     let Some(reply) = reply else {
         return reply_without_response(HopEnd::Broken);
     };
+    // A daemon of an earlier version passes any status on.
+    if !VALID_STATUSES.contains(&response.status().as_u16()) {
+        return reply_without_response(HopEnd::Broken);
+    }
     let (mut parts, body) = response.into_parts();
     parts.version = Version::HTTP_11;
     let Ok(body) = ForwardBody::read(body).await else {
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -48,6 +48,8 @@
     DeclineAnother,
     /// Responds 500.
     Fail,
+    /// Responds like `Echo` with this status, whatever it is.
+    Status(&'static str),
     /// Closes the connection without a response.
     Break,
     /// Declares a longer body than it sends.
@@ -248,6 +250,15 @@
     pub fn received_count(&self) -> usize {
         self.received.lock().expect("received requests").len()
     }
+
+    /// The requests that it received.
+    pub fn received_texts(&self) -> Vec<String> {
+        let received = self.received.lock().expect("received requests");
+        received
+            .iter()
+            .map(|arrival| arrival.text.clone())
+            .collect()
+    }
 }
 
 fn serve(
@@ -334,6 +345,7 @@
             Script::DeclineAnother => {
                 format_response("503 No", "another", "Not-Executed: 1\r\n", "")
             }
+            Script::Status(status) => format_response(status, &id, &extra, &request),
             Script::Fail => format_response("500 Failed", &id, &extra, "failed"),
             Script::MismatchedId => format_response("200 OK", "another", "", "not yours"),
             Script::BareUnavailable => format_response("503 No", &id, "", "ran"),
@@ -840,6 +852,18 @@
     }
 }
 
+/// Sends JSON until it is answered with 200.
+pub fn put_json(addr: &str, target: &str, body: &serde_json::Value) {
+    let body = body.to_string();
+    let text = format!(
+        "PUT {target} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    wait_for(target, || {
+        (status(&exchange(addr, &text)?) == 200).then_some(())
+    });
+}
+
 /// Version of the newest document that a daemon returns; `None` without a definite response.
 pub fn newest_version(mesh: &Mesh, n: usize) -> Option<u64> {
     let read = "GET /foxtailgauge/config HTTP/1.1\r\nHost: x\r\n\r\n";
--- a/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
+++ b/crates/foxtailgauge-daemon/tests/replaced_replicas.rs
@@ -4,8 +4,8 @@
 
 use foxtailgauge_bench::relay::LinkFault;
 use mesh_support::{
-    body, document, document_with_report_route, exchange, header, newest_version, status, wait_for,
-    Mesh, Server, Topology,
+    body, document, document_with_report_route, exchange, header, newest_version, put_json, status,
+    wait_for, Mesh, Server, Topology,
 };
 use rustix::process::Signal;
 use serde_json::{json, Value};
@@ -244,10 +244,10 @@
     let text = "[services/desk]\n[routes/plans]\nprefix = /plans\nmethods = GET\nservice = desk\n\
                 deadline_ms = 5000\nidempotent = false\n";
     let change = json!({"change_id": "c1", "base_revision": 0, "text": text, "author": "test"});
-    send(&mesh.admin_addr(0), "/v1/teams/rybar/config", &change);
+    put_json(&mesh.admin_addr(0), "/v1/teams/rybar/config", &change);
     let announcement = json!({"service": "rybar/desk", "addr": server.addr, "slots": 20,
         "state": "ready", "lease_ms": 60_000});
-    send(&mesh.announce_addr(3), "/v1/servers/desk-1", &announcement);
+    put_json(&mesh.announce_addr(3), "/v1/servers/desk-1", &announcement);
     replace(&mut mesh, &[1, 0, 2]);
     for n in [3, 4, 5] {
         let key = uuid::Uuid::now_v7();
@@ -276,17 +276,6 @@
     );
 }
 
-fn send(addr: &str, target: &str, body: &Value) {
-    let body = body.to_string();
-    let text = format!(
-        "PUT {target} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    wait_for(target, || {
-        (status(&exchange(addr, &text)?) == 200).then_some(())
-    });
-}
-
 /// Guards against allotments that are counted by removed collectors only: workspaces would be held to
 /// a share for as long as the sidecar runs.
 #[test]
--- a/crates/foxtailgauge-wire/src/call.rs
+++ b/crates/foxtailgauge-wire/src/call.rs
@@ -3,6 +3,7 @@
 use crate::foxtailgauge_capnp::{
     call_reply, call_request, header, Cause as WireCause, Outcome as WireOutcome,
 };
+use crate::http::VALID_STATUSES;
 use foxtailgauge_core::{ActionKey, AttemptId};
 use std::time::Duration;
 
@@ -195,6 +196,9 @@
         let retry_after_ms = reader.get_retry_after_ms();
         let response = match reader.get_status() {
             0 => None,
+            status if !VALID_STATUSES.contains(&status) => {
+                return Err(capnp::Error::failed(format!("invalid status {status}")));
+            }
             status => Some(BackendResponse {
                 status,
                 headers: read_headers(reader.get_headers()?)?,
--- a/crates/foxtailgauge-wire/src/http.rs
+++ b/crates/foxtailgauge-wire/src/http.rs
@@ -7,6 +7,7 @@
 use http_types::headers::{HeaderName, HeaderValue};
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 /// Headers that apply to a single connection and are never forwarded.
 pub const HOP_BY_HOP_HEADERS: [&str; 9] = [
@@ -21,10 +22,13 @@
     "upgrade",
 ];
 
+/// Statuses that HTTP defines; anything else is no response (RFC 9110, section 15).
+pub const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// An HTTP response with its complete body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HttpResponse {
-    /// Status code.
+    /// Status code, from 200 to 599.
     pub status: u16,
     /// End-to-end headers, without [`HOP_BY_HOP_HEADERS`].
     pub headers: Vec<(String, String)>,
--- a/crates/foxtailgauge-wire/src/http_response.rs
+++ b/crates/foxtailgauge-wire/src/http_response.rs
@@ -1,6 +1,6 @@
 //! Reads one HTTP/1.1 response from a stream, without taking one that breaks off for a whole one.
 
-use crate::http::{HttpError, HttpResponse, HOP_BY_HOP_HEADERS};
+use crate::http::{HttpError, HttpResponse, HOP_BY_HOP_HEADERS, VALID_STATUSES};
 use crate::read_limit::MAX_RESPONSE_HEAD_BYTES;
 use async_std::io::{Read, ReadExt};
 
@@ -178,6 +178,9 @@
     else {
         return Err(HttpError::Broken);
     };
+    if !VALID_STATUSES.contains(&status) {
+        return Err(HttpError::Broken);
+    }
     let mut head = Head {
         status,
         headers: Vec::new(),
--- a/crates/foxtailgauge-wire/tests/http.rs
+++ b/crates/foxtailgauge-wire/tests/http.rs
@@ -292,3 +292,30 @@
         assert_eq!(sent.lines().next(), expected, "{method} {target}");
     }
 }
+
+/// Guards against a status that HTTP does not define taken for a response: 000, 099, 600 and 999 were
+/// returned as statuses.
+#[test]
+fn statuses_that_http_does_not_define_are_no_response() {
+    let fetch_status = |status: &str| {
+        let text = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        block_on(async {
+            let addr = answer_once(text.leak(), Duration::ZERO).await;
+            fetch(addr, EMPTY_REQUEST, MAX_BODY_BYTES).await
+        })
+    };
+    let invalid = [
+        "000", "001", "099", "600", "601", "999", "20", "2000", "-01", "0x1", "2 0", "",
+    ];
+    for status in invalid {
+        let fetched = fetch_status(status);
+        assert!(
+            matches!(fetched, Err(HttpError::Broken)),
+            "{status:?}: {fetched:?}"
+        );
+    }
+    for status in ["200", "299", "304", "400", "599"] {
+        let fetched = fetch_status(status).expect(status);
+        assert_eq!(fetched.status.to_string(), status);
+    }
+}
