Consensus: a voter without its disk votes for the one that it was, in an even group without a leader

With one of four voters gone without a signal and another disk lost at the same moment or 0.3 s later, every read got 503 and no order was confirmed any more: the two that are left need a third vote, and the replica without a disk could only join through a leader. Change: it asks all replicas for reports and, where these permit it, takes over the identity of the voter at its address, forgets up to the highest term reported, and says with each vote that it has no memory. A quorum may count such votes as long as at least half of all voters have their memory.

--- a/crates/foxtailgauge-core/src/consensus.rs
+++ b/crates/foxtailgauge-core/src/consensus.rs
@@ -177,6 +177,11 @@
     pub(crate) leader: Option<ReplicaId>,
     pub(crate) snapshot: Option<StateSnapshot>,
     pub(crate) votes: BTreeSet<ReplicaId>,
+    /// Those of `votes` that come from voters without memory.
+    pub(crate) votes_without_memory: BTreeSet<ReplicaId>,
+    /// Highest term that this voter may have taken part in before it lost its disk, until its log has
+    /// an entry of a later term.
+    pub(crate) forgotten_term: Option<Term>,
     pub(crate) progress: BTreeMap<ReplicaId, Progress>,
     pub(crate) reads: VecDeque<PendingRead>,
     pub(crate) reads_ready: Vec<ReadReady>,
@@ -220,6 +225,8 @@
             leader: None,
             snapshot,
             votes: BTreeSet::new(),
+            votes_without_memory: BTreeSet::new(),
+            forgotten_term: None,
             progress: BTreeMap::new(),
             reads: VecDeque::new(),
             reads_ready: Vec::new(),
@@ -301,12 +308,46 @@
         self.log.membership().1
     }
 
+    /// The membership before the latest one, while that is not known to be committed and its voters
+    /// differ.
+    ///
+    /// Until then, decisions need a quorum of both. With an even number of voters one of them may have lost its
+    /// memory, and would be the only one that a quorum of the old and one of the new voters share.
+    fn previous_membership(&self) -> Option<&Membership> {
+        let (index, membership) = self.log.membership();
+        let previous = self.log.previous_membership().1;
+        let is_change = previous.voters().next().is_some() && !previous.has_voters_of(membership);
+        (index > self.commit && is_change).then_some(previous)
+    }
+
+    /// Whether the log proves that the voters of the latest membership are agreed: a membership with the
+    /// same voters follows only once they are.
+    pub(crate) fn is_settled(&self) -> bool {
+        let previous = self.log.previous_membership().1;
+        previous.voters().next().is_none() || previous.has_voters_of(self.membership())
+    }
+
+    /// Highest value that a quorum has reached.
+    pub(crate) fn quorum_value(&self, value: impl Fn(ReplicaId) -> u64) -> u64 {
+        let current = self.membership().quorum_value(&value);
+        let previous = self.previous_membership();
+        previous.map_or(current, |previous| {
+            previous.quorum_value(&value).min(current)
+        })
+    }
+
+    /// Whether the votes received elect this replica.
+    pub(crate) fn is_elected(&self) -> bool {
+        let elects = |members: &Membership| members.elects(&self.votes, &self.votes_without_memory);
+        elects(self.membership()) && self.previous_membership().is_none_or(elects)
+    }
+
     /// Address of a member's control port.
     pub fn member_addr(&self, id: ReplicaId) -> Option<&str> {
-        self.membership()
-            .members
-            .get(&id)
-            .map(|m| m.control_addr.as_str())
+        let previous = self.log.previous_membership().1;
+        let member = self.membership().members.get(&id);
+        let member = member.or_else(|| previous.members.get(&id));
+        member.map(|m| m.control_addr.as_str())
     }
 
     /// Time since this replica's last contact with a quorum, in milliseconds.
@@ -318,7 +359,7 @@
     pub fn quorum_age_ms(&self) -> Option<u64> {
         let contact_ms = match self.role {
             Role::Leader => {
-                let contact = self.membership().quorum_value(|id| self.contact_ms(id));
+                let contact = self.quorum_value(|id| self.contact_ms(id));
                 Some(contact)
             }
             _ => self.last_up_to_date_ms,
@@ -347,7 +388,7 @@
     /// Handles one message from another replica.
     pub fn step(&mut self, envelope: Envelope, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
-        if envelope.to != self.id {
+        if envelope.to != self.id || self.is_forgotten(&envelope.message) {
             return;
         }
         let from = envelope.from;
@@ -357,7 +398,10 @@
         match envelope.message {
             Message::Vote(request) | Message::HandOverVote(request) => self.on_vote(from, &request),
             Message::HandOver { .. } => self.campaign(Campaign::HandOver),
-            Message::VoteReply(reply) => self.on_vote_reply(from, &reply),
+            Message::VoteReply(reply) => {
+                self.on_vote_reply(from, &reply, false);
+            }
+            Message::VoteWithoutMemory(reply) => self.on_vote_reply(from, &reply, true),
             Message::Append(request) => self.on_append(from, request),
             Message::AppendReply(reply) => self.on_append_reply(from, &reply),
             Message::Snapshot {
@@ -371,7 +415,7 @@
         let term = message.term();
         let is_pre_vote = match message {
             Message::Vote(m) => m.is_pre_vote,
-            Message::VoteReply(m) => m.is_pre_vote && m.is_granted,
+            Message::VoteReply(m) | Message::VoteWithoutMemory(m) => m.is_pre_vote && m.is_granted,
             _ => false,
         };
         if term > self.hard_state.term && !is_pre_vote {
@@ -401,7 +445,10 @@
                     is_granted: false,
                 })
             }
-            Message::VoteReply(_) | Message::AppendReply(_) | Message::HandOver { .. } => return,
+            Message::VoteReply(_)
+            | Message::VoteWithoutMemory(_)
+            | Message::AppendReply(_)
+            | Message::HandOver { .. } => return,
         };
         self.send(from, reply);
     }
@@ -550,6 +597,10 @@
         if self.log.term_at(index) == Some(term) {
             self.durable = self.durable.max(index);
         }
+        let durable_term = self.log.term_at(self.durable).unwrap_or_default();
+        if self.forgotten_term.is_some_and(|term| durable_term > term) {
+            self.forgotten_term = None;
+        }
         if self.role == Role::Leader {
             self.advance_commit();
         }
@@ -620,9 +671,13 @@
         self.election_deadline_ms = self.now_ms + wait_ms;
     }
 
-    pub(crate) fn peers(&self) -> Vec<ReplicaId> {
-        let members = self.membership().members.keys();
-        members.copied().filter(|id| *id != self.id).collect()
+    /// The other members, and the other voters whose quorum is needed.
+    pub(crate) fn peers(&self) -> BTreeSet<ReplicaId> {
+        let members = self.membership().members.keys().copied();
+        let previous = self.previous_membership().into_iter();
+        let previous_voters = previous.flat_map(Membership::voters);
+        let peers = members.chain(previous_voters);
+        peers.filter(|id| *id != self.id).collect()
     }
 
     /// Time of the last contact with a member; the current time for this replica itself.
--- a/crates/foxtailgauge-core/src/election.rs
+++ b/crates/foxtailgauge-core/src/election.rs
@@ -5,6 +5,12 @@
 };
 use crate::ids::{ReplicaId, Term};
 use crate::message::{Message, Payload, VoteReply, VoteRequest};
+use crate::replication::SILENT_VOTER_MS;
+use std::collections::BTreeSet;
+
+/// Silence of the last leader that its successor counts, in milliseconds: shorter than what leads to
+/// its removal by some heartbeats, as it may be back.
+const MAX_KNOWN_SILENCE_MS: u64 = SILENT_VOTER_MS - 3 * HEARTBEAT_INTERVAL_MS;
 
 /// Kind of a campaign.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,11 +30,12 @@
         let is_pre_vote = campaign == Campaign::PreVote;
         self.reset_election_timer();
         self.leader = None;
-        if !self.membership().is_voter(self.id) {
+        if !self.membership().is_voter(self.id) || self.forgotten_term.is_some() {
             return;
         }
         let term = self.hard_state.term + 1;
         self.votes = [self.id].into();
+        self.votes_without_memory.clear();
         if is_pre_vote {
             self.role = Role::PreCandidate;
         } else {
@@ -45,7 +52,9 @@
             last_term: self.log.last_term(),
         };
         let own_id = self.id;
-        let voters: Vec<ReplicaId> = self.membership().voters().collect();
+        let membership = self.membership();
+        let previous = self.log.previous_membership().1;
+        let voters: BTreeSet<ReplicaId> = membership.voters().chain(previous.voters()).collect();
         for voter in voters.into_iter().filter(|id| *id != own_id) {
             let request = request.clone();
             let message = match campaign {
@@ -84,24 +93,38 @@
             },
             is_granted,
         };
-        self.send(from, Message::VoteReply(reply));
+        let message = match self.forgotten_term {
+            Some(_) => Message::VoteWithoutMemory(reply),
+            None => Message::VoteReply(reply),
+        };
+        self.send(from, message);
     }
 
-    pub(crate) fn on_vote_reply(&mut self, from: ReplicaId, reply: &VoteReply) {
+    pub(crate) fn on_vote_reply(
+        &mut self,
+        from: ReplicaId,
+        reply: &VoteReply,
+        is_without_memory: bool,
+    ) {
+        // A candidate that stood still must not win by votes whose voters may have lost them since.
+        let is_over = self.now_ms >= self.election_deadline_ms;
         let is_expected = match self.role {
+            _ if is_over => false,
             Role::PreCandidate => reply.is_pre_vote && reply.term == self.hard_state.term + 1,
             Role::Candidate => !reply.is_pre_vote && reply.term == self.hard_state.term,
             Role::Follower | Role::Leader => false,
         };
         if is_expected && reply.is_granted {
-            self.votes.insert(from);
+            let is_first = self.votes.insert(from);
+            if is_first && is_without_memory {
+                self.votes_without_memory.insert(from);
+            }
             self.count_votes();
         }
     }
 
     fn count_votes(&mut self) {
-        let votes = &self.votes;
-        if !self.membership().has_quorum(|id| votes.contains(&id)) {
+        if !self.is_elected() {
             return;
         }
         match self.role {
@@ -125,13 +148,14 @@
     }
 
     /// The voter that led before has been silent for as long as it led nobody: that time counts
-    /// towards its removal.
+    /// towards its removal, except for the time in which it can answer this leader.
     fn keep_silence_of_last_leader(&mut self) {
         let Some((leader, contact_ms)) = self.last_leader.zip(self.last_leader_contact_ms) else {
             return;
         };
+        let earliest_ms = self.now_ms.saturating_sub(MAX_KNOWN_SILENCE_MS);
         if let Some(progress) = self.progress.get_mut(&leader) {
-            progress.last_ack_ms = contact_ms;
+            progress.last_ack_ms = contact_ms.max(earliest_ms);
         }
     }
 
@@ -187,7 +211,7 @@
 
     /// Steps down without recent contact with a quorum; otherwise sends heartbeats when due.
     pub(crate) fn tick_leader(&mut self) {
-        let contact_ms = self.membership().quorum_value(|id| self.contact_ms(id));
+        let contact_ms = self.quorum_value(|id| self.contact_ms(id));
         if self.now_ms > contact_ms + MIN_ELECTION_TIMEOUT_MS {
             // As a follower it continues to count the time from the last contact with a quorum.
             self.last_leader_contact_ms = Some(contact_ms);
--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -75,6 +75,7 @@
 mod tree;
 mod usage;
 mod usage_encoding;
+mod voter_recovery;
 mod work_queue;
 mod workspace;
 
@@ -156,6 +157,7 @@
     UsageReport, UsageRequest, WorkspaceUsage, MAX_REPORT_TALLIES, MAX_REPORT_WORKSPACES,
     USAGE_INTERVAL,
 };
+pub use voter_recovery::{RecoveredVoter, VoterReport};
 pub use work_queue::{
     ArrivalDecision, Pressure, QueueAction, QueueRefusal, Ticket, WorkItem, WorkLoad, WorkQueue,
 };
--- a/crates/foxtailgauge-core/src/log.rs
+++ b/crates/foxtailgauge-core/src/log.rs
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Membership before the latest one in the log; the same one if its predecessor is compacted.
+    pub(crate) fn previous_membership(&self) -> (LogIndex, &Membership) {
+        match self.memberships.as_slice() {
+            [.., (index, previous), _] => (*index, previous),
+            [_] | [] => (self.start_index, &self.start_membership),
+        }
+    }
+
     /// Membership in effect at an index.
     pub fn membership_at(&self, index: LogIndex) -> &Membership {
         let active = self.memberships.iter().rev().find(|(at, _)| *at <= index);
--- a/crates/foxtailgauge-core/src/membership.rs
+++ b/crates/foxtailgauge-core/src/membership.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::ReplicaId;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One member of a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +48,11 @@
             .map(|(id, _)| *id)
     }
 
+    /// Whether the same replicas vote in both.
+    pub(crate) fn has_voters_of(&self, other: &Membership) -> bool {
+        self.voters().eq(other.voters())
+    }
+
     /// Number of voters that form a majority.
     pub fn quorum(&self) -> usize {
         self.voters().count() / 2 + 1
@@ -58,6 +63,20 @@
         self.voters().filter(|id| agrees(*id)).count() >= self.quorum()
     }
 
+    /// Whether votes elect a leader: a quorum, of which at least half of all voters have kept their
+    /// memory. Two quorums of an even number of voters share two of them, so that one vote may come
+    /// from a voter without memory; of an odd number they may share one.
+    pub(crate) fn elects(
+        &self,
+        votes: &BTreeSet<ReplicaId>,
+        without_memory: &BTreeSet<ReplicaId>,
+    ) -> bool {
+        let has_memory = |id: &ReplicaId| votes.contains(id) && !without_memory.contains(id);
+        let with_memory = self.voters().filter(has_memory).count();
+        self.has_quorum(|id| votes.contains(&id))
+            && with_memory >= self.voters().count().div_ceil(2)
+    }
+
     /// Highest value that a quorum of the voters has reached; 0 without voters.
     pub fn quorum_value(&self, value: impl Fn(ReplicaId) -> u64) -> u64 {
         let mut values: Vec<u64> = self.voters().map(value).collect();
--- a/crates/foxtailgauge-core/src/message.rs
+++ b/crates/foxtailgauge-core/src/message.rs
@@ -122,6 +122,9 @@
     /// Requests a vote on behalf of a leader that hands over: voters grant it despite their recent
     /// contact with that leader.
     HandOverVote(VoteRequest),
+    /// Reply to a vote request by a voter that lost its disk and has no memory of its votes and
+    /// entries before that.
+    VoteWithoutMemory(VoteReply),
 }
 
 impl Message {
@@ -129,7 +132,7 @@
     pub fn term(&self) -> Term {
         match self {
             Message::Vote(m) | Message::HandOverVote(m) => m.term,
-            Message::VoteReply(m) => m.term,
+            Message::VoteReply(m) | Message::VoteWithoutMemory(m) => m.term,
             Message::Append(m) => m.term,
             Message::AppendReply(m) => m.term,
             Message::Snapshot { term, .. } | Message::HandOver { term } => *term,
--- a/crates/foxtailgauge-core/src/replication.rs
+++ b/crates/foxtailgauge-core/src/replication.rs
@@ -15,7 +15,7 @@
 const SNAPSHOT_RETRY_MS: u64 = 5_000;
 /// Time without contact after which a voter is removed from a group of an even number of voters, in
 /// milliseconds. With it, the group tolerates one loss less than without it.
-const SILENT_VOTER_MS: u64 = 800;
+pub(crate) const SILENT_VOTER_MS: u64 = 800;
 /// Time without contact after which a voter is replaced by a caught-up learner, in milliseconds:
 /// longer than a restart, since a group of an odd number tolerates one loss less until the learner
 /// votes, and shorter than the time within which the group must tolerate the next loss.
@@ -221,7 +221,7 @@
 
     pub(crate) fn advance_commit(&mut self) {
         let durable = self.durable;
-        let quorum_index = self.membership().quorum_value(|id| {
+        let quorum_index = self.quorum_value(|id| {
             if id == self.id {
                 durable
             } else {
@@ -239,12 +239,15 @@
         if index <= self.commit && !membership.members.contains_key(&self.id) {
             self.hand_over();
             self.become_follower(self.hard_state.term, None);
+        } else if index <= self.commit && !self.is_settled() {
+            let settled = membership.clone();
+            self.change_membership(settled);
         }
     }
 
     pub(crate) fn confirm_reads(&mut self) {
         let round = self.round;
-        let quorum_round = self.membership().quorum_value(|id| {
+        let quorum_round = self.quorum_value(|id| {
             if id == self.id {
                 round
             } else {
--- a/crates/foxtailgauge-core/tests/sessions.rs
+++ b/crates/foxtailgauge-core/tests/sessions.rs
@@ -19,7 +19,7 @@
             m.last_index,
             m.last_term
         ),
-        Message::VoteReply(m) => format!(
+        Message::VoteReply(m) | Message::VoteWithoutMemory(m) => format!(
             "{} term {} {}",
             if m.is_pre_vote { "pre-vote" } else { "vote" },
             m.term,
--- a/crates/foxtailgauge-core/tests/support/mod.rs
+++ b/crates/foxtailgauge-core/tests/support/mod.rs
@@ -1,8 +1,11 @@
 //! A simulated group of consensus nodes: disks lose unsynced writes, the network loses messages.
+//!
+//! Each test file uses only some of the items, hence `allow(dead_code)`.
+#![allow(dead_code)]
 
 use foxtailgauge_core::{
     Entry, Envelope, HardState, LogIndex, Membership, Node, Payload, PersistedState, Ready,
-    ReplicaId, Role, StateSnapshot, Term,
+    RecoveredVoter, ReplicaId, Role, StateSnapshot, Term,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -15,6 +18,8 @@
 pub struct Replica {
     pub disk: PersistedState,
     pub node: Option<Node>,
+    /// The voter that it took over, stored beside the disk.
+    pub recovered: Option<RecoveredVoter>,
     /// Work taken from the node that is not synced yet; lost in a crash.
     unsynced: Option<Ready>,
     pub applied: Vec<(LogIndex, Term, Vec<u8>)>,
@@ -105,6 +110,7 @@
             last_hard_state: disk.hard_state,
             disk,
             node: None,
+            recovered: None,
             unsynced: None,
             applied: Vec::new(),
         };
@@ -134,8 +140,50 @@
         let now_ms = self.now_ms;
         if let Some(replica) = self.replicas.get_mut(&id) {
             replica.applied = restore(replica.disk.snapshot.as_ref());
-            replica.node = Some(Node::new(id, replica.disk.clone(), now_ms, seed));
+            let mut node = Node::new(id, replica.disk.clone(), now_ms, seed);
+            if let Some(voter) = replica.recovered {
+                node.recover(voter);
+            }
+            replica.node = Some(node);
+        }
+    }
+
+    /// Lets a voter whose disk is lost, and whose process is not there, take part again by the reports
+    /// of the voters that answer. Returns whether they permit it.
+    ///
+    /// `has_rule`: otherwise it votes as if it had kept its memory.
+    pub fn recover(&mut self, id: ReplicaId, has_rule: bool) -> bool {
+        let reachable = self
+            .replicas
+            .iter()
+            .filter(|(peer, _)| !self.is_partitioned(**peer, id));
+        let nodes = reachable.filter_map(|(_, replica)| replica.node.as_ref());
+        let reports: Vec<_> = nodes.map(Node::voter_report).collect();
+        let Some(voter) = RecoveredVoter::find(&addr(id), reports) else {
+            return false;
+        };
+        assert_eq!(voter.id, id);
+        self.add_replica(id, PersistedState::default());
+        if has_rule {
+            self.replicas.get_mut(&id).unwrap().recovered = Some(voter);
+            self.restart(id);
         }
+        true
+    }
+
+    /// Whether the process of the replica is stopped and its disk is there.
+    pub fn is_stopped(&self, id: ReplicaId) -> bool {
+        let replica = self.replicas.get(&id);
+        replica.is_some_and(|replica| replica.node.is_none())
+    }
+
+    /// Whether the replica runs with its memory.
+    pub fn has_memory(&self, id: ReplicaId) -> bool {
+        let node = self
+            .replicas
+            .get(&id)
+            .and_then(|replica| replica.node.as_ref());
+        node.is_some_and(|node| !node.is_recovering() && node.log().last_index() > 0)
     }
 
     pub fn leader(&self) -> Option<ReplicaId> {
--- a/crates/foxtailgauge-daemon/src/control/formation.rs
+++ b/crates/foxtailgauge-daemon/src/control/formation.rs
@@ -5,10 +5,11 @@
 //! members. A replica that finds a group without itself is new or has lost its disk; it joins as a
 //! learner.
 
-use crate::control::replica::{open_group, OpenedGroup, ReplicaHandles};
+use crate::control::replica::{open_group, GroupHandle, OpenedGroup, ReplicaHandles};
 use crate::control::replica_client::ReplicaClient;
 use crate::control::replica_search;
 use crate::control::store::{read_frame, write_frame, StoreError};
+use crate::control::voter_recovery;
 use crate::emit;
 use crate::events;
 use crate::peer_server::DaemonContext;
@@ -110,10 +111,14 @@
         let (context, addr) = (context.clone(), control_addr.clone());
         let is_joining = initial.members.is_empty();
         async_std::task::spawn(async move {
+            let Some(handles) = context.shared.replica.get() else {
+                return;
+            };
+            let handle = handles.group(group);
             if is_joining {
-                join(&context, group, identity.replica, &addr).await;
+                join(&context, handle, group, &addr).await;
             }
-            rejoin(&context, group, identity.replica, &addr).await;
+            rejoin(&context, handle, group, &addr).await;
         });
     }
     Ok(())
@@ -212,17 +217,26 @@
     Membership::default()
 }
 
-/// Requests to join until this replica is a member of the group.
-async fn join(context: &DaemonContext, group: Group, replica: ReplicaId, control_addr: &str) {
+/// Requests to join until this replica is a member of the group. Without a leader, it takes part as the
+/// voter that it was, if the others permit it.
+async fn join(context: &DaemonContext, handle: &GroupHandle, group: Group, control_addr: &str) {
     let shared = &context.shared;
     let is_member = || {
-        let handles = shared.replica.get();
-        let status = handles.map(|handles| handles.group(group).status());
-        status.is_some_and(|status| status.members.members.contains_key(&replica))
+        handle
+            .status()
+            .members
+            .members
+            .contains_key(&handle.replica())
     };
     while !is_member() {
-        request_join(context, group, replica, control_addr).await;
-        async_std::task::sleep(ROUND_DELAY * 5).await;
+        let joining = request_join(context, group, handle.replica(), control_addr);
+        let recovering = async {
+            async_std::task::sleep(ROUND_DELAY * 5).await;
+            if !is_member() {
+                voter_recovery::attempt(shared, handle, group).await;
+            }
+        };
+        futures::join!(joining, recovering);
         if !is_member() {
             replica_search::run(shared).await;
         }
@@ -232,7 +246,7 @@
 /// Requests to join again whenever there was no contact to a leader for `REJOIN_AFTER`, or none since
 /// the start: the group may have removed this replica while it was stopped or partitioned. For a
 /// member, the request has no effect.
-async fn rejoin(context: &DaemonContext, group: Group, replica: ReplicaId, control_addr: &str) {
+async fn rejoin(context: &DaemonContext, handle: &GroupHandle, group: Group, control_addr: &str) {
     let shared = &context.shared;
     let started = Instant::now();
     loop {
@@ -240,16 +254,14 @@
         if shared.stop.is_begun() {
             return;
         }
-        let handles = shared.replica.get();
-        let age_ms = handles.and_then(|handles| handles.group(group).quorum_age_ms());
-        let age = age_ms.map(Duration::from_millis);
+        let age = handle.quorum_age_ms().map(Duration::from_millis);
         if age.is_some_and(|age| age <= REJOIN_AFTER) {
             continue;
         }
         if age.unwrap_or_else(|| started.elapsed()) > SEARCH_AFTER {
             replica_search::run(shared).await;
         }
-        request_join(context, group, replica, control_addr).await;
+        request_join(context, group, handle.replica(), control_addr).await;
     }
 }
 
--- a/crates/foxtailgauge-daemon/src/control/mod.rs
+++ b/crates/foxtailgauge-daemon/src/control/mod.rs
@@ -13,3 +13,4 @@
 pub(crate) mod state_machine;
 pub mod store;
 pub(crate) mod subscriber;
+mod voter_recovery;
--- a/crates/foxtailgauge-daemon/src/control/replica.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica.rs
@@ -12,7 +12,7 @@
 use error_stack::Report;
 use foxtailgauge_core::{
     Change, ChangeAnswer, Entry, Envelope, LedgerCommand, LogIndex, Membership, Node, Payload,
-    PersistedState, ProposeError, ReplicaId, Role, RolloutCommand, Term,
+    PersistedState, ProposeError, RecoveredVoter, ReplicaId, Role, RolloutCommand, Term,
 };
 use foxtailgauge_wire::{
     encode, encode_compressed, Group, GroupStatus, SubmitReply, SubmitRequest,
@@ -45,16 +45,18 @@
         request: Box<SubmitRequest>,
         reply: oneshot::Sender<SubmitReply>,
     },
+    /// The voter whose identity this replica takes over, as its own disk is lost.
+    Recover(RecoveredVoter),
 }
 
 /// Handle to one group's thread on this replica.
 pub(crate) struct GroupHandle {
-    replica: ReplicaId,
     sender: Sender<GroupEvent>,
     status: Arc<Mutex<StatusCell>>,
 }
 
 struct StatusCell {
+    replica: ReplicaId,
     status: GroupStatus,
     updated_at: Instant,
     ledger_keys: u64,
@@ -84,7 +86,12 @@
 
     /// Identity of this replica in the group.
     pub(crate) fn replica(&self) -> ReplicaId {
-        self.replica
+        lock(&self.status).replica
+    }
+
+    /// Takes over the identity of a voter. Has no effect if the queue is full.
+    pub(crate) fn recover(&self, voter: RecoveredVoter) {
+        let _ = self.sender.try_send(GroupEvent::Recover(voter));
     }
 
     /// Status published by the last round.
@@ -132,7 +139,9 @@
 pub(crate) fn group_of(request: &SubmitRequest) -> Group {
     match request {
         SubmitRequest::Ledger(_) | SubmitRequest::ReadAction { .. } => Group::Ledger,
-        SubmitRequest::Join { group, .. } | SubmitRequest::Leave { group, .. } => *group,
+        SubmitRequest::Join { group, .. }
+        | SubmitRequest::Leave { group, .. }
+        | SubmitRequest::ReportVoter { group } => *group,
         _ => Group::Config,
     }
 }
@@ -149,13 +158,8 @@
         let OpenedGroup { driver, dir } = self;
         let (sender, receiver) = bounded(EVENT_QUEUE_CAPACITY);
         let status = Arc::clone(&driver.status);
-        let replica = driver.node.id();
         std::thread::spawn(move || run_group(driver, &dir, &receiver));
-        GroupHandle {
-            replica,
-            sender,
-            status,
-        }
+        GroupHandle { sender, status }
     }
 }
 
@@ -277,6 +281,8 @@
     /// Control address of each replica that has sent a message; used for replicas that are not in
     /// the membership yet.
     sender_addrs: HashMap<ReplicaId, String>,
+    /// Voter to take over before the next round.
+    recovered: Option<RecoveredVoter>,
     started: Instant,
     last_role: (Role, Term),
     last_members: Membership,
@@ -295,8 +301,12 @@
         persisted: PersistedState,
     ) -> Result<Self, Report<StoreError>> {
         let state_machine = StateMachine::restore(group, persisted.snapshot.as_ref())?;
-        let node = Node::new(id, persisted, 0, rand::random());
+        let mut node = Node::new(id, persisted, 0, rand::random());
+        if let Some(voter) = store.recovered_voter()? {
+            node.recover(voter);
+        }
         let status = StatusCell {
+            replica: node.id(),
             status: group_status(group, &node),
             updated_at: Instant::now(),
             ledger_keys: 0,
@@ -315,6 +325,7 @@
             pending_reads: HashMap::new(),
             status: Arc::new(Mutex::new(status)),
             sender_addrs: HashMap::new(),
+            recovered: None,
             started: Instant::now(),
             broadcast_commit_index: 0,
             is_unpublished: true,
@@ -353,6 +364,7 @@
                     Err(_) => break,
                 }
             }
+            self.recover()?;
             self.start_reads();
             self.node.tick(self.now_ms());
             self.expire_keys();
@@ -385,6 +397,7 @@
                 self.node.step(envelope, now_ms);
             }
             GroupEvent::Submit { request, reply } => self.submit(*request, reply),
+            GroupEvent::Recover(voter) => self.recovered = Some(voter),
         }
     }
 
@@ -405,6 +418,10 @@
                 return;
             }
             SubmitRequest::Leave { replica, .. } => self.leave(replica),
+            SubmitRequest::ReportVoter { .. } => {
+                let _ = reply.send(SubmitReply::Voter(Box::new(self.node.voter_report())));
+                return;
+            }
             request => {
                 self.new_reads.push((request, reply));
                 return;
@@ -438,6 +455,23 @@
         }
     }
 
+    /// Takes over a voter. It is stored first: a replica that restarts must not vote as another one.
+    fn recover(&mut self) -> Result<(), Report<StoreError>> {
+        let Some(mut voter) = self.recovered.take() else {
+            return Ok(());
+        };
+        // A learner that was promoted meanwhile votes for itself.
+        if self.node.membership().is_voter(self.node.id()) {
+            return Ok(());
+        }
+        voter.forgotten_term = voter.forgotten_term.max(self.node.term());
+        self.store.save_recovered_voter(voter)?;
+        emit!(self.shared.log, events::VOTER_RECOVERING, "group" => self.group.as_str(),
+            "forgotten_term" => voter.forgotten_term);
+        self.node.recover(voter);
+        Ok(())
+    }
+
     fn leave(&mut self, replica: ReplicaId) -> Result<(LogIndex, Term), SubmitReply> {
         self.node.leave(replica).map_err(|error| match error {
             ProposeError::Unchanged => SubmitReply::Left,
@@ -704,6 +738,7 @@
                 "members" => self.last_members.members.len());
         }
         let mut cell = lock(&self.status);
+        cell.replica = self.node.id();
         cell.status = group_status(self.group, &self.node);
         cell.updated_at = Instant::now();
         cell.ledger_keys = self.state_machine.ledger_keys();
--- a/crates/foxtailgauge-daemon/src/control/replica_client.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica_client.rs
@@ -3,7 +3,7 @@
 use crate::control::replica::group_of;
 use crate::peer_client::{PeerError, PeerReply, PeerRequest};
 use crate::shared::{lock, Shared};
-use foxtailgauge_core::ReplicaAddrs;
+use foxtailgauge_core::{ReplicaAddrs, VoterReport};
 use foxtailgauge_wire::{decode, encode_compressed, Group, SubmitReply, SubmitRequest};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
@@ -147,6 +147,20 @@
         }
     }
 
+    /// Asks one replica what it tells one that lost its disk.
+    pub(crate) async fn voter_report(
+        &self,
+        addr: &str,
+        group: Group,
+        timeout: Duration,
+    ) -> Option<VoterReport> {
+        let request = SubmitRequest::ReportVoter { group };
+        match self.submit_remote(addr, &request, timeout).await {
+            Ok(SubmitReply::Voter(report)) => Some(*report),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
     /// Asks one replica whether it belongs to a group.
     pub(crate) async fn formation(&self, addr: &str, timeout: Duration) -> Option<SubmitReply> {
         self.submit_remote(addr, &SubmitRequest::Formation, timeout)
--- a/crates/foxtailgauge-daemon/src/control/store.rs
+++ b/crates/foxtailgauge-daemon/src/control/store.rs
@@ -6,7 +6,9 @@
 //! starting.
 
 use error_stack::{Report, ResultExt};
-use foxtailgauge_core::{Entry, HardState, LogIndex, PersistedState, Ready, StateSnapshot};
+use foxtailgauge_core::{
+    Entry, HardState, LogIndex, PersistedState, Ready, RecoveredVoter, StateSnapshot,
+};
 use foxtailgauge_wire::{decode, encode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -21,6 +23,8 @@
 const HEADER_BYTES: usize = 12;
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
+/// The voter that this replica took over after the loss of its disk.
+const RECOVERED_VOTER_FILE: &str = "recovered_voter";
 /// Written and removed to find out whether the disk has space.
 const SPACE_FILE: &str = "space";
 const SPACE_CHECK_BYTES: usize = 4_096;
@@ -183,6 +187,16 @@
         self.log.sync_data().change_context_lazy(|| io_error(&path))
     }
 
+    /// The voter that this replica took over, if it did.
+    pub fn recovered_voter(&self) -> Result<Option<RecoveredVoter>, Report<StoreError>> {
+        read_frame(&self.dir.join(RECOVERED_VOTER_FILE))
+    }
+
+    /// Stores the voter that this replica takes over.
+    pub fn save_recovered_voter(&self, voter: RecoveredVoter) -> Result<(), Report<StoreError>> {
+        write_frame(&self.dir.join(RECOVERED_VOTER_FILE), &voter)
+    }
+
     /// Checks that the disk has space for at least a small write.
     pub fn check_space(&mut self) -> Result<(), Report<StoreError>> {
         let path = self.dir.join(SPACE_FILE);
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -57,6 +57,7 @@
     MEMBERSHIP_CHANGED = 2104, Info, "membership of the group changed";
     GROUP_LEFT = 2105, Info, "group prepared for the stop of this replica";
     GROUP_NOT_LEFT = 2106, Warning, "group not prepared for the stop of this replica";
+    VOTER_RECOVERING = 2107, Warning, "replica without its disk votes for the one that it was";
     CHANGE_ACCEPTED = 3001, Info, "change accepted";
     CHANGE_REFUSED = 3002, Info, "change refused";
     VERSION_CURRENT = 3003, Info, "configuration version in force";
--- a/crates/foxtailgauge-daemon/tests/lost_voters.rs
+++ b/crates/foxtailgauge-daemon/tests/lost_voters.rs
@@ -143,3 +143,17 @@
         case(0, End::Kill, 1_000, 3),
     ]);
 }
+
+/// Guards against a group without a quorum: a replica was removed without a signal, and another one loses its
+/// disk before anybody has noticed.
+#[test]
+fn disk_lost_at_the_moment_of_a_removal_is_survived() {
+    run_all(&[
+        case(2, End::Kill, 300, 0),
+        case(0, End::Kill, 300, 1),
+        case(1, End::Kill, 300, 3),
+        case(2, End::Kill, 0, 1),
+        case(0, End::Kill, 0, 2),
+        case(1, End::Kill, 0, 3),
+    ]);
+}
--- a/crates/foxtailgauge-wire/src/submit.rs
+++ b/crates/foxtailgauge-wire/src/submit.rs
@@ -5,7 +5,7 @@
     Document, FailureDomain, InstanceState, LedgerAnswer, LedgerCommand, MemberSet, Membership,
     ReplicaId, Revision, RevisionRecord, Role, Rollout, RolloutAnswer, RolloutCommand,
     RolloutRecord, ServerLoad, ServiceName, Summary, TeamName, Term, UsageReply, UsageRequest,
-    VersionCount, WorkspaceLoad, WorkspaceName,
+    VersionCount, VoterReport, WorkspaceLoad, WorkspaceName,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -135,6 +135,11 @@
         /// Identifier of the replica.
         replica: ReplicaId,
     },
+    /// Reads what a member tells a replica that lost its disk.
+    ReportVoter {
+        /// Group.
+        group: Group,
+    },
 }
 
 /// Reply to a [`SubmitRequest`].
@@ -203,6 +208,8 @@
     Replicas(Vec<InstanceState>),
     /// The group is prepared for the stop of the replica.
     Left,
+    /// The state of a member.
+    Voter(Box<VoterReport>),
 }
 
 /// Whether a replica belongs to a group.
