Own interfaces: requests without end are ended and not kept

A peer that sends bytes without end to the interface of operators or to that where backend servers announce themselves made the daemon keep them all: four peers with zeros, 4.4 GB of memory within 2.7 s (on a debug build, code before). Such a daemon runs out of memory, and the requests of all callers on it end. Cause: the parser of these interfaces looks at the size of a head only behind a line end, and bodies were read whole. Change: bytes before the head is complete and those of a body are bounded on the stream, and JSON is read up to 8 MiB. Result: endless_requests failed before and passes: zeros, lines, headers, chunks, a chunk extension and JSON text without end, four peers each, to eleven interfaces of two daemons (also host routes, the platform's requests, and peers before the handshake).

--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::gateway::call_gateway::Gateway;
 use crate::gateway::caller_http;
 use crate::gateway::ledger_client::LedgerClient;
+use crate::limited_http;
 use crate::listen_settings::Listen;
 use crate::logger;
 use crate::mesh;
@@ -173,8 +174,8 @@
     task::spawn(Arc::clone(executor).expire_leases());
     task::spawn(rollout::leader::run(Arc::clone(shared)));
     let admin = admin_http::server(context, &replicas);
-    serve_http(shared, admin, listeners.admin);
-    serve_http(
+    limited_http::serve(shared, admin, listeners.admin);
+    limited_http::serve(
         shared,
         announce_http::server(Arc::clone(executor)),
         listeners.announce,
@@ -182,18 +183,6 @@
     caller_http::serve(shared, &gateway, listeners.callers);
 }
 
-pub(crate) fn serve_http<S>(shared: &Arc<Shared>, app: tide::Server<S>, listener: TcpListener)
-where
-    S: Clone + Send + Sync + 'static,
-{
-    let shared = Arc::clone(shared);
-    task::spawn(async move {
-        if let Err(error) = app.listen(listener).await {
-            emit!(shared.log, events::TASK_FAILED, "error" => error.to_string());
-        }
-    });
-}
-
 async fn listen(listen: &Listen, log: &Logger) -> Result<Listeners, Report<DaemonError>> {
     Ok(Listeners {
         callers: bind(listen.callers, log).await?,
--- a/crates/foxtailgauge-daemon/src/executor/announce_http.rs
+++ b/crates/foxtailgauge-daemon/src/executor/announce_http.rs
@@ -2,6 +2,7 @@
 
 use crate::executor::call_executor::Executor;
 use crate::executor::local_server::Announcement;
+use crate::json_body::read_json;
 use foxtailgauge_core::{is_valid_name, ServerEntry, ServerState, ServerVersion};
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
@@ -43,7 +44,7 @@
 
 async fn announce(mut request: Request<Arc<Executor>>) -> tide::Result {
     let name = request.param("name")?.to_owned();
-    let body: AnnounceBody = match request.body_json().await {
+    let body: AnnounceBody = match read_json(&mut request).await {
         Ok(body) => body,
         Err(_) => return Ok(refusal_response("malformed_announcement")),
     };
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -14,6 +14,8 @@
 mod gateway;
 pub mod header_readers;
 mod hop;
+mod json_body;
+mod limited_http;
 mod listen_settings;
 mod lock_wait;
 mod logger;
--- a/crates/foxtailgauge-daemon/src/mesh.rs
+++ b/crates/foxtailgauge-daemon/src/mesh.rs
@@ -2,11 +2,12 @@
 
 use crate::admin_http;
 use crate::control::replica_client::ReplicaClient;
-use crate::daemon::{bind, peer_identity, serve_http, DaemonError};
+use crate::daemon::{bind, peer_identity, DaemonError};
 use crate::emit;
 use crate::events;
 use crate::executor::forward_executor::ForwardExecutor;
 use crate::gateway::forward_gateway::ForwardGateway;
+use crate::limited_http;
 use crate::peer_server::DaemonContext;
 use crate::platform_http::PlatformHttp;
 use crate::shared::Shared;
@@ -51,7 +52,7 @@
     if let Some(addr) = mesh.metrics {
         let listener = bind(addr, log).await?;
         let app = admin_http::metrics_server(context, replicas);
-        serve_http(shared, app, listener);
+        limited_http::serve(shared, app, listener);
     }
     if let Some(addr) = mesh.outbound {
         let listener = bind(addr, log).await?;
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -723,6 +723,11 @@
         format!("{}:{}", Self::ip(n), self.first_port + 4)
     }
 
+    /// Where other daemons connect: to the control port, and to that of calls.
+    pub fn peer_addrs(&self, n: usize) -> [String; 2] {
+        [0, 1].map(|port| format!("{}:{}", Self::ip(n), self.first_port + port))
+    }
+
     /// Operators' API.
     pub fn admin_addr(&self, n: usize) -> String {
         format!("{}:{}", Self::ip(n), self.first_port + 3)
--- a/crates/foxtailgauge-wire/src/read_limit.rs
+++ b/crates/foxtailgauge-wire/src/read_limit.rs
@@ -31,7 +31,7 @@
 }
 
 /// A stream that fails with [`io::ErrorKind::InvalidData`] once its limit is used up.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct LimitedStream<S> {
     inner: S,
     limit: ReadLimit,
