Soak: profile losses, replacements with a lost disk behind them

Real processes, three or four replicas by the seed: each round replaces one, with or without a signal, and takes the disk of another one 0 to 4 s later; in half of the rounds a third one is paused or cut off until the loss is over. Then an order must be acknowledged and the newest acknowledged version be read at every replica within 15 s.

--- a/crates/foxtailgauge-daemon/tests/soak.rs
+++ b/crates/foxtailgauge-daemon/tests/soak.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Seeds that CI runs, with what they showed: an initial one, then each that ever failed.
-const REGRESSION_SEEDS: [(Profile, u64, &str); 8] = [
+const REGRESSION_SEEDS: [(Profile, u64, &str); 10] = [
     (Profile::Light, 1, "initial seed, no failure so far"),
     (
         Profile::Light,
@@ -51,6 +51,12 @@
         214,
         "once, a sidecar neither polled nor reported for 5.7 s; cause not found",
     ),
+    (
+        Profile::Losses,
+        2,
+        "no quorum after a replacement and a lost disk (three replicas)",
+    ),
+    (Profile::Losses, 3, "the same with four replicas"),
 ];
 /// Time during which faults are injected, for each seed in CI.
 const CI_DURATION: Duration = Duration::from_secs(6);
--- a/crates/foxtailgauge-daemon/tests/soak_support/faults.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/faults.rs
@@ -91,9 +91,11 @@
                 None => continue,
             },
             Profile::Contention if rng.random_bool(0.6) => misbehaving_servers(&mut rng, topology),
-            Profile::Light | Profile::Contention | Profile::Keys | Profile::Turnover => {
-                random_fault(&mut rng, topology, &mut may_lose_disk)
-            }
+            Profile::Light
+            | Profile::Contention
+            | Profile::Keys
+            | Profile::Turnover
+            | Profile::Losses => random_fault(&mut rng, topology, &mut may_lose_disk),
         };
         let until = match fault {
             Fault::PlannedStop { .. } => from + STOP_GRACE + RESTART_DELAY,
--- a/crates/foxtailgauge-daemon/tests/soak_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/mod.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod faults;
 pub mod keys;
+pub mod losses;
 pub mod profile;
 pub mod record;
 pub mod requests;
--- a/crates/foxtailgauge-daemon/tests/soak_support/profile.rs
+++ b/crates/foxtailgauge-daemon/tests/soak_support/profile.rs
@@ -1,6 +1,7 @@
 //! What a run exercises: its load, its servers and its kinds of faults.
 
 use super::keys;
+use super::losses;
 use super::run::Soak;
 use super::turnover;
 use crate::mesh_support::quirks::{Quirk, Quirky};
@@ -23,6 +24,8 @@
     Keys,
     /// All replicas are replaced in turn; see [`super::turnover`].
     Turnover,
+    /// Replicas are replaced, and others lose their disks; see [`super::losses`].
+    Losses,
 }
 
 /// Requests of the callers of a sidecar.
@@ -36,17 +39,20 @@
 }
 
 impl Profile {
-    pub const ALL: [(&'static str, Profile); 5] = [
+    pub const ALL: [(&'static str, Profile); 6] = [
         ("light", Profile::Light),
         ("contention", Profile::Contention),
         ("stops", Profile::Stops),
         ("keys", Profile::Keys),
         ("turnover", Profile::Turnover),
+        ("losses", Profile::Losses),
     ];
 
     pub fn load(self) -> Load {
         let (callers, interval_ms, deadlines_ms): (_, _, &[u64]) = match self {
-            Profile::Light | Profile::Keys | Profile::Turnover => (3, 25, &[1_000]),
+            Profile::Light | Profile::Keys | Profile::Turnover | Profile::Losses => {
+                (3, 25, &[1_000])
+            }
             Profile::Contention => (8, 4, &[60, 250, 1_000]),
             Profile::Stops => (6, 25, &[1_000]),
         };
@@ -60,7 +66,9 @@
     /// Script of the server of sidecar `n` while nothing disturbs it.
     pub fn script(self, n: usize) -> Script {
         let run_ms = match self {
-            Profile::Light | Profile::Keys | Profile::Turnover => return Script::Echo,
+            Profile::Light | Profile::Keys | Profile::Turnover | Profile::Losses => {
+                return Script::Echo
+            }
             Profile::Contention => CONTENTION_RUN_MS,
             Profile::Stops => [10, 100, 300][n % 3],
         };
@@ -88,6 +96,7 @@
         match self.profile {
             Profile::Keys => keys::run(self),
             Profile::Turnover => turnover::run(self),
+            Profile::Losses => losses::run(self),
             Profile::Light | Profile::Contention | Profile::Stops => Soak::run(self),
         }
     }
