--- a/crates/foxtailgauge-core/src/lib.rs
+++ b/crates/foxtailgauge-core/src/lib.rs
@@ -49,6 +49,7 @@
 mod link_acks;
 mod log;
 mod membership;
+mod membership_change;
 mod message;
 mod pace;
 mod pipeline;
--- a/crates/foxtailgauge-daemon/src/control/fleet_status.rs
+++ b/crates/foxtailgauge-daemon/src/control/fleet_status.rs
@@ -1,6 +1,6 @@
 //! Status of the fleet, as reported to operators.
 
-use crate::control::replica::ReplicaHandles;
+use crate::control::group_handle::ReplicaHandles;
 use crate::shared::Shared;
 use foxtailgauge_core::{InstanceState, MemberSet, Presence, ServerState};
 use foxtailgauge_wire::{DomainStatus, FleetStatus};
--- a/crates/foxtailgauge-daemon/src/control/formation.rs
+++ b/crates/foxtailgauge-daemon/src/control/formation.rs
@@ -5,7 +5,8 @@
 //! members. A replica that finds a group without itself is new or has lost its disk; it joins as a
 //! learner.
 
-use crate::control::replica::{open_group, GroupHandle, OpenedGroup, ReplicaHandles};
+use crate::control::group_handle::{GroupHandle, ReplicaHandles};
+use crate::control::replica::{open_group, OpenedGroup};
 use crate::control::replica_client::ReplicaClient;
 use crate::control::replica_search;
 use crate::control::store::{read_frame, write_frame, StoreError};
--- a/crates/foxtailgauge-daemon/src/control/mod.rs
+++ b/crates/foxtailgauge-daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod consensus_link;
 pub(crate) mod fleet_status;
 pub(crate) mod formation;
+pub(crate) mod group_handle;
 pub(crate) mod introduction;
 pub(crate) mod replica;
 pub(crate) mod replica_client;
@@ -13,4 +14,4 @@
 pub(crate) mod state_machine;
 pub mod store;
 pub(crate) mod subscriber;
-mod voter_recovery;
+pub(crate) mod voter_recovery;
--- a/crates/foxtailgauge-daemon/src/control/replica.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica.rs
@@ -1,6 +1,7 @@
 //! Driver of one consensus group on one replica: a thread that owns the consensus node, the store
 //! and the state machine.
 
+use crate::control::group_handle::{GroupEvent, GroupHandle, StatusCell};
 use crate::control::state_machine::{rollout_entry, StateMachine};
 use crate::control::store::{GroupStore, StoreError};
 use crate::emit;
@@ -8,7 +9,7 @@
 use crate::metrics::GroupLabels;
 use crate::rollout::order::log_rollout;
 use crate::shared::{lock, unix_ms, Shared};
-use async_std::channel::{bounded, Receiver, Sender};
+use async_std::channel::{bounded, Receiver};
 use error_stack::Report;
 use foxtailgauge_core::{
     Change, ChangeAnswer, Entry, Envelope, LedgerCommand, LogIndex, Membership, Node, Payload,
@@ -36,105 +37,6 @@
 /// Interval at which the leader proposes the expiry of old ledger keys.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(60);
 
-/// An event for a group's thread.
-pub(crate) enum GroupEvent {
-    /// A message from another replica, and the control address of its sender.
-    Message(Envelope, String),
-    /// A request, and the channel for its reply.
-    Submit {
-        request: Box<SubmitRequest>,
-        reply: oneshot::Sender<SubmitReply>,
-    },
-    /// The voter whose identity this replica takes over, as its own disk is lost.
-    Recover(RecoveredVoter),
-}
-
-/// Handle to one group's thread on this replica.
-pub(crate) struct GroupHandle {
-    sender: Sender<GroupEvent>,
-    status: Arc<Mutex<StatusCell>>,
-}
-
-struct StatusCell {
-    replica: ReplicaId,
-    status: GroupStatus,
-    updated_at: Instant,
-    ledger_keys: u64,
-}
-
-impl GroupHandle {
-    /// Queues a message. Drops it if the queue is full, because consensus sends it again.
-    pub(crate) fn deliver(&self, envelope: Envelope, sender_addr: String) {
-        let _ = self
-            .sender
-            .try_send(GroupEvent::Message(envelope, sender_addr));
-    }
-
-    /// Queues a request and waits for the reply.
-    pub(crate) async fn submit(&self, request: SubmitRequest) -> SubmitReply {
-        let (reply, reply_receiver) = oneshot::channel();
-        let event = GroupEvent::Submit {
-            request: Box::new(request),
-            reply,
-        };
-        if self.sender.try_send(event).is_err() {
-            return SubmitReply::Unavailable;
-        }
-        // The thread drops the reply channel only when it exits, and the command may be in its log.
-        reply_receiver.await.unwrap_or(SubmitReply::OutcomeUnknown)
-    }
-
-    /// Identity of this replica in the group.
-    pub(crate) fn replica(&self) -> ReplicaId {
-        lock(&self.status).replica
-    }
-
-    /// Takes over the identity of a voter. Has no effect if the queue is full.
-    pub(crate) fn recover(&self, voter: RecoveredVoter) {
-        let _ = self.sender.try_send(GroupEvent::Recover(voter));
-    }
-
-    /// Status published by the last round.
-    pub(crate) fn status(&self) -> GroupStatus {
-        lock(&self.status).status.clone()
-    }
-
-    /// Time since the last contact with a quorum, in milliseconds.
-    pub(crate) fn quorum_age_ms(&self) -> Option<u64> {
-        let cell = lock(&self.status);
-        let since_update_ms =
-            u64::try_from(cell.updated_at.elapsed().as_millis()).unwrap_or(u64::MAX);
-        Some(cell.status.quorum_age_ms?.saturating_add(since_update_ms))
-    }
-}
-
-/// Handles to the consensus groups of a daemon that is a replica.
-pub(crate) struct ReplicaHandles {
-    /// Configuration group.
-    pub(crate) config: GroupHandle,
-    /// Ledger group.
-    pub(crate) ledger: GroupHandle,
-}
-
-impl ReplicaHandles {
-    pub(crate) fn group(&self, group: Group) -> &GroupHandle {
-        match group {
-            Group::Config => &self.config,
-            Group::Ledger => &self.ledger,
-        }
-    }
-
-    /// Status of all groups.
-    pub(crate) fn statuses(&self) -> Vec<GroupStatus> {
-        vec![self.config.status(), self.ledger.status()]
-    }
-
-    /// Number of keys in the ledger.
-    pub(crate) fn ledger_keys(&self) -> u64 {
-        lock(&self.ledger.status).ledger_keys
-    }
-}
-
 /// The group that serves a request.
 pub(crate) fn group_of(request: &SubmitRequest) -> Group {
     match request {
--- a/crates/foxtailgauge-daemon/src/control/voter_recovery.rs
+++ b/crates/foxtailgauge-daemon/src/control/voter_recovery.rs
@@ -1,7 +1,7 @@
 //! Asks the voters of a group without a leader whether this replica, whose disk is lost, may vote for the
 //! one that it was.
 
-use crate::control::replica::GroupHandle;
+use crate::control::group_handle::GroupHandle;
 use crate::control::replica_client::ReplicaClient;
 use crate::shared::Shared;
 use foxtailgauge_core::{RecoveredVoter, ReplicaAddrs};
--- a/crates/foxtailgauge-daemon/src/shared/mod.rs
+++ b/crates/foxtailgauge-daemon/src/shared/mod.rs
@@ -3,7 +3,7 @@
 mod suspects;
 
 use crate::control::consensus_link::ConsensusLinks;
-use crate::control::replica::ReplicaHandles;
+use crate::control::group_handle::ReplicaHandles;
 use crate::control::seeds::Seeds;
 use crate::emit;
 use crate::events;
