--- a/crates/foxtailgauge-daemon/tests/endless_requests.rs
+++ b/crates/foxtailgauge-daemon/tests/endless_requests.rs
@@ -94,6 +94,7 @@
         (0, mesh.platform_addr(0), "PUT /foxtailgauge/config"),
         (1, mesh.platform_addr(1), "POST /foxtailgauge/report"),
         (1, mesh.announce_addr(1), "PUT /v1/servers/desk-1"),
+        (1, mesh.metrics_addr(1), "GET /metrics"),
         (1, mesh.callers_addr(1), "POST /view/1"),
         (1, mesh.outbound_addr(1), "POST /view/1"),
         (1, control, "POST /"),
