--- a/crates/foxtailgauge-daemon/tests/lost_voters.rs
+++ b/crates/foxtailgauge-daemon/tests/lost_voters.rs
@@ -49,18 +49,42 @@
     }
 }
 
-fn run(case: Case) {
+fn start(spares: usize) -> Mesh {
     let topology = Topology {
         replicas: 3,
         sidecars: 0,
         domains: 3,
         has_links: false,
     };
-    let mut mesh = Mesh::start_with_spares(topology, 1);
-    put(&mesh, &[0, 1, 2], 1, case);
-    mesh.start_daemon(3, false);
-    wait_for("the document at the successor", || newest_version(&mesh, 3));
+    Mesh::start_with_spares(topology, spares)
+}
+
+fn start_successor(mesh: &mut Mesh, n: usize) {
+    mesh.start_daemon(n, false);
+    wait_for("the document at the successor", || newest_version(mesh, n));
     std::thread::sleep(CATCH_UP);
+}
+
+fn run(case: Case) {
+    let mut mesh = start(1);
+    put(&mesh, &[0, 1, 2], 1, case);
+    start_successor(&mut mesh, 3);
+    replace_and_lose(mesh, case, &[0, 1, 2, 3]);
+}
+
+/// The same with a first successor that ends for good after a time, whether it votes by then or not.
+fn run_with_dead_successor(case: Case, dies_after: Duration) {
+    let mut mesh = start(2);
+    put(&mesh, &[0, 1, 2], 1, case);
+    mesh.start_daemon(4, false);
+    std::thread::sleep(dies_after);
+    mesh.kill(4);
+    start_successor(&mut mesh, 3);
+    replace_and_lose(mesh, case, &[0, 1, 2, 3]);
+}
+
+/// Ends the replaced replica of a group, takes the disk of another one, and checks what is served.
+fn replace_and_lose(mut mesh: Mesh, case: Case, group: &[usize]) {
     match case.end {
         End::Term => {
             mesh.terminate(case.replaced);
@@ -69,7 +93,8 @@
         End::Kill => mesh.kill(case.replaced),
     }
     let ended = Instant::now();
-    let left: Vec<usize> = (0..4).filter(|n| *n != case.replaced).collect();
+    let others = group.iter().copied().filter(|n| *n != case.replaced);
+    let left: Vec<usize> = others.collect();
     mesh.seeds = left.clone();
     let loss_after = Duration::from_millis(case.loss_after_ms);
     let mut newest = 1;
@@ -157,3 +182,18 @@
         case(1, End::Kill, 0, 3),
     ]);
 }
+
+/// Guards against a successor that dies while it joins and stays in the group.
+#[test]
+fn successor_that_dies_while_it_joins_takes_no_loss_away() {
+    std::thread::scope(|scope| {
+        for (dies_after_ms, case) in [
+            (150, case(2, End::Term, 0, 1)),
+            (600, case(0, End::Kill, 0, 1)),
+            (1_500, case(1, End::Kill, 300, 3)),
+        ] {
+            let dies_after = Duration::from_millis(dies_after_ms);
+            scope.spawn(move || run_with_dead_successor(case, dies_after));
+        }
+    });
+}
