--- a/crates/foxtailgauge-core/tests/voter_recovery.rs
+++ b/crates/foxtailgauge-core/tests/voter_recovery.rs
@@ -3,7 +3,10 @@
 
 mod support;
 
-use foxtailgauge_core::{Membership, RecoveredVoter, VoterReport, MAX_ELECTION_TIMEOUT_MS};
+use foxtailgauge_core::{
+    AppendRequest, Entry, Envelope, Membership, Message, Node, Payload, PersistedState,
+    RecoveredVoter, Term, VoteRequest, VoterReport, MAX_ELECTION_TIMEOUT_MS,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
@@ -322,3 +325,62 @@
         assert_eq!(find(reports), None, "{case}");
     }
 }
+
+/// Guards against a leader from before the loss that goes on: it believes entries to be here that are
+/// lost, and would neither send them nor step down.
+#[test]
+fn forgotten_terms_are_over_for_a_recovering_voter() {
+    const FORGOTTEN: Term = 7;
+    let mut node = Node::new(90, PersistedState::default(), 0, 1);
+    node.recover(RecoveredVoter {
+        id: 2,
+        forgotten_term: FORGOTTEN,
+    });
+    let mut answers = |message: Message| {
+        let envelope = Envelope {
+            from: 1,
+            to: 2,
+            message,
+        };
+        node.step(envelope, 10);
+        let ready = node.ready();
+        node.persisted(ready.last);
+        let answers: Vec<Message> = ready.messages.into_iter().map(|e| e.message).collect();
+        (answers, node.is_recovering())
+    };
+    let append = |term| {
+        let membership = Membership::of_voters((1..=4).map(|id| (id, format!("address-{id}"))));
+        Message::Append(AppendRequest {
+            term,
+            prev_index: 0,
+            prev_term: 0,
+            entries: vec![Entry {
+                index: 1,
+                term,
+                payload: Payload::Membership(membership),
+            }],
+            commit: 0,
+            round: 1,
+        })
+    };
+    let vote = |term| {
+        Message::Vote(VoteRequest {
+            is_pre_vote: false,
+            term,
+            last_index: 9,
+            last_term: FORGOTTEN,
+        })
+    };
+    assert_eq!(answers(append(FORGOTTEN)), (vec![], true));
+    let (refused, _) = answers(vote(FORGOTTEN));
+    let is_granted = |answers: &[Message]| match answers {
+        [Message::VoteWithoutMemory(reply)] => reply.is_granted,
+        other => panic!("{other:?}"),
+    };
+    assert!(!is_granted(&refused));
+    let (granted, _) = answers(vote(FORGOTTEN + 1));
+    assert!(is_granted(&granted));
+    let (acknowledged, is_recovering) = answers(append(FORGOTTEN + 1));
+    assert!(matches!(acknowledged[..], [Message::AppendReply(ref reply)] if reply.is_match));
+    assert!(!is_recovering, "an entry of a later term is stored");
+}
