Recovery of a voter: leaders of forgotten terms step down

Change: it begins in the term behind the forgotten ones. A leader of these hears of a later term at its first message and steps down; the next one is followed. Nothing is ignored any more.

--- a/crates/foxtailgauge-core/src/consensus.rs
+++ b/crates/foxtailgauge-core/src/consensus.rs
@@ -354,7 +354,7 @@
     /// Handles one message from another replica.
     pub fn step(&mut self, envelope: Envelope, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
-        if envelope.to != self.id || self.is_forgotten(&envelope.message) {
+        if envelope.to != self.id {
             return;
         }
         let from = envelope.from;
--- a/crates/foxtailgauge-core/src/voter_recovery.rs
+++ b/crates/foxtailgauge-core/src/voter_recovery.rs
@@ -6,7 +6,6 @@
 use crate::consensus::{HardState, Node, Role};
 use crate::ids::{LogIndex, ReplicaId, Term};
 use crate::membership::Membership;
-use crate::message::Message;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -125,25 +124,13 @@
         self.role = Role::Follower;
         self.leader = None;
         if self.hard_state.term <= voter.forgotten_term {
-            // A vote for itself: another one in that term is refused.
+            // A leader of a forgotten term steps down once it hears of the next one: it believes entries
+            // to be here that are lost.
             self.set_hard_state(HardState {
-                term: voter.forgotten_term,
-                voted_for: Some(self.id),
+                term: voter.forgotten_term + 1,
+                voted_for: None,
             });
         }
         self.reset_election_timer();
     }
-
-    /// Whether a message is of a term that this voter may have forgotten: its leader believes entries to be
-    /// here that are lost.
-    pub(crate) fn is_forgotten(&self, message: &Message) -> bool {
-        let is_from_leader = matches!(
-            message,
-            Message::Append(_) | Message::Snapshot { .. } | Message::HandOver { .. }
-        );
-        is_from_leader
-            && self
-                .forgotten_term
-                .is_some_and(|term| message.term() <= term)
-    }
 }
