Test of forwarded ends: a read's time-out is known by its error

Cause: most likely the test's own check. The caller took a read that ended before 25 ms by its own clock for a closed connection, whatever the error was; the kernel counts receive time-outs in its own ticks.

Now a time-out is told by the error of the read, so a connection that ends after the patience of a caller counts as closed too, which was not checked before. A violation also says whether the response was a large one.

--- a/crates/foxtailgauge-daemon/tests/ends_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/ends_support/mod.rs
@@ -2,7 +2,8 @@
 //! and servers saw.
 
 use crate::mesh_support::{
-    body, document, header, read_message, report, status, wait_for, Mesh, Topology, WAIT_TIMEOUT,
+    body, document, header, read_message, report, status, try_read_message, wait_for, Mesh,
+    Topology, WAIT_TIMEOUT,
 };
 use foxtailgauge_bench::relay::{ConnectionFault, LinkFault};
 use rand::rngs::SmallRng;
@@ -10,7 +11,7 @@
 use rustix::net::sockopt::set_socket_linger;
 use rustix::process::Signal;
 use std::collections::HashMap;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -112,11 +113,12 @@
                         (
                             run.executor,
                             (run.at.max(end.sent_at) - end.sent_at).as_millis(),
+                            run.is_large,
                         )
                     })
                     .collect();
                 violations.push(format!(
-                    "{rule} {id} commit {} by d{}: {:?} after {took_ms} ms, ran at (daemon, ms) {ran:?}",
+                    "{rule} {id} commit {} by d{}: {:?} after {took_ms} ms, ran at (daemon, ms, large) {ran:?}",
                     end.is_commit, end.gateway, end.outcome
                 ));
             };
@@ -367,19 +369,21 @@
         let mut is_open = stream.write_all(text.concat().as_bytes()).is_ok();
         let mut is_closing = false;
         for sent in row {
-            let waiting_since = Instant::now();
-            let response = is_open.then(|| read_message(&mut stream)).flatten();
+            let response = match is_open {
+                true => try_read_message(&mut stream),
+                false => Err(ErrorKind::NotConnected.into()),
+            };
             let outcome = match &response {
                 _ if is_closing => Outcome::NotRead,
-                Some(text) => check(text, &sent),
-                None if is_open && waiting_since.elapsed() < patience => Outcome::Closed,
-                None if gives_up => Outcome::GaveUp,
-                None if is_open => Outcome::Silence,
-                None => Outcome::Closed,
+                Ok(text) => check(text, &sent),
+                Err(error) if is_open && !is_timeout(error) => Outcome::Closed,
+                Err(_) if gives_up => Outcome::GaveUp,
+                Err(_) if is_open => Outcome::Silence,
+                Err(_) => Outcome::Closed,
             };
-            is_open &= response.is_some();
+            is_open &= response.is_ok();
             is_closing |= outcome == Outcome::Closed;
-            is_closing |= response.is_some_and(|text| header(&text, "connection").is_some());
+            is_closing |= response.is_ok_and(|text| header(&text, "connection").is_some());
             let end = End {
                 is_commit: sent.is_commit,
                 gateway: self.gateway,
@@ -426,6 +430,11 @@
     }
 }
 
+/// Whether a read ended by its time-out. The system may end it a tick early by the clock of the tests.
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
+
 fn check(response: &str, sent: &Sent) -> Outcome {
     let is_own = header(response, "attempt-id").as_ref() == Some(&sent.id)
         && header(response, "server-seal").is_some()
--- a/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
+++ b/crates/foxtailgauge-daemon/tests/mesh_support/mod.rs
@@ -9,7 +9,7 @@
 use foxtailgauge_bench::relay::{self, Faults, Link, RelayPlan};
 use quirks::{Quirk, Quirky};
 use rustix::process::{kill_process, Pid, Signal};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{IpAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -406,22 +406,25 @@
     )
 }
 
-/// Reads one message, with a body of `Content-Length` bytes; `None` at the end of the stream.
+/// Reads one message, with a body of `Content-Length` bytes; `None` if the stream ends or times out.
 pub fn read_message(stream: &mut TcpStream) -> Option<String> {
+    try_read_message(stream).ok()
+}
+
+/// Reads one message, with a body of `Content-Length` bytes. A time-out is `WouldBlock` or `TimedOut`,
+/// the end of the stream `UnexpectedEof`.
+pub fn try_read_message(stream: &mut TcpStream) -> std::io::Result<String> {
     let mut bytes = Vec::new();
     let mut byte = [0; 1];
     while !bytes.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => bytes.push(byte[0]),
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            _ => return None,
-        }
+        stream.read_exact(&mut byte)?;
+        bytes.push(byte[0]);
     }
     let head = String::from_utf8_lossy(&bytes).into_owned();
     let length = header(&head, "content-length").map_or(0, |text| text.parse().unwrap_or(0));
     let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some(head + &String::from_utf8_lossy(&body))
+    stream.read_exact(&mut body)?;
+    Ok(head + &String::from_utf8_lossy(&body))
 }
 
 /// Value of a header in a raw message.
