--- a/crates/foxtailgauge-core/src/allotment.rs
+++ b/crates/foxtailgauge-core/src/allotment.rs
@@ -102,7 +102,7 @@
             true => self.refused_by_floor(name, allotment, gateways, draw, now),
             false => self.refused_by_share(name, draw),
         };
-        let refused = refused.or_else(|| self.buckets.take(name, allotment, now).err());
+        let refused = refused.or_else(|| self.refused_by_bucket(name, allotment, now));
         let usage = WorkspaceUsage {
             demand: 1,
             admitted: i64::from(refused.is_none()),
@@ -154,6 +154,19 @@
         (!limited.admits(draw)).then_some(delay)
     }
 
+    /// A caller that returns before its share allows it would be refused again.
+    fn refused_by_bucket(
+        &mut self,
+        name: &str,
+        allotment: &Allotment,
+        now: Instant,
+    ) -> Option<Duration> {
+        let delay = self.buckets.take(name, allotment, now).err()?;
+        let limited = self.limited.get(name);
+        let share_delay_ms = limited.map_or(0, |limited| limited.share.retry_after_ms);
+        Some(delay.max(Duration::from_millis(share_delay_ms.into())))
+    }
+
     /// The part of the rate for one gateway, with a depth of at least one request. The initial level
     /// is random, so that few of many gateways admit one request of a small workspace at once.
     fn refused_by_floor(
--- a/crates/foxtailgauge-core/src/gateway_bucket.rs
+++ b/crates/foxtailgauge-core/src/gateway_bucket.rs
@@ -1,5 +1,6 @@
 //! Token buckets of one gateway: none of them admits more than the whole allotment of its workspace.
 
+use crate::allotment::retry_after;
 use crate::collector_bucket::TOLERATED_REQUESTS;
 use crate::ids::WorkspaceName;
 use crate::workspace::Allotment;
@@ -44,7 +45,9 @@
 }
 
 impl GatewayBuckets {
-    /// Takes one request from a bucket, or returns the time until it holds one.
+    /// Takes one request from a bucket, or returns the time after which a caller is likely to be admitted:
+    /// the bucket holds a request, and the collectors' shares no longer follow from the demand that
+    /// emptied it.
     pub(crate) fn take(
         &mut self,
         name: &str,
@@ -55,8 +58,7 @@
         let known = self.buckets.get_mut(name);
         let level = known.as_ref().map_or(depth, |b| b.level_at(now).min(depth));
         if level < 1.0 {
-            let missing = Duration::try_from_secs_f64((1.0 - level) / allotment.rate_per_s());
-            return Err(missing.unwrap_or(Duration::MAX));
+            return Err(retry_after(1.0 - level, allotment, 0.0));
         }
         let bucket = GatewayBucket {
             allotment: *allotment,
