State that threads share: owners, one order of locks, and a check of it in all tests

Class: eleven mutexes in one file, of which any function took any two. Subscribers and directory were a second pair. All mutexes of the daemon are tracing-mutex's, which in builds with debug assertions end the process at the first pair that is locked in both orders; in other builds they are those of the standard library. Ruled out: tracing-mutex's record of stacks.

--- a/crates/foxtailgauge-daemon/src/gateway/authentication.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/authentication.rs
@@ -3,7 +3,8 @@
 
 use crate::gateway::route_view::RouteView;
 use crate::hop::forward_headers::header;
-use crate::shared::{lock, Shared};
+use crate::mutex::lock;
+use crate::shared::Shared;
 use foxtailgauge_core::{Workspace, WorkspaceName, WorkspaceTable};
 use foxtailgauge_platform::headers;
 use hyper::header::{HeaderMap, HeaderValue};
--- a/crates/foxtailgauge-daemon/src/gateway/forward_attempt.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_attempt.rs
@@ -2,7 +2,8 @@
 
 use crate::executor::forward_executor::{without_response, ForwardReply};
 use crate::hop::metadata::HopEnd;
-use crate::shared::{lock, Shared};
+use crate::mutex::lock;
+use crate::shared::Shared;
 use foxtailgauge_core::{AttemptEnd, AttemptHealth, AttemptReport, ServerKey, WorkLoad};
 use std::time::{Duration, Instant};
 
--- a/crates/foxtailgauge-daemon/src/shared/suspects.rs
+++ b/crates/foxtailgauge-daemon/src/shared/suspects.rs
@@ -1,7 +1,8 @@
 //! Publishes the requests that were in flight when backend servers crashed.
 
+use crate::mutex::lock;
 use crate::peer_client::PeerRequest;
-use crate::shared::{lock, unix_ms, Shared};
+use crate::shared::{unix_ms, Shared};
 use foxtailgauge_core::Fingerprint;
 use foxtailgauge_wire::encode;
 use std::time::Duration;
--- a/crates/foxtailgauge-daemon/src/usage/mod.rs
+++ b/crates/foxtailgauge-daemon/src/usage/mod.rs
@@ -5,14 +5,15 @@
 
 pub(crate) use reporting::collectors;
 
-use crate::shared::{lock, Shared};
+use crate::mutex::{lock, Mutex};
+use crate::shared::Shared;
 use foxtailgauge_core::{
     AllotmentGate, Collector, RouteName, RunTally, ServerVersion, ServiceName, UsageReply,
     UsageRequest, WorkspaceLoad,
 };
 use foxtailgauge_wire::LimitedWorkspace;
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time after which a report or an exchange without an answer is given up.
--- a/crates/foxtailgauge-daemon/src/workspace_refusals.rs
+++ b/crates/foxtailgauge-daemon/src/workspace_refusals.rs
@@ -2,12 +2,11 @@
 //!
 //! Designed for 5,000 workspaces: 16 reasons each would make 80,000 time series per daemon.
 
-use crate::shared::lock;
+use crate::mutex::{lock, Mutex};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use std::collections::HashSet;
-use std::sync::Mutex;
 
 /// Most workspaces that are counted separately.
 const MAX_WORKSPACES: usize = 256;
