--- a/crates/foxtailgauge-daemon/tests/failures.rs
+++ b/crates/foxtailgauge-daemon/tests/failures.rs
@@ -445,7 +445,11 @@
         let mut outcomes = Vec::new();
         while !is_done.load(Ordering::SeqCst) {
             let response = support::call_at(addrs[n % addrs.len()], &Call::get("/plans/1"));
-            outcomes.push(response.map_or("none".to_owned(), |r| outcome(&r).to_owned()));
+            outcomes.push(match response {
+                Some(r) if outcome(&r) == "ran" => "ran".to_owned(),
+                Some(r) => format!("{}: {}", outcome(&r), error_code(&r)),
+                None => "none".to_owned(),
+            });
         }
         outcomes
     };
