--- a/crates/foxtailgauge-daemon/src/shared/mod.rs
+++ b/crates/foxtailgauge-daemon/src/shared/mod.rs
@@ -89,7 +89,7 @@
 /// State shared by the tasks of one daemon.
 ///
 /// Invariant: two mutexes are held at a time only in these orders: `view_turn` before the one of
-/// `members`, and `deferred_losses` before `placement`. The counts of log lines may be locked behind any.
+/// `members`, and `deferred_losses` before `placement`.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) log: Logger,
