--- a/crates/foxtailgauge-daemon/src/control/source.rs
+++ b/crates/foxtailgauge-daemon/src/control/source.rs
@@ -25,7 +25,7 @@
         let changed = shared.changed.listen();
         let has_update = shared.current_version().0 > request.current_version;
         if is_first || has_update {
-            if let (reply, true) = shared.poll_reply(&request) {
+            if let Some(reply) = shared.poll_reply_for(&request) {
                 return reply;
             }
         }
@@ -34,12 +34,12 @@
         if let Either::Right(_) = select(changed, sleep_until(wait_until)).await {
             let has_lost_contact = shared.freshness().has_lost_contact();
             if wait_until == deadline || has_lost_contact {
-                return shared.poll_reply(&request).0;
+                return shared.empty_poll_reply();
             }
             continue;
         }
         collect_changes(shared, &request, deadline).await;
-        if let (reply, true) = shared.poll_reply(&request) {
+        if let Some(reply) = shared.poll_reply_for(&request) {
             return reply;
         }
     }
--- a/crates/foxtailgauge-daemon/src/shared/mod.rs
+++ b/crates/foxtailgauge-daemon/src/shared/mod.rs
@@ -24,8 +24,8 @@
 use event_listener::Event;
 use foxtailgauge_core::{
     Balancer, ConfigVersion, Cursor, DeferredLosses, Digest, Directory, Freshness, Incarnation,
-    InstanceState, Placement, PollReply, PollRequest, ReportRequest, Role, ServerKey, SessionLimit,
-    Snapshot, SnapshotError, UnixMs, Update, VersionCount,
+    InstanceState, Placement, PollReply, ReportRequest, Role, ServerKey, SessionLimit, Snapshot,
+    SnapshotError, UnixMs, Update, VersionCount,
 };
 use slog::Logger;
 use std::collections::HashSet;
@@ -370,23 +370,36 @@
             .version_counts(own, &self.settings.failure_domain, version)
     }
 
-    /// Reply with the changes that a subscriber has not received yet, and whether there are any. Its cursor
-    /// is of the moment at which the changes were read: a later one would skip those between.
-    pub(crate) fn poll_reply(&self, request: &PollRequest) -> (PollReply, bool) {
+    /// Reply with the changes that a subscriber has not received yet; `None` if there are none.
+    pub(crate) fn poll_reply_for(
+        &self,
+        request: &foxtailgauge_core::PollRequest,
+    ) -> Option<PollReply> {
         let update = self
             .configuration
             .encoded_update(request.current_version, &request.current_digest);
         let (instances, cursor) = self
             .members
             .read(|directory| directory.changes_since(request.cursor, &request.daemon));
-        let has_changes = update.is_some() || !instances.is_empty();
-        let reply = PollReply::Changes {
+        if update.is_none() && instances.is_empty() {
+            return None;
+        }
+        Some(PollReply::Changes {
             update,
             instances,
             cursor,
             freshness: self.freshness(),
-        };
-        (reply, has_changes)
+        })
+    }
+
+    /// Reply to a poll without changes.
+    pub(crate) fn empty_poll_reply(&self) -> PollReply {
+        PollReply::Changes {
+            update: None,
+            instances: Vec::new(),
+            cursor: self.members.read(Directory::cursor),
+            freshness: self.freshness(),
+        }
     }
 
     /// Admits a new subscriber, or returns the delay after which it should retry.
