--- a/crates/foxtailgauge-daemon/src/control/consensus_link.rs
+++ b/crates/foxtailgauge-daemon/src/control/consensus_link.rs
@@ -6,8 +6,8 @@
 //! one byte now and then as an acknowledgement; without it the sender reconnects.
 
 use crate::meter::MeteredStream;
-use crate::mutex::{lock, Mutex};
 use crate::peer_client::{connect, PeerIdentity};
+use crate::shared::lock;
 use async_std::channel::{bounded, unbounded, Receiver, Sender};
 use async_std::task;
 use foxtailgauge_core::{AckMonitor, AckPacer, Envelope};
@@ -17,7 +17,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::pin::pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Capacity of the send queue of one replica, in messages.
--- a/crates/foxtailgauge-daemon/src/control/group_handle.rs
+++ b/crates/foxtailgauge-daemon/src/control/group_handle.rs
@@ -1,11 +1,11 @@
 //! Handle to the thread of one consensus group.
 
-use crate::mutex::{lock, Mutex};
+use crate::shared::lock;
 use async_std::channel::Sender;
 use foxtailgauge_core::{Envelope, RecoveredVoter, ReplicaId};
 use foxtailgauge_wire::{Group, GroupStatus, SubmitReply, SubmitRequest};
 use futures::channel::oneshot;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 /// An event for a group's thread.
--- a/crates/foxtailgauge-daemon/src/control/replica.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica.rs
@@ -7,9 +7,8 @@
 use crate::emit;
 use crate::events;
 use crate::metrics::GroupLabels;
-use crate::mutex::{lock, Mutex};
 use crate::rollout::order::log_rollout;
-use crate::shared::{unix_ms, Shared};
+use crate::shared::{lock, unix_ms, Shared};
 use async_std::channel::{bounded, Receiver};
 use error_stack::Report;
 use foxtailgauge_core::{
@@ -22,7 +21,7 @@
 use futures::channel::oneshot;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Maximum number of events queued for a group's thread.
--- a/crates/foxtailgauge-daemon/src/control/replica_client.rs
+++ b/crates/foxtailgauge-daemon/src/control/replica_client.rs
@@ -1,13 +1,12 @@
 //! Finds the leader of a group and sends requests to it.
 
 use crate::control::replica::group_of;
-use crate::mutex::{lock, Mutex};
 use crate::peer_client::{PeerError, PeerReply, PeerRequest};
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use foxtailgauge_core::{ReplicaAddrs, VoterReport};
 use foxtailgauge_wire::{decode, encode_compressed, Group, SubmitReply, SubmitRequest};
 use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Timeout of a request to one replica before another one is tried.
--- a/crates/foxtailgauge-daemon/src/control/seeds.rs
+++ b/crates/foxtailgauge-daemon/src/control/seeds.rs
@@ -2,13 +2,13 @@
 
 use crate::emit;
 use crate::events;
-use crate::mutex::{lock, Mutex};
 use crate::settings::{read_seeds, Settings};
+use crate::shared::lock;
 use async_std::future::timeout;
 use async_std::task::spawn_blocking;
 use slog::Logger;
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Time to wait for the file: nothing that needs the seeds may wait for a disk that stands still.
--- a/crates/foxtailgauge-daemon/src/control/source_probe.rs
+++ b/crates/foxtailgauge-daemon/src/control/source_probe.rs
@@ -1,8 +1,8 @@
 //! Probes of sources that failed, so that a daemon uses them again as soon as they are current.
 
 use crate::control::subscriber::{Subscriber, PROBE_TIMEOUT};
-use crate::mutex::lock;
 use crate::peer_client::PeerRequest;
+use crate::shared::lock;
 use crate::timer::sleep_until;
 use foxtailgauge_core::{Backoff, ReportReply, Source};
 use futures::future::select;
--- a/crates/foxtailgauge-daemon/src/control/subscriber.rs
+++ b/crates/foxtailgauge-daemon/src/control/subscriber.rs
@@ -5,9 +5,9 @@
 use crate::control::source_probe;
 use crate::emit;
 use crate::events;
-use crate::mutex::{self, lock, LockWait, Mutex};
+use crate::lock_wait::{self, LockWait};
 use crate::peer_client::{PeerReply, PeerRequest};
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use crate::timer::sleep_until;
 use foxtailgauge_core::{
     sources, Backoff, Cursor, Freshness, InstanceState, PollReply, PollRequest, ReportReply,
@@ -18,7 +18,7 @@
 use rand::Rng;
 use serde::de::DeserializeOwned;
 use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time that a subscriber waits for a reply beyond the poll timeout that it requested.
@@ -102,7 +102,7 @@
 async fn expire_loop(shared: Arc<Shared>) {
     loop {
         async_std::task::sleep(Duration::from_millis(500)).await;
-        if let Some(LockWait { wait, location }) = mutex::take_longest() {
+        if let Some(LockWait { wait, location }) = lock_wait::take_longest() {
             let took_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
             emit!(shared.log, events::LOCK_WAITED, "at" => location.to_string(), "took_ms" => took_ms);
         }
--- a/crates/foxtailgauge-daemon/src/daemon.rs
+++ b/crates/foxtailgauge-daemon/src/daemon.rs
@@ -19,7 +19,6 @@
 use crate::mesh;
 use crate::meter::ByteCounters;
 use crate::metrics::Metrics;
-use crate::mutex;
 use crate::peer_client::{PeerClient, PeerIdentity};
 use crate::peer_server::{serve_calls, serve_control, DaemonContext};
 use crate::rollout;
@@ -79,7 +78,6 @@
 
 /// Runs a daemon until it receives SIGTERM or SIGINT.
 pub fn run(settings: Settings) -> Result<(), Report<DaemonError>> {
-    mutex::end_process_at_cycles();
     let (log, _flush_guard) =
         logger::build(settings.log_level, &settings.name, &settings.failure_domain);
     let signals = handle_signals(log.clone())?;
--- a/crates/foxtailgauge-daemon/src/events.rs
+++ b/crates/foxtailgauge-daemon/src/events.rs
@@ -1,9 +1,8 @@
 //! Numbered log events. Operators find the catalogue in docs/EVENTS.md.
 
-use crate::mutex::{lock, Mutex};
 use slog::Level;
 use std::collections::HashMap;
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::Instant;
 
 /// A kind of log event.
@@ -124,7 +123,10 @@
     static LINE_COUNTS: OnceLock<Mutex<HashMap<u32, LineCount>>> = OnceLock::new();
     static STARTED: OnceLock<Instant> = OnceLock::new();
     let second = STARTED.get_or_init(Instant::now).elapsed().as_secs();
-    let mut line_counts = lock(LINE_COUNTS.get_or_init(Mutex::default));
+    let mut line_counts = LINE_COUNTS
+        .get_or_init(Mutex::default)
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
     let line_count = line_counts.entry(event.number).or_default();
     if line_count.second != second {
         line_count.second = second;
--- a/crates/foxtailgauge-daemon/src/executor/call_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/call_executor.rs
@@ -5,8 +5,7 @@
 use crate::events;
 use crate::executor::local_server::{Announcement, LocalServer, SlotGuard, SHED_STATUS};
 use crate::gateway::ledger_client::LedgerClient;
-use crate::mutex::{lock, Mutex};
-use crate::shared::{unix_ms, Shared};
+use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::{
     fingerprint, request_digest, ActionKey, AdmissionRefusal, Claimant, Digest, LedgerAnswer,
     LedgerCommand, RecordedResponse, ServerEntry, ServerLoad, ServerState, SuspectVerdict,
@@ -15,7 +14,7 @@
 use foxtailgauge_wire::http::{HttpError, HttpRequest, HttpResponse};
 use foxtailgauge_wire::{BackendResponse, CallReply, CallRequest, Cause, Outcome};
 use std::collections::BTreeMap;
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 /// Header with the time left for the request, in milliseconds.
--- a/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_executor.rs
@@ -21,10 +21,9 @@
 use crate::hop::forward_headers::{attempt_id, header_text, millis_until, set_time_left};
 use crate::hop::metadata::{HopEnd, HopReply, HopRequest};
 use crate::mesh_settings::MeshSettings;
-use crate::mutex::{lock, Mutex};
 use crate::rollout::gate::RolloutGate;
 use crate::rollout::run_record::RunRecord;
-use crate::shared::{unix_ms, Shared};
+use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::{
     Candidate, Fingerprint, ServerEntry, ServerLoad, Throttle, WorkItem, WorkLoad,
     THROTTLE_RETRY_AFTER,
@@ -34,7 +33,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use std::collections::{BTreeMap, HashSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Timeout for opening a connection to the backend server, which is on the same instance.
--- a/crates/foxtailgauge-daemon/src/executor/forward_server.rs
+++ b/crates/foxtailgauge-daemon/src/executor/forward_server.rs
@@ -1,6 +1,6 @@
 //! A backend server that accepts forwarded requests: queue, lease and reports.
 
-use crate::mutex::{lock, Mutex, MutexGuard};
+use crate::shared::lock;
 use foxtailgauge_core::{
     ArrivalDecision, Pace, ProcessStatement, QueueAction, QueueRefusal, RequestRate, RouteName,
     ServerEntry, ServerLoad, ServerState, ServerStatement, ServerWarmth, Ticket, UnixMs, WorkItem,
@@ -10,7 +10,7 @@
 use futures::channel::oneshot;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// Start of a process in a report that does not state it.
--- a/crates/foxtailgauge-daemon/src/executor/http_pool.rs
+++ b/crates/foxtailgauge-daemon/src/executor/http_pool.rs
@@ -1,7 +1,7 @@
 //! Pool of the HTTP/1.1 connections that a daemon opens to backend servers.
 
 use crate::hop::forward_body::ForwardBody;
-use crate::mutex::{lock, Mutex};
+use crate::shared::lock;
 use crate::socket;
 use async_std::net::TcpStream;
 use foxtailgauge_wire::{LimitedStream, ReadLimit, MAX_RESPONSE_HEAD_BYTES};
@@ -14,6 +14,7 @@
 use std::fmt;
 use std::future::Future;
 use std::io;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// Maximum number of idle connections per address.
--- a/crates/foxtailgauge-daemon/src/executor/local_server.rs
+++ b/crates/foxtailgauge-daemon/src/executor/local_server.rs
@@ -1,6 +1,6 @@
 //! A colocated backend server: admission gate, queue and connections.
 
-use crate::mutex::{lock, Mutex};
+use crate::shared::lock;
 use foxtailgauge_core::{
     Admission, AdmissionGate, AdmissionRefusal, ServerEntry, ServerLoad, ServerState,
 };
@@ -8,7 +8,7 @@
 use futures::channel::oneshot;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Status with which a backend server refuses a request without running it.
--- a/crates/foxtailgauge-daemon/src/executor/reply_gate.rs
+++ b/crates/foxtailgauge-daemon/src/executor/reply_gate.rs
@@ -3,11 +3,10 @@
 use crate::executor::forward_server::ForwardServer;
 use crate::hop::forward_body::{BodyObserver, ForwardBody, OBSERVED_PIECE_BYTES};
 use crate::hop::metadata::HopRequest;
-use crate::mutex::{lock, Mutex};
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use foxtailgauge_core::{LinkRequest, LinkReservation, ReplyLink, RouteName};
 use hyper::body::Body;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Gate of a daemon whose link has a known rate.
--- a/crates/foxtailgauge-daemon/src/executor/running_requests.rs
+++ b/crates/foxtailgauge-daemon/src/executor/running_requests.rs
@@ -1,9 +1,10 @@
 //! Requests that run on this instance, by id, to recognise the requests that are nested in them.
 
 use crate::hop::metadata::HopRequest;
-use crate::mutex::{lock, Mutex};
+use crate::shared::lock;
 use foxtailgauge_core::RouteName;
 use std::collections::HashMap;
+use std::sync::Mutex;
 
 /// Separates the id of a request from the suffix that a backend server appends for nested calls.
 const ID_SEPARATOR: char = '.';
--- a/crates/foxtailgauge-daemon/src/gateway/authentication.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/authentication.rs
@@ -3,8 +3,7 @@
 
 use crate::gateway::route_view::RouteView;
 use crate::hop::forward_headers::header;
-use crate::mutex::lock;
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use foxtailgauge_core::{Workspace, WorkspaceName, WorkspaceTable};
 use foxtailgauge_platform::headers;
 use hyper::header::{HeaderMap, HeaderValue};
--- a/crates/foxtailgauge-daemon/src/gateway/call_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/call_gateway.rs
@@ -10,9 +10,8 @@
 use crate::gateway::ledger_client::{void_command, LedgerClient};
 use crate::gateway::route_view::RouteView;
 use crate::hop::forward_headers::end_to_end_text;
-use crate::mutex::{lock, Mutex};
 use crate::peer_client::{PeerError, PeerReply, PeerRequest};
-use crate::shared::{unix_ms, Shared};
+use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::{
     fingerprint, key_time_ms, request_digest, ActionKey, AttemptId, CallHealth, Candidate,
     ConfigVersion, Digest, Fingerprint, LedgerAnswer, RetryBudget, Route, ServerKey,
@@ -21,7 +20,7 @@
 use foxtailgauge_wire::{CallReply, CallRequest, Cause, Outcome};
 use hyper::header::HeaderMap;
 use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use uuid::Uuid;
 
--- a/crates/foxtailgauge-daemon/src/gateway/forward_attempt.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_attempt.rs
@@ -2,8 +2,7 @@
 
 use crate::executor::forward_executor::{without_response, ForwardReply};
 use crate::hop::metadata::HopEnd;
-use crate::mutex::lock;
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use foxtailgauge_core::{AttemptEnd, AttemptHealth, AttemptReport, ServerKey, WorkLoad};
 use std::time::{Duration, Instant};
 
--- a/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/forward_gateway.rs
@@ -25,10 +25,9 @@
 use crate::hop::metadata::{HopEnd, HopReply, HopRequest, HOP_HEADER};
 use crate::mesh_settings::MeshSettings;
 use crate::metrics::{ForwardLabels, ServiceLabels};
-use crate::mutex::{lock, Mutex};
 use crate::peer_client::PeerIdentity;
 use crate::rollout::choice::VersionChoice;
-use crate::shared::{unix_ms, ForwardingGuard, Shared};
+use crate::shared::{lock, unix_ms, ForwardingGuard, Shared};
 use crate::socket;
 use crate::stop::StopState;
 use async_std::net::{TcpListener, TcpStream};
@@ -45,7 +44,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
 use std::pin::pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time left of a request that does not state it. The timeout of the route applies as well.
--- a/crates/foxtailgauge-daemon/src/gateway/keys_in_flight.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/keys_in_flight.rs
@@ -1,9 +1,9 @@
 //! Idempotency keys that requests of this gateway may still claim.
 
-use crate::mutex::{lock, Mutex};
+use crate::shared::lock;
 use foxtailgauge_core::ActionKey;
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 /// Number of requests in process and of abandoned attempts that are not decided yet, by key.
 #[derive(Clone, Default)]
--- a/crates/foxtailgauge-daemon/src/gateway/retry_budgets.rs
+++ b/crates/foxtailgauge-daemon/src/gateway/retry_budgets.rs
@@ -2,11 +2,10 @@
 
 use crate::gateway::route_view::RouteView;
 use crate::metrics::{RetryLabels, ServiceLabels};
-use crate::mutex::{lock, Mutex};
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use foxtailgauge_core::{CallerTry, RetryBudget, RetryLimits, ServiceName, STALE_SOURCE_MS};
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Retries that one daemon may accumulate for a service if the settings have no bound. Low because
--- a/crates/foxtailgauge-daemon/src/hop/hop_connection.rs
+++ b/crates/foxtailgauge-daemon/src/hop/hop_connection.rs
@@ -8,8 +8,8 @@
 use crate::executor::http_pool::{connect, SendError};
 use crate::hop::forward_body::ForwardBody;
 use crate::meter::MeteredStream;
-use crate::mutex::{lock, Mutex};
 use crate::peer_client::PeerIdentity;
+use crate::shared::lock;
 use async_std::net::TcpStream;
 use foxtailgauge_wire::handshake;
 use futures::future::{BoxFuture, FutureExt, Shared};
@@ -22,7 +22,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Timeout for opening a connection to another daemon, including the handshake.
--- a/crates/foxtailgauge-daemon/src/lib.rs
+++ b/crates/foxtailgauge-daemon/src/lib.rs
@@ -5,8 +5,6 @@
 //! assert!(error.is_err());
 //! ```
 
-#![warn(clippy::disallowed_types)]
-
 mod admin_http;
 mod capacity;
 mod control;
@@ -19,12 +17,12 @@
 mod json_body;
 mod limited_http;
 mod listen_settings;
+mod lock_wait;
 mod logger;
 mod mesh;
 mod mesh_settings;
 mod meter;
 mod metrics;
-mod mutex;
 mod peer_client;
 mod peer_server;
 mod platform_http;
--- a/crates/foxtailgauge-daemon/src/mutex.rs
+++ b/crates/foxtailgauge-daemon/src/lock_wait.rs
@@ -1,15 +1,8 @@
-//! Mutexes, and the longest time that a thread has waited for one.
-//!
-//! In builds with debug assertions the mutexes record the order in which threads lock them. A thread
-//! that locks two of them against that order ends the process, whether or not another thread is there
-//! to wait for it: see [`end_process_at_cycles`].
+//! Locking of mutexes, and the longest time that a thread has waited for one.
 
-#[cfg(debug_assertions)]
-use std::backtrace::Backtrace;
 use std::panic::Location;
-use std::sync::{PoisonError, TryLockError};
+use std::sync::{Mutex, MutexGuard, PoisonError, TryLockError};
 use std::time::{Duration, Instant};
-pub(crate) use tracing_mutex::stdsync::{Mutex, MutexGuard};
 
 /// Shorter waits are not recorded: a thread without a processor may hold a lock for a while.
 const MIN_WAIT: Duration = Duration::from_millis(500);
@@ -49,16 +42,6 @@
     guard
 }
 
-/// Ends the process once two mutexes are locked in opposite orders. Without it the thread panics, which
-/// the tasks of connections survive.
-pub(crate) fn end_process_at_cycles() {
-    #[cfg(debug_assertions)]
-    tracing_mutex::util::set_cycle_handler(|report| {
-        eprintln!("{report}\n{}", Backtrace::force_capture());
-        std::process::abort();
-    });
-}
-
 /// The longest wait since the last call, if one was long.
 pub(crate) fn take_longest() -> Option<LockWait> {
     LONGEST
--- a/crates/foxtailgauge-daemon/src/peer_server.rs
+++ b/crates/foxtailgauge-daemon/src/peer_server.rs
@@ -10,7 +10,6 @@
 use crate::executor::call_executor::Executor;
 use crate::executor::forward_executor::ForwardExecutor;
 use crate::meter::{ByteCounters, MeteredStream};
-use crate::mutex::{lock, Mutex};
 use crate::shared::Shared;
 use crate::socket;
 use async_std::channel::{bounded, Receiver, Sender};
@@ -30,7 +29,7 @@
 use serde::Serialize;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Number of threads that serve calls.
@@ -306,7 +305,7 @@
     let replica = context.shared.replica.get();
     match (request, replica) {
         (SubmitRequest::Formation, _) => {
-            let formation = lock(&context.formation).clone();
+            let formation = crate::shared::lock(&context.formation).clone();
             formation.map_or(SubmitReply::Unavailable, SubmitReply::Formation)
         }
         (SubmitRequest::Usage(request), _) => {
--- a/crates/foxtailgauge-daemon/src/rollout/gate.rs
+++ b/crates/foxtailgauge-daemon/src/rollout/gate.rs
@@ -1,14 +1,13 @@
 //! Which colocated backend servers a rollout lets run requests, and how they are announced.
 
 use crate::metrics::VersionLabels;
-use crate::mutex::{lock, Mutex};
 use crate::rollout::has_recent_contact;
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
     ConfigVersion, Rollout, RolloutPhase, ServerEntry, ServerState, ServiceName, VersionRole,
 };
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time in the phase full after which the servers of other versions refuse requests. Gateways learn
--- a/crates/foxtailgauge-daemon/src/shared/mod.rs
+++ b/crates/foxtailgauge-daemon/src/shared/mod.rs
@@ -1,41 +1,38 @@
 //! State shared by the tasks of one daemon: current configuration, directory and route view.
 
-mod configuration;
-mod members;
-mod own_entry;
 mod suspects;
 
-use self::configuration::Configuration;
-use self::members::Members;
-use self::own_entry::OwnEntry;
 use crate::control::consensus_link::ConsensusLinks;
 use crate::control::group_handle::ReplicaHandles;
 use crate::control::seeds::Seeds;
 use crate::emit;
 use crate::events;
 use crate::gateway::route_view::RouteView;
+pub(crate) use crate::lock_wait::lock;
 use crate::metrics::Metrics;
-use crate::mutex::{lock, Mutex};
 use crate::peer_client::PeerClient;
 use crate::settings::Settings;
 use crate::stop::StopState;
 use crate::usage::Usage;
-use arc_swap::ArcSwap;
 use event_listener::Event;
 use foxtailgauge_core::{
     Balancer, ConfigVersion, Cursor, DeferredLosses, Digest, Directory, Freshness, Incarnation,
-    InstanceState, Placement, PollReply, ReportRequest, Role, ServerKey, SessionLimit, Snapshot,
-    SnapshotError, UnixMs, Update, VersionCount,
+    InstanceState, Placement, PollReply, Presence, ReportRequest, Role, ServerEntry, ServerKey,
+    SessionLimit, Snapshot, SnapshotError, SnapshotHistory, SubscriberTable, SuspectLog, UnixMs,
+    Update, VersionCount,
 };
+use foxtailgauge_wire::encode_compressed;
 use slog::Logger;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Time after a reply of a daemon in which a mark of it as lost waits. Shorter than the lease that such a
 /// daemon has missed, so that one that has failed is removed at once.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Number of past versions kept as bases for deltas.
+const DELTA_BASES: usize = 256;
 
 /// Milliseconds since the Unix epoch.
 pub(crate) fn unix_ms() -> UnixMs {
@@ -58,6 +55,43 @@
     pub(crate) bulk_calls: PeerClient,
 }
 
+struct ConfigCell {
+    history: SnapshotHistory,
+    /// Highest version known to exist anywhere.
+    highest_known_version: ConfigVersion,
+    /// Encoded updates to the current version, by the version and digest of their base.
+    encoded: HashMap<(ConfigVersion, Digest), Arc<Vec<u8>>>,
+}
+
+impl ConfigCell {
+    /// Returns the encoded update for a subscriber at the given version, if it is behind.
+    fn encoded_update(
+        &mut self,
+        base_version: ConfigVersion,
+        base_digest: &Digest,
+    ) -> Option<Arc<Vec<u8>>> {
+        if let Some(encoded) = self.encoded.get(&(base_version, *base_digest)) {
+            return Some(Arc::clone(encoded));
+        }
+        let update = self.history.update_for(base_version, base_digest)?;
+        // Encoding does not fail: an update consists of maps and numbers.
+        let encoded = Arc::new(encode_compressed(&update).ok()?);
+        self.encoded
+            .insert((base_version, *base_digest), Arc::clone(&encoded));
+        Some(encoded)
+    }
+}
+
+/// The daemon's own entry in the directory.
+struct OwnEntry {
+    presence: Presence,
+    sequence: u64,
+    servers: Vec<ServerEntry>,
+    /// Backend servers that accept forwarded requests.
+    forwarded: Vec<ServerEntry>,
+    suspect_log: SuspectLog,
+}
+
 /// Last known contact with a quorum, as reported by the source.
 #[derive(Clone, Copy, Debug, Default)]
 struct Contact {
@@ -87,9 +121,6 @@
 }
 
 /// State shared by the tasks of one daemon.
-///
-/// Invariant: two mutexes are held at a time only in these orders: `view_turn` before the one of
-/// `members`, and `deferred_losses` before `placement`.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) log: Logger,
@@ -113,17 +144,16 @@
     /// Handles of the local replica, on daemons with a store.
     pub(crate) replica: OnceLock<ReplicaHandles>,
     started: Instant,
-    configuration: Configuration,
-    members: Members,
+    config: Mutex<ConfigCell>,
+    directory: Mutex<Directory>,
+    subscribers: Mutex<SubscriberTable>,
     deferred_losses: Mutex<DeferredLosses>,
     sessions: Mutex<SessionLimit>,
     own: Mutex<OwnEntry>,
     /// Sequence of the own entry that was last published to all daemons.
     published_sequence: async_std::sync::Mutex<u64>,
     contact: Mutex<Contact>,
-    view: ArcSwap<RouteView>,
-    /// Held while a view is built, so that a later one replaces an earlier one.
-    view_turn: Mutex<()>,
+    view: RwLock<Arc<RouteView>>,
 }
 
 impl Shared {
@@ -134,7 +164,7 @@
             .unwrap_or_default();
         let incarnation = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
         let shared = Shared {
-            members: Members::new(settings.name.clone(), incarnation),
+            directory: Mutex::new(Directory::new(settings.name.clone(), incarnation)),
             sessions: Mutex::new(SessionLimit::new(settings.distribution.sessions_per_second)),
             balancer: Mutex::new(Balancer::new(settings.failure_domain.clone())),
             placement: Mutex::new(Placement::new(
@@ -154,13 +184,23 @@
             report_due: Event::new(),
             replica: OnceLock::new(),
             started: Instant::now(),
-            configuration: Configuration::new(),
+            config: Mutex::new(ConfigCell {
+                history: SnapshotHistory::new(DELTA_BASES),
+                highest_known_version: 0,
+                encoded: HashMap::new(),
+            }),
+            subscribers: Mutex::new(SubscriberTable::default()),
             deferred_losses: Mutex::default(),
-            own: Mutex::default(),
+            own: Mutex::new(OwnEntry {
+                presence: Presence::Live,
+                sequence: 0,
+                servers: Vec::new(),
+                forwarded: Vec::new(),
+                suspect_log: SuspectLog::default(),
+            }),
             published_sequence: async_std::sync::Mutex::new(0),
             contact: Mutex::new(Contact::default()),
-            view: ArcSwap::default(),
-            view_turn: Mutex::default(),
+            view: RwLock::new(Arc::new(RouteView::default())),
         };
         shared.republish(|_| {});
         shared
@@ -173,75 +213,81 @@
 
     /// The current routes.
     pub(crate) fn view(&self) -> Arc<RouteView> {
-        self.view.load_full()
+        Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Path of a service's health check, empty if it has none; `None` without a configuration that
     /// defines the service.
     pub(crate) fn health_path(&self, service: &str) -> Option<String> {
-        let snapshot = self.configuration.current();
-        Some(snapshot.services.get(service)?.health_path.clone())
+        let config = lock(&self.config);
+        let service = config.history.current().services.get(service)?;
+        Some(service.health_path.clone())
     }
 
-    /// Version and digest of the configuration that is in force on this daemon.
+    /// Version and digest of the current configuration.
     pub(crate) fn current_version(&self) -> (ConfigVersion, Digest) {
-        let view = self.view.load();
-        let snapshot = view.snapshot.as_ref();
-        snapshot.map_or_else(Default::default, |s| (s.version, s.digest))
+        let config = lock(&self.config);
+        let current = config.history.current();
+        (current.version, current.digest)
     }
 
     /// Applies an update as a whole. Fails if it does not apply to the current configuration, or if
     /// this daemon has no configuration and knows of a newer version.
     pub(crate) fn apply_update(&self, update: &Update) -> Result<(), SnapshotError> {
-        self.configuration.apply_update(update)?;
-        self.configuration_changed();
-        Ok(())
+        let mut config = lock(&self.config);
+        if update.version() < config.highest_known_version && config.history.current().version == 0
+        {
+            // This daemon may have had a newer version before its restart.
+            return Err(SnapshotError::OlderVersion);
+        }
+        let next = config.history.current().with_update(update)?;
+        self.advance(&mut config, next)
     }
 
     /// Makes the configuration of the local replica current.
     pub(crate) fn publish(&self, snapshot: Snapshot) {
+        let mut config = lock(&self.config);
         // The local replica may be behind the configuration taken from a source.
-        if self.configuration.replace(snapshot).is_ok() {
-            self.configuration_changed();
-        }
+        let _ = self.advance(&mut config, Arc::new(snapshot));
+    }
+
+    fn advance(&self, config: &mut ConfigCell, next: Arc<Snapshot>) -> Result<(), SnapshotError> {
+        let version = next.version;
+        config.history.advance(next)?;
+        config.encoded.clear();
+        config.highest_known_version = config.highest_known_version.max(version);
+        self.rebuild_view(config.history.current());
+        self.metrics
+            .version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        emit!(self.log, events::VERSION_CURRENT, "version" => version);
+        self.changed.notify(usize::MAX);
+        self.report_due.notify(usize::MAX);
+        Ok(())
     }
 
     /// Records that a version exists on some daemon.
     pub(crate) fn observe_version(&self, version: ConfigVersion) {
-        self.configuration.observe_version(version);
+        let mut config = lock(&self.config);
+        config.highest_known_version = config.highest_known_version.max(version);
     }
 
     /// Highest version known to exist.
     pub(crate) fn highest_known_version(&self) -> ConfigVersion {
-        self.configuration.highest_known_version()
-    }
-
-    /// Builds the view anew from the newest configuration and directory.
-    fn rebuild_view(&self) {
-        let _turn = lock(&self.view_turn);
-        let (previous, (previous_version, _)) = (self.view(), self.current_version());
-        let snapshot = self.configuration.current();
-        let build =
-            |directory: &Directory| RouteView::build(&snapshot, directory, &previous, unix_ms());
-        let view = self.members.read(build);
-        self.metrics.daemons.set(view.live_daemons as i64);
-        self.view.store(Arc::new(view));
-        let version = snapshot.version;
-        if version > previous_version {
-            let version_metric = i64::try_from(version).unwrap_or(i64::MAX);
-            self.metrics.version.set(version_metric);
-            emit!(self.log, events::VERSION_CURRENT, "version" => version);
-        }
+        lock(&self.config).highest_known_version
     }
 
-    fn configuration_changed(&self) {
-        self.rebuild_view();
-        self.changed.notify(usize::MAX);
-        self.report_due.notify(usize::MAX);
+    fn rebuild_view(&self, snapshot: &Arc<Snapshot>) {
+        let directory = lock(&self.directory);
+        let view = RouteView::build(snapshot, &directory, &self.view(), unix_ms());
+        self.metrics.daemons.set(directory.live().count() as i64);
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
     }
 
     fn directory_changed(&self) {
-        self.rebuild_view();
+        let config = lock(&self.config);
+        self.rebuild_view(config.history.current());
+        drop(config);
         self.remove_unlisted_servers();
         self.changed.notify(usize::MAX);
         self.report_due.notify(usize::MAX);
@@ -249,11 +295,22 @@
 
     fn remove_unlisted_servers(&self) {
         let view = self.view();
-        let listed: HashSet<&ServerKey> = view.servers().map(|c| &c.key).collect();
+        let listed: std::collections::HashSet<&ServerKey> =
+            view.servers().map(|c| &c.key).collect();
         lock(&self.balancer).retain(|key| listed.contains(key));
         lock(&self.placement).retain(|key| listed.contains(key));
     }
 
+    /// Announces the daemon's own backend servers.
+    pub(crate) fn announce(&self, servers: Vec<ServerEntry>) {
+        self.republish(|own| own.servers = servers);
+    }
+
+    /// Announces the daemon's own backend servers that accept forwarded requests.
+    pub(crate) fn announce_forwarded(&self, servers: Vec<ServerEntry>) {
+        self.republish(|own| own.forwarded = servers);
+    }
+
     /// Whether this daemon is ready for callers: it has a configuration and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         self.current_version().0 > 0 && !self.stop.is_begun()
@@ -269,14 +326,43 @@
         self.forwarding.load(Ordering::SeqCst)
     }
 
+    /// Changes the own entry and writes it to the directory under a new sequence.
+    fn republish(&self, change: impl FnOnce(&mut OwnEntry)) {
+        let mut own = lock(&self.own);
+        change(&mut own);
+        own.sequence += 1;
+        let state = self.own_state(&own);
+        drop(own);
+        if lock(&self.directory).set_own(state) {
+            self.directory_changed();
+        }
+    }
+
+    fn own_state(&self, own: &OwnEntry) -> InstanceState {
+        InstanceState {
+            name: self.settings.name.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+            incarnation: self.incarnation,
+            sequence: own.sequence,
+            control_addr: self.settings.advertise_control.clone(),
+            calls_addr: self.settings.advertise_calls.clone(),
+            is_replica: self.settings.store_dir.is_some(),
+            presence: own.presence,
+            servers: own.servers.iter().chain(&own.forwarded).cloned().collect(),
+            suspects: own.suspect_log.current(unix_ms()),
+        }
+    }
+
+    /// Writes the own entry under a new sequence, so that it spreads through a new source.
+    pub(crate) fn renew_own_entry(&self) {
+        self.republish(|_| {});
+    }
+
     /// Merges directory entries received through another daemon.
     pub(crate) fn merge_instances(&self, instances: Vec<InstanceState>, received_from: &str) {
         let is_in_contact = |daemon: &str| self.is_in_contact(daemon);
         let instances = lock(&self.deferred_losses).defer(instances, received_from, is_in_contact);
-        if self
-            .members
-            .change(|directory| directory.merge(instances, received_from))
-        {
+        if lock(&self.directory).merge(instances, received_from) {
             self.directory_changed();
         }
         self.refute_loss();
@@ -296,9 +382,18 @@
         }
     }
 
+    /// Announces that this daemon stops and withdraws its backend servers.
+    pub(crate) fn announce_stop(&self) {
+        self.republish(|own| {
+            own.presence = Presence::Stopped;
+            own.servers.clear();
+            own.forwarded.clear();
+        });
+    }
+
     /// Marks a lost daemon as stopped, as it will not return; returns whether it was lost.
     pub(crate) fn forget(&self, daemon: &str) -> bool {
-        let is_forgotten = self.members.change(|directory| directory.forget(daemon));
+        let is_forgotten = lock(&self.directory).forget(daemon);
         if is_forgotten {
             emit!(self.log, events::DAEMON_FORGOTTEN, "forgotten" => daemon);
             self.directory_changed();
@@ -306,9 +401,25 @@
         is_forgotten
     }
 
+    /// Refutes a lost or stopped mark that another daemon has set for this one, unless this one has
+    /// announced its stop.
+    fn refute_loss(&self) {
+        if lock(&self.own).presence == Presence::Stopped {
+            return;
+        }
+        let Some(sequence) = lock(&self.directory).own_refutation() else {
+            return;
+        };
+        emit!(self.log, events::LOST_REFUTED, "sequence" => sequence);
+        let mut own = lock(&self.own);
+        own.sequence = own.sequence.max(sequence);
+        drop(own);
+        self.republish(|_| {});
+    }
+
     /// Reads the directory under its lock.
     pub(crate) fn with_directory<T>(&self, read: impl FnOnce(&Directory) -> T) -> T {
-        self.members.read(read)
+        read(&lock(&self.directory))
     }
 
     /// Applies the report of a subscriber.
@@ -316,8 +427,11 @@
         for count in &request.counts {
             self.observe_version(count.version);
         }
-        let has_changed = self.members.report(request, self.now_ms());
-        self.count_subscribers();
+        let now_ms = self.now_ms();
+        let mut subscribers = lock(&self.subscribers);
+        let has_changed = subscribers.report(request, &mut lock(&self.directory), now_ms);
+        self.metrics.subscribers.set(subscribers.len() as i64);
+        drop(subscribers);
         if has_changed {
             self.directory_changed();
         }
@@ -327,8 +441,18 @@
     /// Marks daemons as lost: subscribers whose lease has expired, after a grace period the daemons
     /// of their subtrees that have not moved, and on the root those that no subscriber reports.
     pub(crate) fn expire_subscribers(&self) {
-        let lost = self.members.expire(self.is_root(), self.now_ms());
-        self.count_subscribers();
+        let now_ms = self.now_ms();
+        let mut subscribers = lock(&self.subscribers);
+        let mut directory = lock(&self.directory);
+        let mut lost = subscribers.expire(&mut directory, now_ms);
+        if self.is_root() {
+            lost.extend(subscribers.expire_unreported(&mut directory, now_ms));
+        } else {
+            subscribers.clear_unreported();
+        }
+        drop(directory);
+        self.metrics.subscribers.set(subscribers.len() as i64);
+        drop(subscribers);
         for name in &lost {
             emit!(self.log, events::DAEMON_LOST, "lost" => name);
         }
@@ -337,11 +461,6 @@
         }
     }
 
-    fn count_subscribers(&self) {
-        let subscribers = self.members.subscriber_count();
-        self.metrics.subscribers.set(subscribers as i64);
-    }
-
     /// Whether this daemon leads the configuration group and therefore has no source.
     pub(crate) fn is_root(&self) -> bool {
         let replica = self.replica.get();
@@ -351,7 +470,10 @@
     /// Builds a report to the source: entries changed since the cursor, and the versions in the
     /// subtree.
     pub(crate) fn report_since(&self, cursor: Option<Cursor>) -> (ReportRequest, Cursor) {
-        let (instances, cursor) = self.members.subtree_changes_since(cursor);
+        let (instances, cursor) = {
+            let subscribers = lock(&self.subscribers);
+            lock(&self.directory).subtree_changes_since(cursor, |name| subscribers.contains(name))
+        };
         let (version, _) = self.current_version();
         let counts = self.version_counts(version);
         let request = ReportRequest {
@@ -366,8 +488,7 @@
     /// Counts of the current versions in the subtree, with this daemon at the given version.
     pub(crate) fn version_counts(&self, version: ConfigVersion) -> Vec<VersionCount> {
         let own = (self.settings.name.as_str(), self.incarnation);
-        self.members
-            .version_counts(own, &self.settings.failure_domain, version)
+        lock(&self.subscribers).counts(own, &self.settings.failure_domain, version)
     }
 
     /// Reply with the changes that a subscriber has not received yet; `None` if there are none.
@@ -375,12 +496,10 @@
         &self,
         request: &foxtailgauge_core::PollRequest,
     ) -> Option<PollReply> {
-        let update = self
-            .configuration
-            .encoded_update(request.current_version, &request.current_digest);
-        let (instances, cursor) = self
-            .members
-            .read(|directory| directory.changes_since(request.cursor, &request.daemon));
+        let update =
+            lock(&self.config).encoded_update(request.current_version, &request.current_digest);
+        let (instances, cursor) =
+            lock(&self.directory).changes_since(request.cursor, &request.daemon);
         if update.is_none() && instances.is_empty() {
             return None;
         }
@@ -397,7 +516,7 @@
         PollReply::Changes {
             update: None,
             instances: Vec::new(),
-            cursor: self.members.read(Directory::cursor),
+            cursor: lock(&self.directory).cursor(),
             freshness: self.freshness(),
         }
     }
@@ -414,9 +533,10 @@
 
     /// Freshness of this daemon's configuration.
     pub(crate) fn freshness(&self) -> Freshness {
+        let config = lock(&self.config);
         Freshness {
-            version: self.configuration.current().version,
-            highest_version: self.highest_known_version(),
+            version: config.history.current().version,
+            highest_version: config.highest_known_version,
             quorum_age_ms: self.quorum_age_ms(),
             epoch: self.incarnation,
         }
--- a/crates/foxtailgauge-daemon/src/shared/suspects.rs
+++ b/crates/foxtailgauge-daemon/src/shared/suspects.rs
@@ -1,8 +1,7 @@
 //! Publishes the requests that were in flight when backend servers crashed.
 
-use crate::mutex::lock;
 use crate::peer_client::PeerRequest;
-use crate::shared::{unix_ms, Shared};
+use crate::shared::{lock, unix_ms, Shared};
 use foxtailgauge_core::Fingerprint;
 use foxtailgauge_wire::encode;
 use std::time::Duration;
--- a/crates/foxtailgauge-daemon/src/usage/collecting.rs
+++ b/crates/foxtailgauge-daemon/src/usage/collecting.rs
@@ -2,14 +2,13 @@
 
 use crate::emit;
 use crate::events;
-use crate::mutex::{lock, Mutex};
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use crate::usage::reporting::call;
 use foxtailgauge_core::{
     Collector, LimitChange, Presence, Snapshot, UsageReply, UsageRequest, USAGE_INTERVAL,
 };
 use std::collections::{BTreeSet, HashSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Delay before a message to another collector is sent again. One that is back is heard at once, as
--- a/crates/foxtailgauge-daemon/src/usage/mod.rs
+++ b/crates/foxtailgauge-daemon/src/usage/mod.rs
@@ -5,15 +5,14 @@
 
 pub(crate) use reporting::collectors;
 
-use crate::mutex::{lock, Mutex};
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use foxtailgauge_core::{
     AllotmentGate, Collector, RouteName, RunTally, ServerVersion, ServiceName, UsageReply,
     UsageRequest, WorkspaceLoad,
 };
 use foxtailgauge_wire::LimitedWorkspace;
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time after which a report or an exchange without an answer is given up.
--- a/crates/foxtailgauge-daemon/src/usage/reporting.rs
+++ b/crates/foxtailgauge-daemon/src/usage/reporting.rs
@@ -2,9 +2,8 @@
 
 use crate::emit;
 use crate::events;
-use crate::mutex::lock;
 use crate::peer_client::{PeerError, PeerReply, PeerRequest};
-use crate::shared::Shared;
+use crate::shared::{lock, Shared};
 use crate::usage::ANSWER_TIMEOUT;
 use foxtailgauge_core::{
     identity_hash, InstanceState, ShareReply, UsageReply, UsageReport, UsageRequest, USAGE_INTERVAL,
--- a/crates/foxtailgauge-daemon/src/workspace_refusals.rs
+++ b/crates/foxtailgauge-daemon/src/workspace_refusals.rs
@@ -2,11 +2,12 @@
 //!
 //! Designed for 5,000 workspaces: 16 reasons each would make 80,000 time series per daemon.
 
-use crate::mutex::{lock, Mutex};
+use crate::shared::lock;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use std::collections::HashSet;
+use std::sync::Mutex;
 
 /// Most workspaces that are counted separately.
 const MAX_WORKSPACES: usize = 256;
