--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::{self, wait_for, Fleet, Node};
 use crate::http::{call, Response};
+use crate::proxy::Proxy;
 use crate::record::{now_ms, Record};
 use crate::Verdict;
 use std::io::Read;
@@ -23,6 +24,7 @@
         "frozen-gateway" => frozen_gateway(record, has_trouble),
         "late-copy" => late_copy(record, has_trouble),
         "reused-instance" => reused_instance(record, has_trouble),
+        "refused-order" => refused_order(record, has_trouble),
         "two-operators" => two_operators(record, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     }
@@ -64,11 +66,19 @@
 /// Sends one billable action with a key.
 fn act(gateway: SocketAddr, path: &str, key: &str, timeout: Duration) -> Option<Response> {
     let headers = [("Idempotency-Key", key)];
-    call(gateway, &format!("POST {path}"), &headers, "{\"count\":1}", timeout)
+    call(
+        gateway,
+        &format!("POST {path}"),
+        &headers,
+        "{\"count\":1}",
+        timeout,
+    )
 }
 
 fn is_ok(answer: &Option<Response>) -> bool {
-    answer.as_ref().is_some_and(|response| response.status == 200)
+    answer
+        .as_ref()
+        .is_some_and(|response| response.status == 200)
 }
 
 fn copy_journal(fleet: &Fleet) {
@@ -92,7 +102,10 @@
 
 impl ServerPlace<'_> {
     fn start(&self, fleet: &Fleet) -> u32 {
-        let text = format!("server of {} starts at {}:{}", self.service, self.node.ip, self.port);
+        let text = format!(
+            "server of {} starts at {}:{}",
+            self.service, self.node.ip, self.port
+        );
         fleet.record.line(self.name, &text);
         fleet.start_server(&[
             ("name", self.name),
@@ -125,9 +138,13 @@
 ) -> Result<(Fleet, Vec<u32>), Verdict> {
     let fleet = Fleet::start(record, SIDECARS);
     if !fleet.configure(ROUTES) {
-        return Err(Verdict::NotRun("the configuration was not accepted".to_owned()));
+        return Err(Verdict::NotRun(
+            "the configuration was not accepted".to_owned(),
+        ));
     }
-    let services = SERVICES.iter().flat_map(|(service, count)| vec![*service; *count]);
+    let services = SERVICES
+        .iter()
+        .flat_map(|(service, count)| vec![*service; *count]);
     let mut pids = Vec::new();
     for (number, service) in services.enumerate() {
         let place = ServerPlace {
@@ -143,9 +160,18 @@
         pids.push(place.start(&fleet));
     }
     for gateway in &fleet.sidecars {
-        let commits = || is_ok(&act(gateway.callers(), "/commit/0", &new_key(), Duration::from_secs(2)));
+        let commits = || {
+            is_ok(&act(
+                gateway.callers(),
+                "/commit/0",
+                &new_key(),
+                Duration::from_secs(2),
+            ))
+        };
         if !wait_for(Duration::from_secs(20), commits) {
-            return Err(Verdict::NotRun("no commit was served before the disruption".to_owned()));
+            return Err(Verdict::NotRun(
+                "no commit was served before the disruption".to_owned(),
+            ));
         }
     }
     Ok((fleet, pids))
@@ -161,8 +187,12 @@
         number += 1;
         let path = format!("/commit/{prefix}-{number}");
         let answer = act(gateway.callers(), &path, &new_key(), Duration::from_secs(3));
-        fleet.record.line("caller", &format!("POST {path}: {}", shown(&answer)));
-        let body = answer.as_ref().map_or("", |response| response.body.as_str());
+        fleet
+            .record
+            .line("caller", &format!("POST {path}: {}", shown(&answer)));
+        let body = answer
+            .as_ref()
+            .map_or("", |response| response.body.as_str());
         foreign += usize::from(body.contains("\"service\":\"desk/fitterdesk\""));
         std::thread::sleep(Duration::from_millis(50));
     }
@@ -173,7 +203,10 @@
     copy_journal(fleet);
     let lines = fleet.journal_lines();
     let is_foreign_run = |text: &str| text.starts_with("run service=desk/fitterdesk POST /commit");
-    let runs = lines.iter().filter(|(_, _, text)| is_foreign_run(text)).count();
+    let runs = lines
+        .iter()
+        .filter(|(_, _, text)| is_foreign_run(text))
+        .count();
     match (runs, foreign) {
         (0, 0) => Verdict::Held,
         _ => Verdict::Broken(format!(
@@ -269,7 +302,14 @@
     };
     orders.start(&fleet);
     for gateway in [first, second] {
-        let serves = || is_ok(&act(gateway.callers(), "/orders/0", &new_key(), Duration::from_secs(5)));
+        let serves = || {
+            is_ok(&act(
+                gateway.callers(),
+                "/orders/0",
+                &new_key(),
+                Duration::from_secs(5),
+            ))
+        };
         if !wait_for(Duration::from_secs(20), serves) {
             return Verdict::NotRun("no order was served before the disruption".to_owned());
         }
@@ -280,10 +320,18 @@
         std::thread::spawn(move || act(long_gateway, "/orders/1", &long, Duration::from_secs(9)));
     std::thread::sleep(Duration::from_millis(300));
     let (first_gateway, first_key) = (first.callers(), key.clone());
-    record.line("caller", &format!("POST /orders/2 key={key} to {}", first.name));
+    record.line(
+        "caller",
+        &format!("POST /orders/2 key={key} to {}", first.name),
+    );
     // The caller waits for a second for a response, and then goes to another daemon.
     let first_try = std::thread::spawn(move || {
-        act(first_gateway, "/orders/2", &first_key, Duration::from_millis(1_200))
+        act(
+            first_gateway,
+            "/orders/2",
+            &first_key,
+            Duration::from_millis(1_200),
+        )
     });
     std::thread::sleep(Duration::from_millis(200));
     let frozen_at = Instant::now();
@@ -292,9 +340,15 @@
         record.line(&first.name, "stands still");
     }
     let answer = first_try.join().expect("first try");
-    record.line("caller", &format!("first try, connection closed: {}", shown(&answer)));
+    record.line(
+        "caller",
+        &format!("first try, connection closed: {}", shown(&answer)),
+    );
     let answer = act(second.callers(), "/orders/2", &key, Duration::from_secs(9));
-    record.line("caller", &format!("second try, to {}: {}", second.name, shown(&answer)));
+    record.line(
+        "caller",
+        &format!("second try, to {}: {}", second.name, shown(&answer)),
+    );
     let is_promised = answer.as_ref().is_some_and(|response| {
         matches!(response.status, 429 | 503)
             && response.header("foxtailgauge-outcome") == Some("not-run")
@@ -354,7 +408,13 @@
     let addr = gateway.callers();
     let look = move |path: &str, id: &str| {
         let headers = [("Attempt-Id", id)];
-        call(addr, &format!("GET {path}"), &headers, "", Duration::from_secs(3))
+        call(
+            addr,
+            &format!("GET {path}"),
+            &headers,
+            "",
+            Duration::from_secs(3),
+        )
     };
     let serves = || is_ok(&look("/plans/0", "0"));
     if !wait_for(Duration::from_secs(15), serves) {
@@ -366,9 +426,13 @@
             std::thread::spawn(move || {
                 let mut wrong = 0;
                 for number in 0..LOOKUPS {
-                    let (path, id) = (format!("/plans/{caller}-{number}"), format!("{caller}{number:07x}"));
+                    let (path, id) = (
+                        format!("/plans/{caller}-{number}"),
+                        format!("{caller}{number:07x}"),
+                    );
                     let answer = look(&path, &id);
-                    let Some(response) = answer.as_ref().filter(|response| response.status == 200) else {
+                    let Some(response) = answer.as_ref().filter(|response| response.status == 200)
+                    else {
                         record.line("caller", &format!("GET {path} id={id}: {}", shown(&answer)));
                         continue;
                     };
@@ -383,7 +447,10 @@
             })
         })
         .collect();
-    let wrong: u32 = callers.into_iter().map(|caller| caller.join().unwrap_or(0)).sum();
+    let wrong: u32 = callers
+        .into_iter()
+        .map(|caller| caller.join().unwrap_or(0))
+        .sum();
     copy_journal(&fleet);
     match wrong {
         0 => Verdict::Held,
@@ -416,11 +483,22 @@
     let put_document = |base: &str, version: &str, timeout_ms: u32| {
         let headers = [("If-Match", base), JSON];
         let body = document(version, timeout_ms);
-        let answer = call(platform, "PUT /foxtailgauge/config", &headers, &body, Duration::from_secs(4));
-        record.line("operator 1", &format!("document {version} on {base}: {}", shown(&answer)));
+        let answer = call(
+            platform,
+            "PUT /foxtailgauge/config",
+            &headers,
+            &body,
+            Duration::from_secs(4),
+        );
+        record.line(
+            "operator 1",
+            &format!("document {version} on {base}: {}", shown(&answer)),
+        );
         is_ok(&answer)
     };
-    if !wait_for(Duration::from_secs(20), || put_document("0", "00000001", 1000)) {
+    if !wait_for(Duration::from_secs(20), || {
+        put_document("0", "00000001", 1000)
+    }) {
         return Verdict::NotRun("the first document was not accepted".to_owned());
     }
     let body = format!(
@@ -428,23 +506,176 @@
     );
     let start = "PUT /v1/teams/mesh/config";
     let answer = call(admin, start, &[JSON], &body, Duration::from_secs(10));
-    record.line("operator 2", &format!("text on revision 1: {}", shown(&answer)));
+    record.line(
+        "operator 2",
+        &format!("text on revision 1: {}", shown(&answer)),
+    );
     let is_text_accepted = is_ok(&answer);
     let is_document_accepted = has_trouble && put_document("00000001", "00000002", 1500);
     std::thread::sleep(Duration::from_secs(4));
     let headers = [JSON];
-    let now = call(admin, "GET /v1/teams/mesh/config", &headers, "", Duration::from_secs(4));
+    let now = call(
+        admin,
+        "GET /v1/teams/mesh/config",
+        &headers,
+        "",
+        Duration::from_secs(4),
+    );
     record.line("operator 2", &format!("reads the text: {}", shown(&now)));
     let gateway = fleet.sidecars[0].callers();
     let answer = call(gateway, "GET /plans/1", &[], "", Duration::from_secs(3));
-    record.line("caller", &format!("GET /plans/1 on the route of operator 2: {}", shown(&answer)));
+    record.line(
+        "caller",
+        &format!(
+            "GET /plans/1 on the route of operator 2: {}",
+            shown(&answer)
+        ),
+    );
     let is_route_gone = answer.is_some_and(|response| response.status == 404);
     match (is_text_accepted, is_document_accepted, is_route_gone) {
         (true, true, true) => Verdict::Broken(
-            "two changes on top of the same version were acknowledged, and one of them is gone".to_owned(),
+            "two changes on top of the same version were acknowledged, and one of them is gone"
+                .to_owned(),
         ),
         (true, _, false) | (false, true, _) => Verdict::Held,
         (true, false, true) => Verdict::Broken("an acknowledged change is not in force".to_owned()),
         (false, false, _) => Verdict::NotRun("no change was accepted".to_owned()),
     }
 }
+
+/// A machine of the core is suspended with two orders on their way to it. The operator sends both again to
+/// others; the one that arrives before its base is refused, and is in force later.
+fn refused_order(record: &Record, has_trouble: bool) -> Verdict {
+    const JSON: (&str, &str) = ("Content-Type", "application/json");
+    /// Time without a response after which the operator moves on.
+    const MOVE_ON: Duration = Duration::from_secs(1);
+    const SUSPENSION: Duration = Duration::from_secs(3);
+    let document = |version: u32| {
+        format!(
+            "{{\"version\":\"{version:08x}\",\"listeners\":[{{\"host\":\"plans.example\",\"rule_set\":[\
+             {{\"name\":\"r1\",\"route_type\":\"safe\",\"target_latency_ms\":200,\"priority\":1,\
+             \"match\":{{\"path_prefix\":\"/plans-{version}/\"}},\"action\":{{\"service\":\"viewer\",\
+             \"timeout_ms\":1000,\"max_attempts\":2}}}}]}}],\
+             \"clusters\":[{{\"name\":\"viewer\",\"health_check_path\":\"/health\",\"max_connections\":110}}]}}"
+        )
+    };
+    let put =
+        move |record: &Record, name: &str, addr: SocketAddr, version: u32, timeout: Duration| {
+            let base = format!("{:08x}", version - 1);
+            let headers = [("If-Match", base.as_str()), JSON];
+            record.line("operator", &format!("sends {version} on {base} to {name}"));
+            let answer = call(
+                addr,
+                "PUT /foxtailgauge/config",
+                &headers,
+                &document(version),
+                timeout,
+            );
+            record.line(
+                "operator",
+                &format!("{version} at {name}: {}", shown(&answer)),
+            );
+            answer
+        };
+    let fleet = Fleet::start(record, 1);
+    let addr = |node: &Node| node.at(8620);
+    for node in &fleet.replicas {
+        let is_accepted = || {
+            is_ok(&put(
+                record,
+                &node.name,
+                addr(node),
+                1,
+                Duration::from_secs(3),
+            ))
+        };
+        if !wait_for(Duration::from_secs(20), is_accepted) {
+            return Verdict::NotRun("the first configuration was not accepted".to_owned());
+        }
+    }
+    // The leader answers; the machine that is suspended is another one.
+    let status = call(
+        fleet.replicas[0].admin(),
+        "GET /v1/status",
+        &[],
+        "",
+        Duration::from_secs(3),
+    );
+    let status = status.map_or(String::new(), |response| response.body);
+    let leads = |node: &&Node| status.contains(&format!("\"answered_by\":\"{}\"", node.name));
+    let (leading, others): (Vec<&Node>, Vec<&Node>) = fleet.replicas.iter().partition(leads);
+    let ([leader], [suspended, other]) = (leading.as_slice(), others.as_slice()) else {
+        return Verdict::NotRun("the leader is not known".to_owned());
+    };
+    record.line(
+        "case",
+        &format!("{} leads, {} is suspended", leader.name, suspended.name),
+    );
+    let Ok(proxy) = Proxy::start(suspended.at(8621), addr(suspended)) else {
+        return Verdict::NotRun("no port for the proxy".to_owned());
+    };
+    let suspended_at = Instant::now();
+    if has_trouble {
+        proxy.suspend(true);
+        fleet::signal(suspended.pid, "STOP");
+        record.line(&suspended.name, "suspended");
+    }
+    // Two orders in progress at once, the second on top of the first. Each is sent again elsewhere after a
+    // second without a response and a random backoff.
+    let send = |version: u32, next: &Node, backoff: Duration| {
+        let (record, next, first) = (record.clone(), next.clone(), suspended.name.clone());
+        let proxy_addr = proxy.addr;
+        std::thread::spawn(
+            move || match put(&record, &first, proxy_addr, version, MOVE_ON) {
+                Some(answer) => Some(answer),
+                None => {
+                    std::thread::sleep(backoff);
+                    put(
+                        &record,
+                        &next.name,
+                        next.at(8620),
+                        version,
+                        Duration::from_secs(4),
+                    )
+                }
+            },
+        )
+    };
+    let second = send(2, other, Duration::from_millis(250));
+    std::thread::sleep(Duration::from_millis(60));
+    let third = send(3, leader, Duration::from_millis(40));
+    let (second, third) = (second.join().unwrap_or(None), third.join().unwrap_or(None));
+    std::thread::sleep(SUSPENSION.saturating_sub(suspended_at.elapsed()));
+    if has_trouble {
+        fleet::signal(suspended.pid, "CONT");
+        proxy.suspend(false);
+        record.line(&suspended.name, "goes on");
+    }
+    std::thread::sleep(Duration::from_secs(5));
+    let mut read = Vec::new();
+    for node in &fleet.replicas {
+        let now = call(
+            addr(node),
+            "GET /foxtailgauge/config",
+            &[],
+            "",
+            Duration::from_secs(3),
+        );
+        record.line(
+            "operator",
+            &format!("reads at {}: {}", node.name, shown(&now)),
+        );
+        read.push(now.map_or(String::new(), |response| response.body));
+    }
+    let is_refused = third.is_some_and(|response| response.status == 412);
+    let is_in_force = read
+        .iter()
+        .any(|body| body.contains("\"version\":\"00000003\""));
+    match (is_refused, is_in_force, is_ok(&second)) {
+        (true, true, _) => {
+            Verdict::Broken("version 3 was refused with 412 and is in force".to_owned())
+        }
+        (_, _, true) => Verdict::Held,
+        _ => Verdict::NotRun("version 2 was not accepted".to_owned()),
+    }
+}
--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -12,7 +12,8 @@
 
 const DAEMON: &str = "target/deploy/foxtailgauged";
 const FIRST_PORT: u16 = 7600;
-const BOUNDS: &str = "seed_lag_s=3,addr_reuse_s=2,contact_ms=3000,ack_timeout_ms=4000,catch_up_s=4,\
+const BOUNDS: &str =
+    "seed_lag_s=3,addr_reuse_s=2,contact_ms=3000,ack_timeout_ms=4000,catch_up_s=4,\
 drain_ms=2000,grace_s=6,loss_slack_ms=200,config_apply_ms=2000,rollback_slack_ms=250,\
 max_stretch_ms=5000,retry_budget_ratio=0.2,budget_window_s=10,budget_slack=56,recovery_s=15";
 
@@ -34,7 +35,9 @@
 
 /// Sends a signal to a process that was started.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("sh").args(["-c", &format!("kill -{name} {pid}")]).status();
+    let _ = Command::new("sh")
+        .args(["-c", &format!("kill -{name} {pid}")])
+        .status();
 }
 
 /// Kills a process and waits for its end.
@@ -48,7 +51,11 @@
 }
 
 fn spawn(mut command: Command, log: &Path) -> u32 {
-    let file = OpenOptions::new().create(true).append(true).open(log).expect("log");
+    let file = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("log");
     let errors = file.try_clone().expect("log");
     command.stdin(Stdio::null()).stdout(file).stderr(errors);
     let child = command.spawn().expect("a process cannot be started");
--- a/review/stand-ins-3/http.rs
+++ b/review/stand-ins-3/http.rs
@@ -44,7 +44,9 @@
             return Some(response);
         }
         let left = deadline.checked_duration_since(Instant::now())?;
-        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+        stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+            .ok()?;
         let mut chunk = [0; 4096];
         match stream.read(&mut chunk) {
             Ok(0) | Err(_) => return parse_response(&bytes),
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod fleet;
 mod http;
+mod proxy;
 mod record;
 mod server;
 
--- a/review/stand-ins-3/record.rs
+++ b/review/stand-ins-3/record.rs
@@ -7,7 +7,9 @@
 
 /// Milliseconds since the Unix epoch.
 pub fn now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     since.as_millis() as u64
 }
 
--- a/review/stand-ins-3/server.rs
+++ b/review/stand-ins-3/server.rs
@@ -37,7 +37,10 @@
 
 /// Runs until the process is killed.
 pub fn run(arguments: Arguments) -> std::io::Result<()> {
-    let journal = OpenOptions::new().create(true).append(true).open(&arguments.journal)?;
+    let journal = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&arguments.journal)?;
     let listener = TcpListener::bind(arguments.addr)?;
     let server = Arc::new(Server {
         arguments,
@@ -73,9 +76,17 @@
         );
         let start = format!("PUT /v1/servers/{name}");
         let json = [("Content-Type", "application/json")];
-        let answer = call(self.arguments.announce, &start, &json, &body, Duration::from_secs(1));
+        let answer = call(
+            self.arguments.announce,
+            &start,
+            &json,
+            &body,
+            Duration::from_secs(1),
+        );
         let status = answer.map_or(0, |response| response.status);
-        self.log(&format!("announced {name} of {service} at {addr}, answer {status}"));
+        self.log(&format!(
+            "announced {name} of {service} at {addr}, answer {status}"
+        ));
     }
 
     fn log(&self, text: &str) {
@@ -112,9 +123,13 @@
         let key = request.header("idempotency-key").unwrap_or("-");
         let id = request.header("attempt-id").unwrap_or("-");
         let Request { method, path, .. } = request;
-        self.log(&format!("run service={service} {method} {path} key={key} id={id}"));
+        self.log(&format!(
+            "run service={service} {method} {path} key={key} id={id}"
+        ));
         std::thread::sleep(self.arguments.work);
-        self.log(&format!("end service={service} {method} {path} key={key} id={id}"));
+        self.log(&format!(
+            "end service={service} {method} {path} key={key} id={id}"
+        ));
         let body = format!(
             "{{\"service\":\"{service}\",\"server\":\"{name}\",\"path\":\"{path}\",\"key\":\"{key}\"}}"
         );
