--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -1,12 +1,12 @@
 //! The cases.
 
 use crate::fleet::{self, wait_for, Fleet, Node};
-use crate::http::{call, Response};
+use crate::http::{call, call_on, Response};
 use crate::proxy::Proxy;
 use crate::record::{now_ms, Record};
 use crate::Verdict;
 use std::io::Read;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// Port of a backend server on its instance, as in `app_addr` of the settings.
@@ -559,23 +559,27 @@
              \"clusters\":[{{\"name\":\"viewer\",\"health_check_path\":\"/health\",\"max_connections\":110}}]}}"
         )
     };
+    let put_on = move |record: &Record,
+                       name: &str,
+                       stream: Option<TcpStream>,
+                       version: u32,
+                       timeout: Duration| {
+        let base = format!("{:08x}", version - 1);
+        let headers = [("If-Match", base.as_str()), JSON];
+        record.line("operator", &format!("sends {version} on {base} to {name}"));
+        let start = "PUT /foxtailgauge/config";
+        let body = document(version);
+        let answer = stream.and_then(|stream| call_on(stream, start, &headers, &body, timeout));
+        record.line(
+            "operator",
+            &format!("{version} at {name}: {}", shown(&answer)),
+        );
+        answer
+    };
     let put =
         move |record: &Record, name: &str, addr: SocketAddr, version: u32, timeout: Duration| {
-            let base = format!("{:08x}", version - 1);
-            let headers = [("If-Match", base.as_str()), JSON];
-            record.line("operator", &format!("sends {version} on {base} to {name}"));
-            let answer = call(
-                addr,
-                "PUT /foxtailgauge/config",
-                &headers,
-                &document(version),
-                timeout,
-            );
-            record.line(
-                "operator",
-                &format!("{version} at {name}: {}", shown(&answer)),
-            );
-            answer
+            let stream = TcpStream::connect_timeout(&addr, timeout).ok();
+            put_on(record, name, stream, version, timeout)
         };
     let fleet = Fleet::start(record, 1);
     let addr = |node: &Node| node.at(8620);
@@ -614,6 +618,10 @@
     let Ok(proxy) = Proxy::start(suspended.at(8621), addr(suspended)) else {
         return Verdict::NotRun("no port for the proxy".to_owned());
     };
+    // Opened before the suspension: a suspended machine accepts no connection.
+    let open = || TcpStream::connect_timeout(&proxy.addr, MOVE_ON).ok();
+    let (stream_2, stream_3) = (open(), open());
+    std::thread::sleep(Duration::from_millis(100));
     let suspended_at = Instant::now();
     if has_trouble {
         proxy.suspend(true);
@@ -622,11 +630,10 @@
     }
     // Two orders in progress at once, the second on top of the first. Each is sent again elsewhere after a
     // second without a response and a random backoff.
-    let send = |version: u32, next: &Node, backoff: Duration| {
+    let send = |version: u32, stream: Option<TcpStream>, next: &Node, backoff: Duration| {
         let (record, next, first) = (record.clone(), next.clone(), suspended.name.clone());
-        let proxy_addr = proxy.addr;
         std::thread::spawn(
-            move || match put(&record, &first, proxy_addr, version, MOVE_ON) {
+            move || match put_on(&record, &first, stream, version, MOVE_ON) {
                 Some(answer) => Some(answer),
                 None => {
                     std::thread::sleep(backoff);
@@ -641,9 +648,9 @@
             },
         )
     };
-    let second = send(2, other, Duration::from_millis(250));
+    let second = send(2, stream_2, other, Duration::from_millis(250));
     std::thread::sleep(Duration::from_millis(60));
-    let third = send(3, leader, Duration::from_millis(40));
+    let third = send(3, stream_3, leader, Duration::from_millis(40));
     let (second, third) = (second.join().unwrap_or(None), third.join().unwrap_or(None));
     std::thread::sleep(SUSPENSION.saturating_sub(suspended_at.elapsed()));
     if has_trouble {
--- a/review/stand-ins-3/http.rs
+++ b/review/stand-ins-3/http.rs
@@ -30,7 +30,21 @@
     timeout: Duration,
 ) -> Option<Response> {
     let deadline = Instant::now() + timeout;
-    let mut stream = TcpStream::connect_timeout(&addr, timeout).ok()?;
+    let stream = TcpStream::connect_timeout(&addr, timeout).ok()?;
+    let left = deadline.checked_duration_since(Instant::now())?;
+    call_on(stream, start, headers, body, left)
+}
+
+/// Like [`call`], on a connection that is open already.
+pub fn call_on(
+    mut stream: TcpStream,
+    start: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+    timeout: Duration,
+) -> Option<Response> {
+    let deadline = Instant::now() + timeout;
+    let addr = stream.peer_addr().ok()?;
     stream.set_nodelay(true).ok()?;
     let mut text = format!("{start} HTTP/1.1\r\nHost: {addr}\r\nConnection: close\r\n");
     for (name, value) in headers {
